--- /dev/null
+++ b/cmd/mapleslip/main.go
@@ -0,0 +1,87 @@
+// Command mapleslip is one controller of the cluster scheduler.
+package main
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/spf13/cobra"
+
+	"mapleslip/internal/protocol"
+)
+
+// version is set by releases with -ldflags "-X main.version=...".
+var version = "0.1.0-dev"
+
+func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "mapleslip: "+err.Error())
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
+	var config, operator string
+	var check bool
+	cmd := &cobra.Command{
+		Use:   "mapleslip --config FILE",
+		Short: "One controller of the mapleslip cluster scheduler",
+		Long: "mapleslip runs one controller. FILE is the platform's settings file (TOML).\n" +
+			"LOG_LEVEL (error, info, debug) sets how much is logged to standard error.",
+		Version:       version,
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if config == "" {
+				return fmt.Errorf("--config: missing")
+			}
+			platform, err := protocol.LoadPlatform(config)
+			if err != nil {
+				return err
+			}
+			own := protocol.DefaultOperator()
+			if operator != "" {
+				if own, err = protocol.LoadOperator(operator); err != nil {
+					return err
+				}
+			}
+			if check {
+				fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
+				return nil
+			}
+			log := logger(os.Getenv("LOG_LEVEL"))
+			slog.SetDefault(log)
+			// One goroutine owns the state and the share is part of one core:
+			// more threads would only take turns.
+			runtime.GOMAXPROCS(1)
+			debug.SetMemoryLimit(platform.MemoryBytes * 6 / 10)
+			return serve(platform, own, log)
+		},
+	}
+	cmd.Flags().StringVar(&config, "config", "", "the platform's settings `FILE`")
+	cmd.Flags().StringVar(&operator, "operator", "", "the operators' own settings `FILE`")
+	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	return cmd
+}
+
+func logger(level string) *slog.Logger {
+	l, unknown := slog.LevelInfo, false
+	switch level {
+	case "error":
+		l = slog.LevelError
+	case "info", "":
+	case "debug":
+		l = slog.LevelDebug
+	default:
+		unknown = true
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
+	if unknown {
+		log.Info("LOG_LEVEL is not one of error, info, debug: info is used", "LOG_LEVEL", level)
+	}
+	return log
+}
--- /dev/null
+++ b/cmd/mapleslip/serve.go
@@ -0,0 +1,226 @@
+package main
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"mapleslip/internal/coordination"
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/transport"
+)
+
+// driver joins the controller, which does no I/O, to the transport.
+type driver struct {
+	log      *slog.Logger
+	platform *protocol.Platform
+	ctl      *coordination.Controller
+	server   *transport.Server
+	started  time.Time
+	in       chan any // transport.Inbound or coordination.CallDone
+	meters   map[coordination.Target]*transport.Meter
+	dialers  map[coordination.Target]*transport.Dialer
+	addrs    map[coordination.Target]string
+}
+
+const (
+	tickEvery   = 50 * time.Millisecond
+	queueLength = 2048
+)
+
+func serve(p *protocol.Platform, o protocol.Operator, log *slog.Logger) error {
+	seed := rand.Uint64()
+	d := &driver{log: log, platform: p, ctl: coordination.New(p, o, seed, log), started: time.Now(), in: make(chan any, queueLength),
+		meters: map[coordination.Target]*transport.Meter{
+			coordination.ToState: transport.NewMeter(p.StateRate, p.StateWriteRate, 1),
+			coordination.ToCloud: transport.NewMeter(p.CloudRate, 0, 2),
+		},
+		addrs: map[coordination.Target]string{coordination.ToState: p.StateAddr, coordination.ToCloud: p.CloudAddr},
+	}
+	// A tenth of the sockets is kept free; outbound calls get up to a fourth.
+	outbound := max(16, p.MaxConnections/4)
+	d.dialers = map[coordination.Target]*transport.Dialer{
+		coordination.ToState:  {MaxOpen: outbound / 4, MaxPer: outbound / 4, KeepIdle: 20 * time.Second},
+		coordination.ToCloud:  {MaxOpen: outbound / 8, MaxPer: outbound / 8, KeepIdle: 20 * time.Second},
+		coordination.ToPeer:   {MaxOpen: outbound / 4, MaxPer: outbound / 8, KeepIdle: 20 * time.Second},
+		coordination.ToWorker: {MaxOpen: outbound / 4, MaxPer: 2, KeepIdle: 20 * time.Second},
+	}
+	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
+		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute}
+	go d.server.Run(p.ClientListen, p.ClusterListen)
+	log.Info("started", "node", p.Node, "zone", p.Zone, "version", version)
+	d.loop()
+	return nil
+}
+
+func (d *driver) deliver(m transport.Inbound) bool {
+	select {
+	case d.in <- m:
+		return true
+	default:
+		return false
+	}
+}
+
+func (d *driver) now() protocol.Now {
+	t := time.Now()
+	return protocol.Now{Steady: protocol.Micros(t.Sub(d.started) / time.Microsecond), Wall: protocol.Micros(t.UnixMicro())}
+}
+
+func (d *driver) loop() {
+	d.perform(d.ctl.Start(d.now()))
+	ticker := time.NewTicker(tickEvery)
+	for {
+		select {
+		case m := <-d.in:
+			d.handle(m)
+		case <-ticker.C:
+			d.perform(d.ctl.Step(d.now(), coordination.Tick{}))
+		}
+		for more := true; more; {
+			select {
+			case m := <-d.in:
+				d.handle(m)
+			default:
+				more = false
+			}
+		}
+		for _, m := range d.meters {
+			m.Run(d.now().Steady)
+		}
+	}
+}
+
+func (d *driver) handle(m any) {
+	switch e := m.(type) {
+	case coordination.CallDone:
+		d.perform(d.ctl.Step(d.now(), e))
+	case transport.Inbound:
+		if e.HTTP != nil {
+			d.route(e)
+			return
+		}
+		msg, err := protocol.ParsePeer(e.Frame)
+		if err != nil || msg.Kind != protocol.PeerCall {
+			d.log.Info("malformed message", "from", "controller", "err", err)
+			d.reply(coordination.Reply{To: coordination.Address{Conn: uint64(e.Conn), Peer: true}})
+			return
+		}
+		d.perform(d.ctl.Step(d.now(), coordination.UserCall{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Op: msg.Op, Ref: msg.Ref, Body: msg.Body}))
+	}
+}
+
+// route finds what an HTTP request asks for.
+func (d *driver) route(e transport.Inbound) {
+	to := coordination.Address{Conn: uint64(e.Conn)}
+	r := e.HTTP
+	var ev coordination.Event
+	want := "POST"
+	switch {
+	case r.Path == "/healthz":
+		want = "GET"
+		ev = coordination.HealthCall{Reply: to}
+	case r.Path == "/hello":
+		ev = coordination.WorkerReport{Reply: to, Body: r.Body}
+	case r.Path == "/api/jobs":
+		ev = coordination.UserCall{Reply: to, Op: protocol.OpSubmit, Body: r.Body}
+	case strings.HasPrefix(r.Path, "/api/jobs/"):
+		ref := strings.TrimPrefix(r.Path, "/api/jobs/")
+		if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
+			ev = coordination.UserCall{Reply: to, Op: protocol.OpCancel, Ref: id}
+		} else {
+			want = "GET"
+			ev = coordination.UserCall{Reply: to, Op: protocol.OpQuery, Ref: ref}
+		}
+	default:
+		d.reply(coordination.Reply{To: to, Status: 404, Body: protocol.ErrorBody("no such path")})
+		return
+	}
+	if r.Method != want {
+		d.reply(coordination.Reply{To: to, Status: 405, Body: protocol.ErrorBody("method not allowed")})
+		return
+	}
+	d.perform(d.ctl.Step(d.now(), ev))
+}
+
+func (d *driver) perform(effects []coordination.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case coordination.Reply:
+			d.reply(e)
+		case coordination.Call:
+			d.call(e)
+		case coordination.Share:
+			part := 0.15
+			if e.Leads {
+				part = 0.65
+			}
+			for _, m := range d.meters {
+				m.SetShare(part)
+			}
+		}
+	}
+	for _, m := range d.meters {
+		m.Run(d.now().Steady)
+	}
+}
+
+func (d *driver) reply(r coordination.Reply) {
+	d.server.Answer(transport.ConnID(r.To.Conn), func(closing bool) []byte {
+		if r.To.Peer {
+			return protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(r.Status), RetryAfter: r.RetryAfter, Body: r.Body})
+		}
+		return transport.AppendResponse(nil, r.Status, r.Body, protocol.WholeSeconds(r.RetryAfter), closing)
+	})
+}
+
+// call makes an outbound call, in its turn where the service is metered.
+func (d *driver) call(c coordination.Call) {
+	send := func() { go d.send(c) }
+	m := d.meters[c.Target]
+	if m == nil {
+		send()
+		return
+	}
+	changes := c.Changes
+	if c.Target == coordination.ToCloud {
+		changes = 0
+	}
+	m.Add(transport.Metered{Priority: transport.Priority(c.Priority), Changes: changes, Expires: d.now().Steady + c.Timeout, Send: send,
+		Expire: func() {
+			go func() { d.in <- coordination.CallDone{ID: c.ID, Unsent: true} }()
+		}})
+}
+
+func (d *driver) send(c coordination.Call) {
+	addr := c.Addr
+	if addr == "" {
+		addr = d.addrs[c.Target]
+	}
+	payload := c.Body
+	if c.Target != coordination.ToPeer {
+		payload = transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
+	}
+	done := coordination.CallDone{ID: c.ID}
+	err := d.dialers[c.Target].Do(addr, payload, time.Duration(c.Timeout)*time.Microsecond, func(buf []byte, eof bool) (int, bool, error) {
+		if c.Target == coordination.ToPeer {
+			frame, used, err := protocol.SplitPeer(buf)
+			if used > 0 {
+				done.Status, done.Body = 200, frame
+			}
+			return used, true, err
+		}
+		r, used, err := transport.ParseResponse(buf, eof)
+		if err != nil || used == 0 {
+			return 0, false, err
+		}
+		done.Status, done.Body = r.Status, r.Body
+		return used, !r.Close, nil
+	})
+	if err != nil {
+		done.Status, done.Body = 0, nil
+		done.Unsent = err == transport.ErrSockets || err == transport.ErrRefused
+	}
+	d.in <- done
+}
--- /dev/null
+++ b/internal/bookkeeping/host.go
@@ -0,0 +1,139 @@
+package bookkeeping
+
+import (
+	"fmt"
+
+	"mapleslip/internal/protocol"
+)
+
+// HostState is where a machine is in its life.
+type HostState uint8
+
+// States of a host.
+const (
+	HostBooting   HostState = iota // rented or listed, has not reported
+	HostReady                      // reports under this epoch
+	HostSilent                     // its tasks are proven gone, it may come back
+	HostReleasing                  // a release is on its way
+	HostGone                       // the release was answered
+)
+
+func (s HostState) String() string {
+	return [...]string{"booting", "ready", "silent", "releasing", "gone"}[s]
+}
+
+var hostMoves = map[HostState][]HostState{
+	HostBooting:   {HostReady, HostReleasing, HostSilent},
+	HostReady:     {HostSilent, HostReleasing},
+	HostSilent:    {HostReady, HostReleasing},
+	HostReleasing: {HostGone},
+}
+
+// Image is a machine's image as far as known.
+type Image struct {
+	Size int64
+	Used micros
+}
+
+// Host is a rented machine.
+type Host struct {
+	Name, Addr   string
+	Type         *protocol.MachineType
+	TypeName     string
+	Zone         string
+	Spot         bool
+	State        HostState
+	Recorded     bool // in the state service; nothing is launched before
+	Recording    bool
+	FromRecord   bool // recorded under an earlier epoch: may hold tasks unseen
+	Proven       bool // has reported under this epoch, or its tasks are gone
+	Session      uint64
+	Tick         uint64
+	Heard        micros // last report
+	Answered     micros // latest time at which anyone may have answered it
+	Since        micros // rented, or first known
+	Listed       bool
+	ListedState  protocol.CloudState
+	AbsentSince  micros
+	Noticed      bool
+	TakenAt      micros
+	Draining     bool
+	Attempts     map[protocol.AttemptName]*Attempt
+	Images       map[string]*Image
+	IdleSince    micros
+	Faults       int
+	FaultUntil   micros
+	FullUntil    micros
+	Slowness     float64 // run time against others of the class, 1 is usual
+	ReleaseWhy   string
+	ReleaseAsked micros
+}
+
+// NewHost makes a host.
+func NewHost(now micros, name, typeName, zone string, spot bool) *Host {
+	return &Host{Name: name, TypeName: typeName, Zone: zone, Spot: spot, Since: now, IdleSince: now, Slowness: 1,
+		Attempts: make(map[protocol.AttemptName]*Attempt), Images: make(map[string]*Image)}
+}
+
+// To is the one place where a host changes its state.
+func (h *Host) To(s HostState) {
+	if h.State == s {
+		return
+	}
+	for _, ok := range hostMoves[h.State] {
+		if ok == s {
+			h.State = s
+			return
+		}
+	}
+	panic(fmt.Sprintf("host %s: no way from %v to %v", h.Name, h.State, s))
+}
+
+// Used sums what the attempts take.
+func (h *Host) Used() protocol.Resources {
+	var r protocol.Resources
+	for _, a := range h.Attempts {
+		if a.State.Occupies() && a.Job != nil {
+			r = r.Add(a.Job.Spec.Need, 1)
+		}
+	}
+	return r
+}
+
+// Empty reports whether no attempt may take room.
+func (h *Host) Empty() bool {
+	for _, a := range h.Attempts {
+		if a.State.Occupies() {
+			return false
+		}
+	}
+	return true
+}
+
+// SawImage notes that the host has an image, and forgets the least recently
+// used ones that its cache cannot hold beside it.
+func (h *Host) SawImage(now micros, name string, size int64) {
+	im := h.Images[name]
+	if im == nil {
+		im = &Image{Size: size}
+		h.Images[name] = im
+	}
+	im.Used = now
+	if h.Type == nil {
+		return
+	}
+	for {
+		var sum int64
+		oldest := ""
+		for n, i := range h.Images {
+			sum += i.Size
+			if n != name && (oldest == "" || i.Used < h.Images[oldest].Used || (i.Used == h.Images[oldest].Used && n < oldest)) {
+				oldest = n
+			}
+		}
+		if sum <= h.Type.Cache || oldest == "" {
+			return
+		}
+		delete(h.Images, oldest)
+	}
+}
--- /dev/null
+++ b/internal/coordination/controller.go
@@ -0,0 +1,418 @@
+// Package coordination is the controller itself: election, worker sessions,
+// commands, placing and rental. All its state belongs to one goroutine, which
+// calls Step; Step does no I/O, it returns effects.
+package coordination
+
+import (
+	"log/slog"
+	"math/rand/v2"
+	"sort"
+	"strconv"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+type (
+	micros = protocol.Micros
+	now    = protocol.Now
+)
+
+// Target is who a call goes to.
+type Target uint8
+
+// Targets of calls.
+const (
+	ToState Target = iota
+	ToCloud
+	ToPeer
+	ToWorker
+)
+
+// Event is something that happened outside.
+type Event interface{ event() }
+
+// UserCall is a user's request, from a connection or passed on by a node.
+type UserCall struct {
+	Reply Address
+	Op    protocol.UserOp
+	Ref   string
+	Body  []byte
+}
+
+// WorkerReport is a worker's report.
+type WorkerReport struct {
+	Reply Address
+	Body  []byte
+}
+
+// HealthCall asks for the node's health.
+type HealthCall struct{ Reply Address }
+
+// CallDone is the end of a call. Status 0: no answer.
+type CallDone struct {
+	ID     uint64
+	Status int
+	Body   []byte
+	Unsent bool // certainly not executed
+}
+
+// Tick is the passing of time.
+type Tick struct{}
+
+func (UserCall) event()     {}
+func (WorkerReport) event() {}
+func (HealthCall) event()   {}
+func (CallDone) event()     {}
+func (Tick) event()         {}
+
+// Address is where an answer goes.
+type Address struct {
+	Conn uint64
+	Peer bool // the other side is a controller
+}
+
+// Effect is something to be done outside.
+type Effect interface{ effect() }
+
+// Reply answers a request.
+type Reply struct {
+	To         Address
+	Status     int
+	Body       []byte
+	RetryAfter micros
+}
+
+// Call asks for an outbound call.
+type Call struct {
+	ID       uint64
+	Target   Target
+	Addr     string // of a peer or a worker
+	Method   string
+	Path     string
+	Body     []byte
+	Timeout  micros
+	Priority uint8
+	Changes  int
+}
+
+// Share tells whether this node leads, and so which part of the metered
+// services' rates it may use.
+type Share struct{ Leads bool }
+
+func (Reply) effect() {}
+func (Call) effect()  {}
+func (Share) effect() {}
+
+// Priorities of metered calls.
+const (
+	prioLeadership uint8 = iota
+	prioUrgent
+	prioNormal
+)
+
+// Role is the state of the election.
+type Role uint8
+
+// Roles of a node.
+const (
+	Following Role = iota // another node leads, or may
+	Leasing               // asks for a state lease
+	Claiming              // takes the leader key
+	Loading               // leads, reads the records
+	Leading               // leads
+	Doubtful              // leads, but its lease could have ended
+)
+
+func (r Role) String() string {
+	return [...]string{"following", "leasing", "claiming", "loading", "leading", "doubtful"}[r]
+}
+
+// Controller is one node.
+type Controller struct {
+	platform *protocol.Platform
+	operator protocol.Operator
+	rng      *rand.Rand
+	log      *slog.Logger
+
+	at      now
+	effects []Effect
+	calls   map[uint64]func(CallDone)
+	callSeq uint64
+	callGen uint64 // raised when the role restarts, so that old answers are dropped
+	timers  []timer
+
+	role       Role
+	roleSince  micros
+	seat       seat
+	leader     bookkeeping.Leadership // as known from the state service
+	suspect    micros                 // the leader did not answer, until then it is not asked
+	finals     map[string]final
+	types      []*protocol.MachineType
+	typeByName map[string]*protocol.MachineType
+
+	term *term // what a leader knows; nil unless it leads
+
+	Counters Counters
+}
+
+// Counters are kept for the log.
+type Counters struct {
+	Malformed int
+	Steps     int
+	Rounds    int
+}
+
+// final is the last phase of a job that is over.
+type final struct {
+	phase protocol.Phase
+	tasks int
+}
+
+type timer struct {
+	at micros
+	fn func()
+}
+
+// New makes a controller.
+func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
+	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
+		calls: make(map[uint64]func(CallDone)), finals: make(map[string]final),
+		typeByName: make(map[string]*protocol.MachineType)}
+}
+
+// Role says what the node is.
+func (c *Controller) Role() Role { return c.role }
+
+// Start begins the controller's work.
+func (c *Controller) Start(at now) []Effect {
+	c.at = at
+	c.follow()
+	return c.flush()
+}
+
+// Step handles one event.
+func (c *Controller) Step(at now, ev Event) []Effect {
+	if at.Steady < c.at.Steady {
+		at.Steady = c.at.Steady
+	}
+	c.at = at
+	c.Counters.Steps++
+	c.runTimers()
+	switch e := ev.(type) {
+	case UserCall:
+		c.onUser(e)
+	case WorkerReport:
+		c.onReport(e)
+	case HealthCall:
+		c.onHealth(e)
+	case CallDone:
+		if fn := c.calls[e.ID]; fn != nil {
+			delete(c.calls, e.ID)
+			fn(e)
+		}
+	case Tick:
+	}
+	c.watchLease()
+	if c.term != nil {
+		c.pulse()
+	}
+	return c.flush()
+}
+
+func (c *Controller) flush() []Effect {
+	e := c.effects
+	c.effects = nil
+	return e
+}
+
+func (c *Controller) emit(e Effect) { c.effects = append(c.effects, e) }
+
+func (c *Controller) reply(to Address, status int, body []byte, retry micros) {
+	c.emit(Reply{To: to, Status: status, Body: body, RetryAfter: retry})
+}
+
+// retryLater is what users are told when a request can't be taken now.
+const retryLater = protocol.Second
+
+func (c *Controller) unavailable(to Address, why string) {
+	c.reply(to, 503, protocol.ErrorBody(why), retryLater)
+}
+
+func (c *Controller) call(target Target, prio uint8, method, path string, body []byte, timeout micros, changes int, done func(CallDone)) {
+	c.callSeq++
+	c.calls[c.callSeq] = done
+	c.emit(Call{ID: c.callSeq, Target: target, Method: method, Path: path, Body: body, Timeout: timeout, Priority: prio, Changes: changes})
+}
+
+func (c *Controller) callAddr(target Target, addr, path string, body []byte, timeout micros, done func(CallDone)) {
+	c.callSeq++
+	c.calls[c.callSeq] = done
+	c.emit(Call{ID: c.callSeq, Target: target, Addr: addr, Method: "POST", Path: path, Body: body, Timeout: timeout})
+}
+
+// after runs fn once the time has come, within the resolution of ticks.
+func (c *Controller) after(d micros, fn func()) {
+	c.timers = append(c.timers, timer{c.at.Steady + d, fn})
+}
+
+func (c *Controller) runTimers() {
+	var due []timer
+	rest := c.timers[:0]
+	for _, t := range c.timers {
+		if t.at <= c.at.Steady {
+			due = append(due, t)
+		} else {
+			rest = append(rest, t)
+		}
+	}
+	c.timers = rest
+	sort.SliceStable(due, func(a, b int) bool { return due[a].at < due[b].at })
+	for _, t := range due {
+		t.fn()
+	}
+}
+
+// malformed notes an answer that does not follow the protocol. It is treated
+// as no answer.
+func (c *Controller) malformed(from string, err error) {
+	c.Counters.Malformed++
+	c.log.Info("malformed message", "from", from, "err", err, "count", c.Counters.Malformed)
+}
+
+// drift is how far apart steady clocks may be after a span, with a little for
+// timers that fire late.
+func drift(d micros) micros { return d/1000 + 5*protocol.Millisecond }
+
+func (c *Controller) get(prio uint8, key string, done func(e protocol.Entry, found, ok bool)) {
+	c.call(ToState, prio, "GET", "/store/"+key, nil, stateTimeout, 0, func(r CallDone) {
+		switch r.Status {
+		case 200:
+			e, err := protocol.ParseEntry(r.Body)
+			if err != nil {
+				c.malformed("state", err)
+				done(e, false, false)
+				return
+			}
+			done(e, true, true)
+		case 404:
+			done(protocol.Entry{}, false, true)
+		default:
+			done(protocol.Entry{}, false, false)
+		}
+	})
+}
+
+const stateTimeout = 1500 * protocol.Millisecond
+
+// txnOutcome is how a transaction ended.
+type txnOutcome uint8
+
+const (
+	txnApplied  txnOutcome = iota
+	txnRefused             // a condition did not hold
+	txnRejected            // certainly not executed
+	txnUnknown             // may have been executed, or may still be
+)
+
+func (c *Controller) txn(prio uint8, when []protocol.Condition, then []protocol.Change, done func(o txnOutcome, r protocol.TxnResult)) {
+	body := protocol.AppendTxn(nil, when, then)
+	c.call(ToState, prio, "POST", "/commit", body, stateTimeout, len(then), func(r CallDone) {
+		if r.Unsent {
+			done(txnRejected, protocol.TxnResult{})
+			return
+		}
+		switch r.Status {
+		case 200, 409:
+			res, err := protocol.ParseTxn(r.Body)
+			if err != nil {
+				c.malformed("state", err)
+				done(txnUnknown, res)
+				return
+			}
+			if r.Status == 200 {
+				done(txnApplied, res)
+			} else {
+				done(txnRefused, res)
+			}
+		case 400, 429, 503:
+			if r.Status == 400 {
+				c.log.Error("the state service refused a transaction as malformed", "body", string(body))
+			}
+			done(txnRejected, protocol.TxnResult{})
+		default:
+			done(txnUnknown, protocol.TxnResult{})
+		}
+	})
+}
+
+// list reads all keys with a prefix, page by page.
+func (c *Controller) list(prio uint8, prefix string, each func(protocol.Entry), done func(revision uint64, ok bool)) {
+	var first uint64
+	var page func(since string)
+	page = func(since string) {
+		path := "/store?under=" + prefix + "&page=500"
+		if since != "" {
+			path += "&since=" + since
+		}
+		c.call(ToState, prio, "GET", path, nil, 3*protocol.Second, 0, func(r CallDone) {
+			if r.Status != 200 {
+				done(0, false)
+				return
+			}
+			p, err := protocol.ParsePage(r.Body)
+			if err != nil {
+				c.malformed("state", err)
+				done(0, false)
+				return
+			}
+			if first == 0 {
+				first = p.Revision
+			}
+			for _, e := range p.Entries {
+				each(e)
+			}
+			if p.More && len(p.Entries) > 0 {
+				page(p.Entries[len(p.Entries)-1].Key)
+				return
+			}
+			done(first, true)
+		})
+	}
+	page("")
+}
+
+// watch follows a prefix from a revision until stop says so. lost is called
+// when changes were missed and the keys have to be read again.
+func (c *Controller) watch(prefix string, from uint64, stop func() bool, each func(protocol.Entry), lost func()) {
+	var next func(rev uint64)
+	next = func(rev uint64) {
+		if stop() {
+			return
+		}
+		path := "/follow?under=" + prefix + "&since=" + strconv.FormatUint(rev, 10) + "&blockMs=20000"
+		c.call(ToState, prioUrgent, "GET", path, nil, 25*protocol.Second, 0, func(r CallDone) {
+			if stop() {
+				return
+			}
+			switch r.Status {
+			case 200:
+				entries, revision, err := protocol.ParseFollow(r.Body)
+				if err != nil {
+					c.malformed("state", err)
+					c.after(protocol.Second, lost)
+					return
+				}
+				for _, e := range entries {
+					each(e)
+				}
+				next(max(rev, revision))
+			case 410:
+				lost()
+			default:
+				c.after(500*protocol.Millisecond, func() { next(rev) })
+			}
+		})
+	}
+	next(from)
+}
--- /dev/null
+++ b/internal/coordination/election.go
@@ -0,0 +1,281 @@
+package coordination
+
+import (
+	"strconv"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// seat is what a node holds of leadership.
+type seat struct {
+	lease       uint64
+	epoch       uint64
+	stamp       uint64 // of the leader key: every write of a leader depends on it
+	until       micros // the lease certainly lasts until then
+	renewing    bool
+	nextRenew   micros
+	predAnswers micros // until then the predecessor may answer workers
+	tries       int
+}
+
+// become is the one place where the role changes.
+func (c *Controller) become(r Role) {
+	if c.role == r {
+		return
+	}
+	c.log.Info("role", "from", c.role.String(), "to", r.String(), "epoch", c.seat.epoch, "after_ms", int64((c.at.Steady-c.roleSince)/protocol.Millisecond))
+	was := c.role
+	c.role, c.roleSince = r, c.at.Steady
+	if leads(was) != leads(r) {
+		c.emit(Share{Leads: leads(r)})
+	}
+	if !leads(r) && r != Loading {
+		c.term = nil
+	}
+}
+
+func leads(r Role) bool { return r == Loading || r == Leading || r == Doubtful }
+
+// follow reads the leader key and watches it.
+func (c *Controller) follow() {
+	c.become(Following)
+	c.seat = seat{epoch: c.seat.epoch}
+	c.callGen++
+	gen := c.callGen
+	c.get(prioLeadership, bookkeeping.KeyLeader, func(e protocol.Entry, found, ok bool) {
+		if gen != c.callGen || c.role != Following {
+			return
+		}
+		if !ok {
+			c.after(400*protocol.Millisecond, func() {
+				if gen == c.callGen && c.role == Following {
+					c.follow()
+				}
+			})
+			return
+		}
+		if !found {
+			c.campaign(gen)
+			return
+		}
+		c.sawLeader(e)
+		c.watchLeader(gen, e.Stamp)
+	})
+}
+
+func (c *Controller) sawLeader(e protocol.Entry) {
+	l, err := bookkeeping.DecodeLeader(e.Value)
+	if err != nil {
+		c.malformed("state", err)
+		return
+	}
+	if l.Epoch >= c.leader.Epoch {
+		if l.Epoch > c.leader.Epoch {
+			c.suspect = 0
+		}
+		c.leader = l
+	}
+}
+
+func (c *Controller) watchLeader(gen uint64, rev uint64) {
+	stop := func() bool { return gen != c.callGen || c.role != Following }
+	c.watch(bookkeeping.KeyLeader, rev, stop, func(e protocol.Entry) {
+		switch {
+		case e.Key != bookkeeping.KeyLeader:
+		case e.Value != nil:
+			c.sawLeader(e)
+		default:
+			c.campaign(gen)
+		}
+	}, func() {
+		if !stop() {
+			c.follow()
+		}
+	})
+}
+
+// campaign tries to take the leader key, after a little while that differs
+// from node to node.
+func (c *Controller) campaign(gen uint64) {
+	wait := micros(c.rng.Int64N(int64(150 * protocol.Millisecond)))
+	if c.leader.Node == c.platform.Node {
+		// A node that just lost its lease is more likely in trouble.
+		wait += 300 * protocol.Millisecond
+	}
+	c.after(wait, func() {
+		if gen != c.callGen || c.role != Following {
+			return
+		}
+		c.lease()
+	})
+}
+
+func (c *Controller) lease() {
+	c.become(Leasing)
+	sent := c.at.Steady
+	c.call(ToState, prioLeadership, "POST", "/leases", protocol.LeaseBody(c.operator.LeaderLease), stateTimeout, 0, func(r CallDone) {
+		if c.role != Leasing {
+			return
+		}
+		id, err := uint64(0), error(nil)
+		if r.Status == 200 {
+			if id, err = protocol.ParseLease(r.Body); err != nil {
+				c.malformed("state", err)
+			}
+		}
+		if id == 0 {
+			c.retryFollow()
+			return
+		}
+		c.seat.lease = id
+		c.seat.until = sent + c.operator.LeaderLease - drift(c.operator.LeaderLease)
+		c.claim()
+	})
+}
+
+func (c *Controller) retryFollow() {
+	c.become(Following)
+	c.callGen++
+	gen := c.callGen
+	c.after(300*protocol.Millisecond+micros(c.rng.Int64N(int64(200*protocol.Millisecond))), func() {
+		if gen == c.callGen && c.role == Following {
+			c.follow()
+		}
+	})
+}
+
+// claim raises the epoch and takes the leader key in one transaction.
+func (c *Controller) claim() {
+	c.become(Claiming)
+	c.get(prioLeadership, bookkeeping.KeyEpoch, func(e protocol.Entry, found, ok bool) {
+		if c.role != Claiming {
+			return
+		}
+		if !ok {
+			c.retryFollow()
+			return
+		}
+		var last uint64
+		if found {
+			n, err := strconv.ParseUint(string(e.Value), 10, 64)
+			if err != nil {
+				c.malformed("state", err)
+				c.retryFollow()
+				return
+			}
+			last = n
+		}
+		epoch := last + 1
+		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
+		when := []protocol.Condition{{Key: bookkeeping.KeyLeader}, {Key: bookkeeping.KeyEpoch, Stamp: e.Stamp}}
+		then := []protocol.Change{
+			{Key: bookkeeping.KeyEpoch, Value: strconv.AppendUint(nil, epoch, 10)},
+			{Key: bookkeeping.KeyLeader, Value: bookkeeping.EncodeLeader(lead), Lease: c.seat.lease},
+		}
+		pred := c.leader
+		c.txn(prioLeadership, when, then, func(o txnOutcome, r protocol.TxnResult) {
+			if c.role != Claiming {
+				return
+			}
+			if o != txnApplied {
+				// Where the outcome is unknown, the key goes with the lease,
+				// which nobody extends.
+				c.retryFollow()
+				return
+			}
+			c.seat.epoch, c.seat.stamp = epoch, r.Stamp
+			c.leader = lead
+			// The predecessor stops answering workers a recorded time after its
+			// lease, which has ended by now. Without its record, ours is taken.
+			answers := pred.AnswerOn
+			if answers == 0 {
+				answers = c.operator.AnswerOn
+			}
+			c.seat.predAnswers = c.at.Steady + answers + drift(answers)
+			if epoch == 1 {
+				c.seat.predAnswers = c.at.Steady
+			}
+			c.load()
+		})
+	})
+}
+
+// watchLease renews the lease and notices when it could have ended.
+func (c *Controller) watchLease() {
+	if !leads(c.role) {
+		return
+	}
+	t := c.at.Steady
+	if !c.seat.renewing && t >= c.seat.nextRenew {
+		c.renew()
+	}
+	switch {
+	case c.role == Leading && t >= c.seat.until:
+		c.become(Doubtful)
+	case c.role == Loading && t >= c.seat.until:
+		c.follow()
+	case c.role == Doubtful && t >= c.seat.until+c.operator.AnswerOn:
+		c.log.Info("stepping down: the lease could not be renewed", "epoch", c.seat.epoch)
+		c.follow()
+	}
+}
+
+func (c *Controller) renew() {
+	c.seat.renewing = true
+	sent, lease := c.at.Steady, c.seat.lease
+	timeout := c.operator.LeaderLease / 3
+	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, timeout, 0, func(r CallDone) {
+		if !leads(c.role) || c.seat.lease != lease {
+			return
+		}
+		c.seat.renewing = false
+		switch r.Status {
+		case 200:
+			c.seat.until = max(c.seat.until, sent+c.operator.LeaderLease-drift(c.operator.LeaderLease))
+			c.seat.nextRenew = sent + c.operator.LeaderLease/4
+			if c.role == Doubtful && c.at.Steady < c.seat.until {
+				// The key hangs on the lease, so nobody else has led meanwhile.
+				c.become(Leading)
+				c.term.dirty = true
+			}
+		case 404:
+			c.log.Info("stepping down: the lease has ended", "epoch", c.seat.epoch)
+			c.follow()
+		default:
+			c.seat.nextRenew = c.at.Steady + 150*protocol.Millisecond
+		}
+	})
+}
+
+// deposed is called when a newer epoch shows, or a condition on the leader
+// key fails.
+func (c *Controller) deposed(why string) {
+	if leads(c.role) {
+		c.log.Info("stepping down", "why", why, "epoch", c.seat.epoch)
+		c.follow()
+	}
+}
+
+// lead is a leader's transaction: it applies only while the key is ours.
+func (c *Controller) lead(prio uint8, when []protocol.Condition, then []protocol.Change, done func(o txnOutcome, r protocol.TxnResult)) {
+	term := c.term
+	when = append([]protocol.Condition{{Key: bookkeeping.KeyLeader, Stamp: c.seat.stamp}}, when...)
+	c.txn(prio, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		if c.term != term {
+			return
+		}
+		if o == txnRefused {
+			for _, k := range r.Failed {
+				if k == bookkeeping.KeyLeader {
+					c.deposed("the leader key is another's")
+					return
+				}
+			}
+		}
+		done(o, r)
+	})
+}
+
+// mayStart reports whether the lease certainly holds.
+func (c *Controller) mayStart() bool { return c.role == Leading && c.at.Steady < c.seat.until }
--- /dev/null
+++ b/internal/coordination/rental.go
@@ -0,0 +1,490 @@
+package coordination
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"strconv"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/coordination/slottable"
+	"mapleslip/internal/protocol"
+)
+
+// kind is what the cloud may refuse by itself: a type, in a zone, spot or not.
+type kind struct {
+	typ, zone string
+	spot      bool
+}
+
+// claim is one rental request, repeated under its name until it is answered.
+type claim struct {
+	name  string
+	kind  kind
+	count int
+	tries int
+}
+
+// rental is what a leader knows of renting.
+type rental struct {
+	refused     map[kind]micros // no request before
+	backoff     map[kind]micros
+	open        map[kind]int // machines asked for and not answered yet
+	bootFactor  map[string]float64
+	fetchFactor map[string]float64
+	preempted   map[string]micros
+	needed      map[string]bool // idle hosts that the last round counted on
+	planned     bool
+	next        micros
+	releasing   bool
+	nextRelease micros
+}
+
+func (r *rental) init() {
+	*r = rental{refused: make(map[kind]micros), backoff: make(map[kind]micros), open: make(map[kind]int),
+		bootFactor: make(map[string]float64), fetchFactor: make(map[string]float64), preempted: make(map[string]micros),
+		needed: make(map[string]bool)}
+}
+
+func (r *rental) booted(h *bookkeeping.Host, at micros) {
+	if h.Type == nil || h.Type.Boot <= 0 {
+		return
+	}
+	f := r.bootFactor[h.TypeName]
+	if f == 0 {
+		f = 1
+	}
+	x := max(0.3, min(2, float64(at-h.Since)/float64(h.Type.Boot)))
+	r.bootFactor[h.TypeName] = f + (x-f)*0.2
+}
+
+func (c *Controller) bootTime(t *protocol.MachineType) micros {
+	f := c.term.rental.bootFactor[t.Name]
+	if f == 0 {
+		f = 1
+	}
+	return micros(float64(t.Boot) * f)
+}
+
+// bootedAt is when a booting host is expected to report.
+func (c *Controller) bootedAt(h *bookkeeping.Host) micros {
+	due := h.Since + c.bootTime(h.Type)
+	age := c.at.Steady - h.Since
+	return max(due, c.at.Steady+max(age/4, 2*protocol.Second))
+}
+
+func (c *Controller) tookTypes(value []byte) {
+	types, err := protocol.ParseTypes(value)
+	if err != nil {
+		c.malformed("machine types", err)
+		return
+	}
+	c.types = types
+	for _, t := range types {
+		c.typeByName[t.Name] = t
+	}
+	if c.term != nil {
+		for _, h := range c.term.book.Hosts {
+			h.Type = c.typeByName[h.TypeName]
+		}
+	}
+}
+
+// pollTypes asks for machine types and prices, and keeps the types so that
+// jobs can be checked while the cloud is in trouble.
+func (c *Controller) pollTypes(t *term) {
+	if c.term != t {
+		return
+	}
+	known := len(c.types)
+	c.call(ToCloud, prioUrgent, "GET", "/machine_types", nil, 4*protocol.Second, 0, func(r CallDone) {
+		if c.term != t {
+			return
+		}
+		wait := 60 * protocol.Second
+		if r.Status == 200 {
+			c.tookTypes(r.Body)
+			if known == 0 && len(c.types) > 0 {
+				c.lead(prioNormal, nil, []protocol.Change{{Key: bookkeeping.KeyTypes, Value: protocol.AppendTypes(nil, c.types)}},
+					func(txnOutcome, protocol.TxnResult) {})
+				t.dirty = true
+			}
+		} else {
+			wait = 2 * protocol.Second
+		}
+		c.after(wait, func() { c.pollTypes(t) })
+	})
+}
+
+// pollMachines reads the cloud's list of machines.
+func (c *Controller) pollMachines(t *term) {
+	if c.term != t {
+		return
+	}
+	listed := make(map[string]protocol.CloudHost)
+	var page func(since string)
+	page = func(since string) {
+		path := "/machines?page=500"
+		if since != "" {
+			path = "/machines?since=" + since + "&page=500"
+		}
+		c.call(ToCloud, prioNormal, "GET", path, nil, 4*protocol.Second, 0, func(r CallDone) {
+			if c.term != t {
+				return
+			}
+			if r.Status == 200 {
+				hosts, more, err := protocol.ParseHosts(r.Body)
+				if err != nil {
+					c.malformed("cloud", err)
+				} else {
+					for _, h := range hosts {
+						listed[h.Name] = h
+					}
+					if more && len(hosts) > 0 {
+						page(hosts[len(hosts)-1].Name)
+						return
+					}
+					c.tookList(listed)
+				}
+			}
+			c.after(2*protocol.Second, func() { c.pollMachines(t) })
+		})
+	}
+	page("")
+}
+
+// tookList compares the machine list with the book. The list lags and can go
+// back, so it only ever leads to a release, which is safe to repeat.
+func (c *Controller) tookList(listed map[string]protocol.CloudHost) {
+	t := c.term
+	at := c.at.Steady
+	for name, l := range listed {
+		if t.gone[name] {
+			continue
+		}
+		h := t.book.Hosts[name]
+		if h == nil {
+			h = bookkeeping.NewHost(at, name, l.Type, l.Zone, l.Spot)
+			h.Since = at - l.Age
+			h.Type = c.typeByName[l.Type]
+			h.Addr = l.Addr
+			t.book.Hosts[name] = h
+			t.dirty = true
+		}
+		h.Listed, h.ListedState, h.AbsentSince = true, l.State, 0
+		if h.Addr == "" {
+			h.Addr = l.Addr
+		}
+	}
+	for _, h := range t.hosts() {
+		if h.Type == nil {
+			h.Type = c.typeByName[h.TypeName]
+		}
+		_, here := listed[h.Name]
+		if !here && h.AbsentSince == 0 {
+			h.AbsentSince = at
+		}
+		silent := at-h.Heard > 2*c.platform.ReportEvery
+		switch {
+		case h.State == bookkeeping.HostReleasing || h.State == bookkeeping.HostGone:
+		case here && h.ListedState == protocol.CloudFailed:
+			c.release(h, "failed")
+		case !here && h.Listed && silent && at-h.AbsentSince > 2*c.platform.ListLag+protocol.Second:
+			c.release(h, "not listed any more")
+		case !here && h.FromRecord && !h.Proven && silent && at-h.AbsentSince > 2*c.platform.ListLag:
+			c.release(h, "recorded, not listed")
+		case h.State == bookkeeping.HostBooting && !h.FromRecord && h.Type != nil && at-h.Since > 3*h.Type.Boot+10*protocol.Second:
+			c.release(h, "does not come up")
+		}
+	}
+}
+
+// release gives a machine back. Nothing is put on it from now on; its tasks
+// count until the cloud has answered.
+func (c *Controller) release(h *bookkeeping.Host, why string) {
+	if h.State == bookkeeping.HostReleasing || h.State == bookkeeping.HostGone {
+		return
+	}
+	c.log.Info("releasing machine", "host", h.Name, "type", h.TypeName, "why", why, "state", h.State.String())
+	for _, a := range sortedAttempts(h) {
+		if a.State == bookkeeping.AttemptAssigned {
+			c.lost(a)
+		}
+	}
+	h.To(bookkeeping.HostReleasing)
+	h.ReleaseWhy = why
+	c.term.dirty = true
+}
+
+// manageRental sends what rental has to send.
+func (c *Controller) manageRental() {
+	t := c.term
+	if c.at.Steady < t.rental.nextRelease || t.rental.releasing || !c.mayStart() {
+		return
+	}
+	var names []string
+	for _, h := range t.hosts() {
+		if h.State == bookkeeping.HostReleasing && len(names) < 100 {
+			names = append(names, h.Name)
+		}
+	}
+	if len(names) == 0 {
+		return
+	}
+	t.rental.releasing = true
+	c.call(ToCloud, prioUrgent, "POST", "/machines/release", protocol.AppendNames(nil, names), 5*protocol.Second, 0, func(r CallDone) {
+		if c.term != t {
+			return
+		}
+		t.rental.releasing = false
+		if r.Status != 200 {
+			t.rental.nextRelease = c.at.Steady + protocol.Second
+			return
+		}
+		var then []protocol.Change
+		for _, name := range names {
+			h := t.book.Hosts[name]
+			if h == nil {
+				continue
+			}
+			c.loseAll(h, "released: "+h.ReleaseWhy)
+			h.To(bookkeeping.HostGone)
+			h.Proven = true
+			t.gone[name] = true
+			delete(t.book.Hosts, name)
+			if h.Recorded || h.Recording {
+				then = append(then, protocol.Change{Key: bookkeeping.HostPrefix + name})
+			}
+		}
+		for len(then) > 0 {
+			n := min(len(then), c.platform.TxnOps)
+			c.dropRecords(t, then[:n])
+			then = then[n:]
+		}
+		t.dirty = true
+	})
+}
+
+// dropRecords removes the records of machines that are gone. A record left
+// over would only make a successor release the name once more.
+func (c *Controller) dropRecords(t *term, then []protocol.Change) {
+	c.lead(prioNormal, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
+		if o != txnApplied {
+			c.after(2*protocol.Second, func() {
+				if c.term == t {
+					c.dropRecords(t, then)
+				}
+			})
+		}
+	})
+}
+
+// maxBooting bounds how many machines boot at a time.
+const maxBooting = 24
+
+// planRental finds what to rent so that waiting work starts sooner, with room
+// to spare for what arrives, and returns what is idle.
+func (c *Controller) planRental(table *slottable.Table, list []*wanted) {
+	t := c.term
+	at := c.at.Steady
+	r := &t.rental
+	if at < r.next {
+		return
+	}
+	r.next = at + protocol.Second
+	var requests []*slottable.Request
+	booting := 0
+	for _, h := range t.book.Hosts {
+		if h.State == bookkeeping.HostBooting && !h.FromRecord {
+			booting++
+		}
+	}
+	for _, n := range r.open {
+		booting += n
+	}
+	for _, w := range list {
+		left := *w.request
+		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
+		if n := len(w.result.Booked); n > 0 {
+			// A booking far away is as good as none.
+			last := w.result.Booked[n-1]
+			if last.Begin > at+10*protocol.Second {
+				left.Tasks += n
+			}
+		}
+		left.Limit = min(left.Tasks, c.allowance(w.job))
+		if left.Tasks > 0 && left.Limit > 0 {
+			requests = append(requests, &left)
+		}
+	}
+	requests = append(requests, c.spare()...)
+	var offers []*slottable.Offer
+	var kinds []kind
+	for _, typ := range c.types {
+		for _, zone := range typ.Zones {
+			for _, spot := range []bool{false, true} {
+				k := kind{typ.Name, zone, spot}
+				if at < r.refused[k] || r.open[k] > 0 {
+					continue
+				}
+				price := typ.Price
+				if spot {
+					price = typ.SpotPrice
+				}
+				tt := typ
+				offers = append(offers, &slottable.Offer{Type: typ.Name, Zone: zone, Spot: spot, Resources: typ.Offer, Price: price,
+					Boot: c.bootTime(typ) + protocol.Second, Fetch: func(size int64) micros { return c.fetchTime(tt, size) }, Most: 8})
+				kinds = append(kinds, k)
+			}
+		}
+	}
+	clone := table.Clone()
+	for _, m := range clone.Machines {
+		m.Taken = 0
+	}
+	rent := clone.Rent(requests, offers, 3*protocol.Second, max(0, maxBooting-booting))
+	r.needed = make(map[string]bool)
+	for _, m := range clone.Machines {
+		if m.Taken > 0 {
+			r.needed[m.Name] = true
+		}
+	}
+	for i := range offers {
+		if n := rent[i]; n > 0 {
+			c.rent(kinds[i], n)
+		}
+	}
+	c.returnIdle()
+}
+
+// spare lists requests for room that is kept for what arrives most often.
+func (c *Controller) spare() []*slottable.Request {
+	t := c.term
+	var list []*slottable.Request
+	for _, name := range c.classNames() {
+		k := t.classes[name]
+		if k.last == nil || !c.hasty(name) {
+			continue
+		}
+		s := k.last
+		var boot micros
+		for _, typ := range c.types {
+			if typ.Offer.Holds(s.Need) && s.AllowsType(typ.Name) {
+				if b := c.bootTime(typ) + c.fetchTime(typ, s.ImageSize); boot == 0 || b < boot {
+					boot = b
+				}
+			}
+		}
+		n := int(math.Ceil(k.during(c.at.Steady, t.started, boot) * c.operator.WarmSpare))
+		if n == 0 {
+			continue
+		}
+		list = append(list, &slottable.Request{Tasks: min(n, 8), Limit: min(n, 8), Need: s.Need, Image: s.Image, ImageSize: s.ImageSize,
+			Types: s.Types, Spot: s.Spot, Length: 30 * protocol.Second, Spare: true})
+	}
+	return list
+}
+
+func (c *Controller) classNames() []string {
+	names := make([]string, 0, len(c.term.classes))
+	for n := range c.term.classes {
+		names = append(names, n)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// hasty reports whether an aim says that a class should start soon.
+func (c *Controller) hasty(class string) bool {
+	for _, o := range c.platform.Objectives {
+		if o.Kind == "wait" && o.Class == class {
+			return true
+		}
+	}
+	return false
+}
+
+// rent asks the cloud for machines. The name of a request is never used again.
+func (c *Controller) rent(k kind, count int) {
+	t := c.term
+	t.claims++
+	cl := &claim{name: fmt.Sprintf("r-%d-%d", t.epoch, t.claims), kind: k, count: min(count, 50)}
+	t.rental.open[k] += cl.count
+	c.sendClaim(t, cl)
+}
+
+func (c *Controller) sendClaim(t *term, cl *claim) {
+	cl.tries++
+	k := cl.kind
+	r := &t.rental
+	body := protocol.AppendRental(nil, cl.name, k.typ, k.zone, k.spot, cl.count)
+	asked := c.at.Steady
+	c.call(ToCloud, prioUrgent, "POST", "/machines", body, 5*protocol.Second, 0, func(res CallDone) {
+		if c.term != t {
+			return
+		}
+		at := c.at.Steady
+		switch res.Status {
+		case 200:
+			names, err := protocol.ParseNames(res.Body)
+			if err != nil {
+				c.malformed("cloud", err)
+				break
+			}
+			r.open[k] -= cl.count
+			r.backoff[k] = 0
+			c.log.Info("rented", "claim", cl.name, "type", k.typ, "zone", k.zone, "spot", k.spot, "asked", cl.count, "got", len(names))
+			if len(names) < cl.count {
+				r.refused[k] = at + 10*protocol.Second
+			}
+			for _, name := range names {
+				if t.book.Hosts[name] == nil && !t.gone[name] {
+					h := bookkeeping.NewHost(asked, name, k.typ, k.zone, k.spot)
+					h.Type = c.typeByName[k.typ]
+					h.Heard = at
+					t.book.Hosts[name] = h
+				}
+			}
+			t.dirty = true
+			return
+		case 503:
+			r.open[k] -= cl.count
+			r.backoff[k] = min(max(2*r.backoff[k], 8*protocol.Second), 40*protocol.Second)
+			r.refused[k] = at + r.backoff[k]
+			r.next = at // another kind may have some
+			t.dirty = true
+			c.log.Debug("rental refused", "claim", cl.name, "type", k.typ, "zone", k.zone, "spot", k.spot)
+			return
+		case 400:
+			r.open[k] -= cl.count
+			r.refused[k] = at + 60*protocol.Second
+			c.log.Error("rental refused as malformed", "claim", cl.name, "body", string(body))
+			return
+		}
+		// Not answered: repeated under the same name, it rents nothing twice.
+		if cl.tries >= 10 {
+			r.open[k] -= cl.count
+			r.refused[k] = at + 20*protocol.Second
+			return
+		}
+		c.after(protocol.Second, func() {
+			if c.term == t {
+				c.sendClaim(t, cl)
+			}
+		})
+	})
+}
+
+// returnIdle gives back machines that nothing is on and no plan counts on.
+func (c *Controller) returnIdle() {
+	t := c.term
+	at := c.at.Steady
+	for _, h := range t.hosts() {
+		if h.State != bookkeeping.HostReady || !h.Proven || !h.Empty() || t.rental.needed[h.Name] {
+			continue
+		}
+		if at-h.IdleSince > c.operator.IdleReturn && at-t.started > c.operator.IdleReturn {
+			c.release(h, "idle for "+strconv.FormatInt(int64((at-h.IdleSince)/protocol.Second), 10)+" s")
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/users.go
@@ -0,0 +1,466 @@
+package coordination
+
+import (
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// forwardTimeout is how long the leader has to answer a passed-on call before
+// the node goes to the state service itself.
+const forwardTimeout = 900 * protocol.Millisecond
+
+func (c *Controller) onHealth(e HealthCall) { c.reply(e.Reply, 200, []byte(`{}`), 0) }
+
+// onUser handles a user's call, wherever it came in.
+func (c *Controller) onUser(e UserCall) {
+	var spec *protocol.JobSpec
+	if e.Op == protocol.OpSubmit {
+		var err error
+		if spec, err = protocol.ParseJob(e.Body); err != nil {
+			c.reply(e.Reply, 400, protocol.ErrorBody(err.Error()), 0)
+			return
+		}
+		e.Ref = spec.Ref
+	} else if !protocol.ValidRef(e.Ref) {
+		// No such id can ever have been accepted.
+		c.reply(e.Reply, 404, protocol.ErrorBody("no such job"), 0)
+		return
+	}
+	if f, ok := c.finals[e.Ref]; ok {
+		c.replyFinal(e.Reply, e.Ref, f)
+		return
+	}
+	if c.mayStart() {
+		switch e.Op {
+		case protocol.OpSubmit:
+			c.submit(e.Reply, spec)
+		case protocol.OpQuery:
+			c.query(e.Reply, e.Ref)
+		case protocol.OpCancel:
+			c.cancel(e.Reply, e.Ref)
+		}
+		return
+	}
+	if e.Reply.Peer {
+		c.reply(e.Reply, 0, nil, 0)
+		return
+	}
+	c.passOn(e, spec)
+}
+
+func (c *Controller) replyFinal(to Address, ref string, f final) {
+	done := 0
+	if f.phase == protocol.Done {
+		done = f.tasks
+	}
+	c.reply(to, 200, protocol.JobAnswer(ref, f.phase, done, 0), 0)
+}
+
+// passOn gives a user's call to the leader, or goes to the state service
+// where it can't be reached.
+func (c *Controller) passOn(e UserCall, spec *protocol.JobSpec) {
+	addr := ""
+	for _, s := range c.platform.Siblings {
+		if s.Name == c.leader.Node {
+			addr = s.Address
+		}
+	}
+	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
+		c.direct(e, spec)
+		return
+	}
+	epoch := c.leader.Epoch
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
+	c.callAddr(ToPeer, addr, "", frame, forwardTimeout, func(r CallDone) {
+		if r.Status == 200 {
+			m, err := protocol.ParsePeer(r.Body)
+			if err == nil && m.Kind == protocol.PeerAnswer && m.Status != 0 {
+				c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
+				return
+			}
+			if err != nil {
+				c.malformed("controller", err)
+			}
+		}
+		if c.leader.Epoch == epoch && r.Status != 200 {
+			c.suspect = c.at.Steady + 2*protocol.Second
+		}
+		if c.mayStart() {
+			c.onUser(e) // this node has come to lead meanwhile
+			return
+		}
+		c.direct(e, spec)
+	})
+}
+
+// direct serves a call from the state service alone.
+func (c *Controller) direct(e UserCall, spec *protocol.JobSpec) {
+	switch e.Op {
+	case protocol.OpCancel:
+		// Only the leader can stop tasks; the user comes again.
+		c.unavailable(e.Reply, "no leader can be reached")
+	case protocol.OpQuery:
+		c.lookUp(e.Reply, e.Ref)
+	case protocol.OpSubmit:
+		c.directSubmit(e.Reply, spec)
+	}
+}
+
+// lookUp answers a query from the state service. The live record is read
+// first: a job that ends meanwhile is then found among the final ones.
+func (c *Controller) lookUp(to Address, ref string) {
+	c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+		switch {
+		case !ok:
+			c.unavailable(to, "the state service can't be reached")
+		case !found:
+			c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
+		case j != nil && j.State == bookkeeping.JobCancelled:
+			c.reply(to, 200, protocol.JobAnswer(ref, protocol.Cancelled, 0, 0), 0)
+		case j != nil:
+			c.reply(to, 200, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+		default:
+			c.replyFinal(to, ref, f)
+		}
+	})
+}
+
+// find looks for a job in the state service.
+func (c *Controller) find(ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
+	c.get(prioUrgent, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+		if !ok {
+			done(nil, final{}, false, false)
+			return
+		}
+		if found {
+			j, err := bookkeeping.DecodeJob(e.Value)
+			if err != nil {
+				c.malformed("state", err)
+				done(nil, final{}, false, false)
+				return
+			}
+			j.Stamp = e.Stamp
+			if c.mayStart() {
+				if known := c.learnJob(e); known != nil {
+					j = known
+				}
+			}
+			done(j, final{}, true, true)
+			return
+		}
+		c.get(prioUrgent, bookkeeping.FinalPrefix+ref, func(e protocol.Entry, found, ok bool) {
+			if !ok || !found {
+				done(nil, final{}, false, ok)
+				return
+			}
+			p, n, err := bookkeeping.DecodeFinal(e.Value)
+			if err != nil {
+				c.malformed("state", err)
+				done(nil, final{}, false, false)
+				return
+			}
+			f := final{p, n}
+			c.remember(ref, f)
+			done(nil, f, true, true)
+		})
+	})
+}
+
+// directSubmit creates a job's record without the leader, which notices it.
+func (c *Controller) directSubmit(to Address, spec *protocol.JobSpec) {
+	if len(c.types) == 0 {
+		c.get(prioUrgent, bookkeeping.KeyTypes, func(e protocol.Entry, found, ok bool) {
+			if found {
+				c.tookTypes(e.Value)
+			}
+			if len(c.types) == 0 {
+				c.unavailable(to, "machine types are not known yet")
+				return
+			}
+			c.directSubmit(to, spec)
+		})
+		return
+	}
+	if why := c.impossible(spec); why != "" {
+		c.refuse(to, spec, why)
+		return
+	}
+	j := bookkeeping.NewJob(spec)
+	j.SubmittedWall = c.at.Wall
+	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
+		c.txn(prioUrgent, when, then, done)
+	})
+}
+
+// refuse answers 422, unless the job was accepted before: machine types may
+// have been others then.
+func (c *Controller) refuse(to Address, spec *protocol.JobSpec, why string) {
+	c.find(spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+		switch {
+		case !ok:
+			c.unavailable(to, "the state service can't be reached")
+		case found:
+			c.answerKnown(to, spec.Ref, j, f)
+		default:
+			c.reply(to, 422, protocol.ErrorBody(why), 0)
+		}
+	})
+}
+
+func (c *Controller) answerKnown(to Address, ref string, j *bookkeeping.Job, f final) {
+	if j != nil {
+		c.reply(to, 200, c.jobAnswer(j), 0)
+		return
+	}
+	c.replyFinal(to, ref, f)
+}
+
+type writer func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult))
+
+// create records a job if it is not there yet, and answers once it is durable.
+func (c *Controller) create(to Address, j *bookkeeping.Job, write writer) {
+	ref := j.Spec.Ref
+	value := bookkeeping.EncodeJob(j, false)
+	if len(value) > c.platform.ValueBytes {
+		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
+		return
+	}
+	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: value}}
+	write(when, then, func(o txnOutcome, r protocol.TxnResult) {
+		switch o {
+		case txnApplied:
+			j.Stamp = r.Stamp
+			if c.mayStart() && c.term.book.Jobs[ref] == nil {
+				c.enter(j)
+			}
+			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+		case txnRefused:
+			c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+				if !ok || !found {
+					c.unavailable(to, "the state service can't be reached")
+					return
+				}
+				c.answerKnown(to, ref, j, f)
+			})
+		default:
+			c.unavailable(to, "the state service can't be reached")
+		}
+	})
+}
+
+// impossible says why a job can never run, or nothing.
+func (c *Controller) impossible(s *protocol.JobSpec) string {
+	team, ok := c.platform.Teams[s.Team]
+	if !ok {
+		return "unknown team"
+	}
+	fits := false
+	for _, t := range c.types {
+		if !t.Offer.Holds(s.Need) || !s.AllowsType(t.Name) {
+			continue
+		}
+		if s.Zone == "" {
+			fits = true
+		}
+		for _, z := range t.Zones {
+			fits = fits || z == s.Zone
+		}
+	}
+	if !fits {
+		return "a task fits no allowed machine type"
+	}
+	n := int64(s.Tasks)
+	if s.Kind == protocol.Array {
+		n = 1
+	}
+	var none protocol.Resources
+	if !withinLimit(team.Limit, none.Add(s.Need, n)) {
+		return "the job needs more than the team's limit"
+	}
+	return ""
+}
+
+// withinLimit checks an amount against a limit, of which 0 means none.
+func withinLimit(limit, amount protocol.Resources) bool {
+	return (limit.CPU == 0 || amount.CPU <= limit.CPU) && (limit.GPU == 0 || amount.GPU <= limit.GPU)
+}
+
+// submit accepts a job as the leader.
+func (c *Controller) submit(to Address, spec *protocol.JobSpec) {
+	t := c.term
+	ref := spec.Ref
+	if j := t.book.Jobs[ref]; j != nil {
+		c.reply(to, 200, c.jobAnswer(j), 0)
+		return
+	}
+	if len(c.types) == 0 {
+		c.unavailable(to, "machine types are not known yet")
+		return
+	}
+	if why := c.impossible(spec); why != "" {
+		c.refuse(to, spec, why)
+		return
+	}
+	if waiting, ok := t.submits[ref]; ok {
+		t.submits[ref] = append(waiting, to)
+		return
+	}
+	t.submits[ref] = nil
+	j := bookkeeping.NewJob(spec)
+	j.SubmittedWall, j.Epoch = c.at.Wall, t.epoch
+	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
+		when = append([]protocol.Condition{{Key: bookkeeping.KeyLeader, Stamp: c.seat.stamp}}, when...)
+		c.txn(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+			others := t.submits[ref]
+			delete(t.submits, ref)
+			if o == txnRefused {
+				for _, k := range r.Failed {
+					if k == bookkeeping.KeyLeader {
+						o = txnRejected
+						if c.term == t {
+							c.deposed("the leader key is another's")
+						}
+					}
+				}
+			}
+			done(o, r)
+			for _, a := range others {
+				if j := t.book.Jobs[ref]; j != nil && c.term == t {
+					c.reply(a, 200, c.jobAnswer(j), 0)
+				} else {
+					c.unavailable(a, "the state service can't be reached")
+				}
+			}
+		})
+	})
+}
+
+// jobAnswer says how a job of the book stands.
+func (c *Controller) jobAnswer(j *bookkeeping.Job) []byte {
+	phase := protocol.Queued
+	running := j.Running
+	switch j.State {
+	case bookkeeping.JobDone:
+		phase, running = protocol.Done, 0
+	case bookkeeping.JobCancelled, bookkeeping.JobClosed:
+		phase, running = protocol.Cancelled, 0
+	default:
+		if running > 0 || j.State == bookkeeping.JobFinishing {
+			phase = protocol.Running
+		}
+	}
+	return protocol.JobAnswer(j.Spec.Ref, phase, j.Done, running)
+}
+
+func (c *Controller) query(to Address, ref string) {
+	if j := c.term.book.Jobs[ref]; j != nil {
+		c.reply(to, 200, c.jobAnswer(j), 0)
+		return
+	}
+	c.lookUp(to, ref)
+}
+
+// cancel ends a job: durable first, then the answer, then its tasks are
+// stopped until none is left.
+func (c *Controller) cancel(to Address, ref string) {
+	t := c.term
+	j := t.book.Jobs[ref]
+	if j == nil {
+		c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+			switch {
+			case !ok:
+				c.unavailable(to, "the state service can't be reached")
+			case !found:
+				c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
+			case j == nil:
+				c.replyFinal(to, ref, f)
+			case c.term != nil && c.mayStart() && c.term.book.Jobs[ref] != nil:
+				c.cancel(to, ref)
+			default:
+				c.unavailable(to, "no leader can be reached")
+			}
+		})
+		return
+	}
+	switch j.State {
+	case bookkeeping.JobDone, bookkeeping.JobCancelled, bookkeeping.JobClosed:
+		c.reply(to, 200, c.jobAnswer(j), 0)
+	case bookkeeping.JobCancelling, bookkeeping.JobFinishing:
+		t.cancels[ref] = append(t.cancels[ref], to)
+	case bookkeeping.JobLive:
+		t.cancels[ref] = append(t.cancels[ref], to)
+		j.To(bookkeeping.JobCancelling)
+		c.stopJob(j)
+		c.writeCancel(t, j)
+	}
+	// Nobody is kept waiting for the state service longer than this.
+	c.after(1500*protocol.Millisecond, func() {
+		for i, a := range t.cancels[ref] {
+			if a == to {
+				t.cancels[ref] = append(t.cancels[ref][:i:i], t.cancels[ref][i+1:]...)
+				c.unavailable(to, "the state service can't be reached")
+				return
+			}
+		}
+	})
+}
+
+func (c *Controller) writeCancel(t *term, j *bookkeeping.Job) {
+	if c.term != t || j.State != bookkeeping.JobCancelling {
+		return
+	}
+	ref := j.Spec.Ref
+	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j, true)}}
+	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		switch o {
+		case txnApplied:
+			c.cancelled(j, r.Stamp)
+		case txnRefused:
+			// An earlier try may have been applied late.
+			c.get(prioUrgent, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+				if c.term != t {
+					return
+				}
+				if found {
+					if k, err := bookkeeping.DecodeJob(e.Value); err == nil && k.State == bookkeeping.JobCancelled {
+						c.cancelled(j, e.Stamp)
+						return
+					}
+					j.Stamp = e.Stamp
+				}
+				c.after(500*protocol.Millisecond, func() { c.writeCancel(t, j) })
+			})
+		default:
+			c.after(300*protocol.Millisecond, func() { c.writeCancel(t, j) })
+		}
+	})
+}
+
+func (c *Controller) cancelled(j *bookkeeping.Job, stamp uint64) {
+	t := c.term
+	if j.State != bookkeeping.JobCancelling {
+		return
+	}
+	j.To(bookkeeping.JobCancelled)
+	j.Stamp = stamp
+	c.stopJob(j)
+	for _, a := range t.cancels[j.Spec.Ref] {
+		c.reply(a, 200, protocol.JobAnswer(j.Spec.Ref, protocol.Cancelled, 0, 0), 0)
+	}
+	delete(t.cancels, j.Spec.Ref)
+}
+
+// stopJob stops all attempts of a job that nobody has any use for.
+func (c *Controller) stopJob(j *bookkeeping.Job) {
+	t := c.term
+	for _, h := range t.hosts() {
+		for _, a := range h.Attempts {
+			if a.Job == j {
+				c.stop(a, 0)
+			}
+		}
+	}
+	t.dirty = true
+}
--- /dev/null
+++ b/internal/coordination/workers.go
@@ -0,0 +1,468 @@
+package coordination
+
+import (
+	"sort"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// onReport handles a worker's report. Only the leader answers with 200: a
+// worker that gets a 200 it has to drop stays while its lease runs out.
+func (c *Controller) onReport(e WorkerReport) {
+	r, err := protocol.ParseReport(e.Body)
+	if err != nil {
+		c.malformed("worker", err)
+		c.reply(e.Reply, 400, protocol.ErrorBody(err.Error()), 0)
+		return
+	}
+	switch c.role {
+	case Loading:
+		// The epoch is ours already. The records are not read yet, so there
+		// are no commands; the worker's lease is renewed and its next report
+		// comes under the new epoch.
+		if r.Epoch <= c.seat.epoch && c.at.Steady < c.seat.until {
+			c.reply(e.Reply, 200, protocol.AppendCommands(nil, c.seat.epoch, 0, nil), 0)
+			return
+		}
+		c.unavailable(e.Reply, "not ready")
+		return
+	case Leading, Doubtful:
+	default:
+		leader := c.leader.Node
+		if leader == c.platform.Node {
+			leader = ""
+		}
+		c.reply(e.Reply, 421, protocol.LeaderBody(leader), 0)
+		return
+	}
+	t := c.term
+	if r.Epoch > t.epoch {
+		c.deposed("a worker has seen a newer epoch")
+		c.reply(e.Reply, 421, protocol.LeaderBody(""), 0)
+		return
+	}
+	if t.gone[r.Host] {
+		c.unavailable(e.Reply, "the machine is gone")
+		return
+	}
+	h := t.book.Hosts[r.Host]
+	if h == nil {
+		h = bookkeeping.NewHost(c.at.Steady, r.Host, r.Type, r.Zone, r.Spot)
+		h.Type = c.typeByName[r.Type]
+		t.book.Hosts[r.Host] = h
+		c.log.Debug("machine reports that was not rented in this term", "host", r.Host)
+	}
+	if h.Session > 0 && !r.Newer(h.Session, h.Tick) {
+		// Held up on the way: what it says is older than what is known.
+		c.unavailable(e.Reply, "late report")
+		return
+	}
+	c.takeReport(h, r)
+	cmds := c.commands(h)
+	h.Answered = max(h.Answered, c.at.Steady)
+	c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, cmds), 0)
+}
+
+// takeReport brings the book to what a newer report says.
+func (c *Controller) takeReport(h *bookkeeping.Host, r *protocol.Report) {
+	t := c.term
+	at := c.at.Steady
+	if h.Session > 0 && r.Session > h.Session {
+		// The worker's lease expired: it has killed and forgotten everything.
+		c.loseAll(h, "its session ended")
+	}
+	h.Session, h.Tick, h.Heard = r.Session, r.Tick, at
+	h.Addr = r.Addr
+	if h.Type == nil {
+		h.Type = c.typeByName[r.Type]
+	}
+	if h.State == bookkeeping.HostBooting || h.State == bookkeeping.HostSilent {
+		if h.State == bookkeeping.HostBooting && !h.FromRecord {
+			t.rental.booted(h, at)
+		}
+		h.To(bookkeeping.HostReady)
+		t.dirty = true
+	}
+	if r.Noticed != h.Noticed || r.Noticed {
+		if !h.Noticed {
+			t.dirty = true
+			c.log.Info("machine will be taken", "host", h.Name, "in_ms", int64(r.Notice/protocol.Millisecond))
+		}
+		h.Noticed, h.TakenAt = r.Noticed, at+r.Notice
+	}
+	current := r.Epoch == t.epoch
+	if current && !h.Proven {
+		h.Proven = true
+		t.dirty = true
+	}
+	seen := make(map[protocol.AttemptName]bool, len(r.Tasks))
+	for _, task := range r.Tasks {
+		seen[task.AttemptName] = true
+		a := h.Attempts[task.AttemptName]
+		if a == nil {
+			a = c.adopt(h, task)
+		}
+		c.observe(a, task)
+	}
+	for _, a := range sortedAttempts(h) {
+		if seen[a.Name] || a.State == bookkeeping.AttemptAssigned {
+			continue
+		}
+		if a.State == bookkeeping.AttemptExited {
+			t.book.Move(at, a, bookkeeping.AttemptGone)
+			continue
+		}
+		if !a.State.MayRun() {
+			continue
+		}
+		if !current {
+			// A worker that has not seen this epoch may still get commands of
+			// the one before: absence proves nothing yet.
+			continue
+		}
+		if a.State == bookkeeping.AttemptLaunched && !r.Newer(a.SentSession, a.SentTick) {
+			continue
+		}
+		// The launch did not arrive, or the task is gone.
+		c.log.Debug("attempt is not on its host", "task", a.Name.TaskName.String(), "host", h.Name, "state", a.State.String())
+		c.lost(a)
+	}
+	c.touchIdle(h)
+}
+
+func (c *Controller) touchIdle(h *bookkeeping.Host) {
+	if !h.Empty() {
+		h.IdleSince = c.at.Steady
+	}
+}
+
+func sortedAttempts(h *bookkeeping.Host) []*bookkeeping.Attempt {
+	list := make([]*bookkeeping.Attempt, 0, len(h.Attempts))
+	for _, a := range h.Attempts {
+		list = append(list, a)
+	}
+	sort.Slice(list, func(i, j int) bool {
+		x, y := list[i].Name, list[j].Name
+		if x.Job != y.Job {
+			return x.Job < y.Job
+		}
+		return x.Index < y.Index || x.Index == y.Index && x.Number < y.Number
+	})
+	return list
+}
+
+// adopt takes an attempt that an earlier leader started into the book.
+func (c *Controller) adopt(h *bookkeeping.Host, task protocol.TaskReport) *bookkeeping.Attempt {
+	t := c.term
+	j := t.book.Jobs[task.Job]
+	if j != nil && task.Index >= len(j.Tasks) {
+		j = nil
+	}
+	a := t.book.Attach(c.at.Steady, j, h, task.AttemptName)
+	a.Adopted = true
+	if j != nil && j.Spec.Kind == protocol.Gang && task.State != protocol.Exited {
+		j.GangAttempt = max(j.GangAttempt, task.Number)
+	}
+	if j != nil && a.Task().Current != a && task.State != protocol.Exited {
+		c.log.Error("task is on two hosts", "task", task.TaskName.String(), "host", h.Name)
+	}
+	if j == nil || j.State != bookkeeping.JobLive || a.Task().Current != a {
+		a.Stop = true
+	}
+	return a
+}
+
+var stateOf = map[protocol.TaskState]bookkeeping.AttemptState{
+	protocol.Fetching: bookkeeping.AttemptFetching, protocol.Waiting: bookkeeping.AttemptWaiting,
+	protocol.Executing: bookkeeping.AttemptRunning, protocol.Saving: bookkeeping.AttemptSaving,
+	protocol.Exited: bookkeeping.AttemptExited,
+}
+
+// observe takes what a report says of one attempt.
+func (c *Controller) observe(a *bookkeeping.Attempt, task protocol.TaskReport) {
+	t := c.term
+	at := c.at.Steady
+	to := stateOf[task.State]
+	if a.State == bookkeeping.AttemptExited || a.State == to {
+		return
+	}
+	from := a.State
+	j := a.Job
+	if j != nil && (to == bookkeeping.AttemptRunning || to == bookkeeping.AttemptWaiting || to == bookkeeping.AttemptSaving) {
+		a.Host.SawImage(at, j.Spec.Image, j.Spec.ImageSize)
+		if from == bookkeeping.AttemptFetching {
+			c.learnFetch(a)
+		}
+		if to == bookkeeping.AttemptRunning && j.Spec.Kind == protocol.Gang && a.Name.Number == j.GangAttempt {
+			j.GangStarted = true
+		}
+	}
+	if to == bookkeeping.AttemptExited {
+		c.exited(a, task)
+		return
+	}
+	t.book.Move(at, a, to)
+}
+
+// exited handles the end of an attempt.
+func (c *Controller) exited(a *bookkeeping.Attempt, task protocol.TaskReport) {
+	t := c.term
+	at := c.at.Steady
+	a.Reason = task.Reason
+	j, h := a.Job, a.Host
+	t.dirty = true
+	c.log.Debug("exited", "task", a.Name.TaskName.String(), "host", h.Name, "why", string(task.Reason), "saved", task.Saved)
+	if j != nil && j.State == bookkeeping.JobLive {
+		switch task.Reason {
+		case protocol.ExitDone:
+			c.completed(a)
+		case protocol.ExitError:
+			c.failed(a)
+		case protocol.ExitFull:
+			h.FullUntil = at + 2*protocol.Second
+			c.log.Info("start refused: no room", "task", a.Name.TaskName.String(), "host", h.Name)
+		case protocol.ExitUnknown:
+			j.Held = at + 2*protocol.Second
+		case protocol.ExitBusy:
+			a.Task().NotBefore = at + 3*protocol.Second
+		}
+	}
+	t.book.Move(at, a, bookkeeping.AttemptExited)
+	if j != nil {
+		c.settle(j)
+		c.checkFinished(j)
+	}
+	c.touchIdle(h)
+}
+
+// settle lets a gang of which nothing is left start anew.
+func (c *Controller) settle(j *bookkeeping.Job) {
+	if j.Settled() {
+		j.GangAttempt, j.GangStarted = 0, false
+	}
+}
+
+// completed handles a task's result.
+func (c *Controller) completed(a *bookkeeping.Attempt) {
+	j := a.Job
+	if j.Spec.Kind == protocol.Service {
+		return // a replica has no end of its own: it is started again
+	}
+	if a.Started > 0 && !a.Adopted {
+		c.class(j.Spec.Class).ran(j, c.at.Steady-a.Started)
+	}
+	if j.Spec.Kind == protocol.Gang {
+		// The tasks of a gang complete together: if one is done, all are.
+		for i := range j.Tasks {
+			j.Complete(i, false)
+		}
+		return
+	}
+	j.Complete(a.Name.Index, false)
+	if j.Done < len(j.Tasks) {
+		c.markChunk(j, a.Name.Index)
+	}
+}
+
+// failed handles a task's error. Mostly the machine is faulty; but a job that
+// fails everywhere condemns no machine.
+func (c *Controller) failed(a *bookkeeping.Attempt) {
+	j, h := a.Job, a.Host
+	at := c.at.Steady
+	if j.Failures == nil {
+		j.Failures = make(map[string]int)
+	}
+	j.Failures[h.Name]++
+	total := 0
+	for _, n := range j.Failures {
+		total += n
+	}
+	if len(j.Failures) < 3 {
+		h.Faults++
+		h.FaultUntil = at + min(micros(h.Faults)*30*protocol.Second, 300*protocol.Second)
+	} else {
+		for name := range j.Failures {
+			if other := c.term.book.Hosts[name]; other != nil && other.Faults > 0 && j.Failures[name] > 0 {
+				other.Faults--
+				if other.Faults == 0 {
+					other.FaultUntil = 0
+				}
+			}
+		}
+	}
+	wait := protocol.Second
+	for i := 1; i < total && wait < 60*protocol.Second; i++ {
+		wait *= 2
+	}
+	if len(j.Failures) >= 3 {
+		j.Held = at + min(wait, 60*protocol.Second)
+	}
+	c.log.Info("task failed", "task", a.Name.TaskName.String(), "host", h.Name, "failures", total, "hosts", len(j.Failures))
+}
+
+// lost notes that an attempt is certainly on no host any more.
+func (c *Controller) lost(a *bookkeeping.Attempt) {
+	t := c.term
+	j, h := a.Job, a.Host
+	t.book.Move(c.at.Steady, a, bookkeeping.AttemptGone)
+	if j != nil {
+		c.settle(j)
+	}
+	c.touchIdle(h)
+	t.dirty = true
+}
+
+// loseAll notes that nothing is on a host any more.
+func (c *Controller) loseAll(h *bookkeeping.Host, why string) {
+	n := 0
+	for _, a := range sortedAttempts(h) {
+		if a.State.MayRun() {
+			n++
+		}
+		c.lost(a)
+	}
+	if n > 0 {
+		c.log.Info("tasks lost", "host", h.Name, "tasks", n, "why", why)
+	}
+}
+
+// stop asks for the end of an attempt.
+func (c *Controller) stop(a *bookkeeping.Attempt, grace micros) {
+	switch {
+	case a.State == bookkeeping.AttemptAssigned:
+		c.lost(a) // no launch has left
+	case a.State.MayRun():
+		if a.Stop {
+			grace = min(grace, a.StopGrace)
+		}
+		a.Stop, a.StopGrace = true, grace
+	}
+}
+
+// commands is what a report is answered with.
+func (c *Controller) commands(h *bookkeeping.Host) []protocol.Command {
+	t := c.term
+	if !c.mayStart() || !h.Proven || h.State != bookkeeping.HostReady {
+		// While the lease could have ended, workers only get their own
+		// lease renewed, for a time that the leader's record names.
+		return nil
+	}
+	at := c.at.Steady
+	var cmds []protocol.Command
+	for _, a := range sortedAttempts(h) {
+		if len(cmds) >= protocol.MaxCommands {
+			break
+		}
+		j := a.Job
+		switch {
+		case a.State == bookkeeping.AttemptExited:
+			// Results are durable before the worker may forget them.
+			if a.Reason == protocol.ExitDone && j != nil && j.State <= bookkeeping.JobFinishing && j.State != bookkeeping.JobCancelled {
+				if task := a.Task(); task != nil && task.State == bookkeeping.TaskDone && !task.Durable {
+					continue
+				}
+			}
+			cmds = append(cmds, protocol.Command{Verb: protocol.Forget, Name: a.Name})
+		case a.State.MayRun():
+			if !a.Stop && (j == nil || j.State != bookkeeping.JobLive) {
+				a.Stop, a.StopGrace = true, 0
+			}
+			if a.Stop && !(a.State == bookkeeping.AttemptSaving && a.StopGrace > 0) {
+				if a.StopAt == 0 {
+					a.StopAt = at
+				}
+				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
+			}
+		case a.State == bookkeeping.AttemptAssigned:
+			if !h.Recorded || j.State != bookkeeping.JobLive {
+				continue
+			}
+			a.SentSession, a.SentTick = h.Session, h.Tick
+			t.book.Move(at, a, bookkeeping.AttemptLaunched)
+			cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
+		}
+	}
+	return cmds
+}
+
+// watchHosts notices silence, proves tasks gone, and sees when every recorded
+// host is accounted for.
+func (c *Controller) watchHosts() {
+	t := c.term
+	at := c.at.Steady
+	silent, reporting := 0, 0
+	for _, h := range t.book.Hosts {
+		if h.State == bookkeeping.HostReady || h.FromRecord && !h.Proven {
+			reporting++
+			if at-h.Heard > c.operator.SilentRelease {
+				silent++
+			}
+		}
+	}
+	limit := c.operator.SilentRelease
+	if silent > 2 && silent*3 > reporting {
+		// So many at once are rather cut off than dead.
+		limit = 2 * limit
+	}
+	unproven := 0
+	for _, h := range t.hosts() {
+		lease := c.platform.WorkerLease
+		expired := at > h.Answered+lease+drift(lease)+100*protocol.Millisecond
+		switch h.State {
+		case bookkeeping.HostReady, bookkeeping.HostBooting:
+			if h.State == bookkeeping.HostBooting && !h.FromRecord {
+				break // has never reported: holds nothing
+			}
+			if expired {
+				c.loseAll(h, "silent for longer than its lease")
+				h.To(bookkeeping.HostSilent)
+				h.Proven = true
+			} else if at-h.Heard > limit && c.mayStart() {
+				c.release(h, "silent")
+			}
+		case bookkeeping.HostSilent:
+			if at-h.Heard > limit+lease/2 && c.mayStart() {
+				c.release(h, "silent")
+			}
+		case bookkeeping.HostReleasing:
+			if expired && !h.Proven {
+				h.Proven = true
+			}
+			if expired {
+				c.loseAll(h, "silent for longer than its lease")
+			}
+		}
+		if h.FromRecord && !h.Proven {
+			unproven++
+		}
+		if !h.Noticed || h.State != bookkeeping.HostReady {
+			continue
+		}
+		c.drainNoticed(h)
+	}
+	if unproven == 0 && !t.recovered {
+		t.recovered = true
+		t.dirty = true
+		c.log.Info("all hosts accounted for", "epoch", t.epoch, "took_ms", int64((at-t.started)/protocol.Millisecond), "hosts", len(t.book.Hosts))
+	}
+}
+
+// drainNoticed saves what it can from a machine that is about to be taken.
+func (c *Controller) drainNoticed(h *bookkeeping.Host) {
+	left := h.TakenAt - c.at.Steady
+	for _, a := range sortedAttempts(h) {
+		j := a.Job
+		if j == nil || a.Stop || !a.State.Occupies() {
+			continue
+		}
+		switch {
+		case a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching:
+			c.stop(a, 0)
+		case j.Spec.Kind == protocol.Service:
+			c.stop(a, 0)
+		case j.Spec.Checkpoints() && left < j.Spec.Saves+2*c.platform.ReportEvery:
+			c.stop(a, j.Spec.Saves+protocol.Second)
+		}
+	}
+}
--- /dev/null
+++ b/internal/protocol/peer.go
@@ -0,0 +1,151 @@
+package protocol
+
+import (
+	"encoding/binary"
+	"errors"
+)
+
+// Between controllers, messages are frames: a length of four bytes (of all that
+// follows), a version, a kind, then the fields in a fixed order. Texts and
+// bodies carry a length of their own. All numbers are big-endian.
+const (
+	peerVersion  = 1
+	maxPeerFrame = 128 << 10
+)
+
+// PeerKind is the kind of a frame.
+type PeerKind uint8
+
+// Kinds of frames.
+const (
+	PeerCall PeerKind = 1 + iota
+	PeerAnswer
+)
+
+// UserOp is what a user asks.
+type UserOp uint8
+
+// What users ask.
+const (
+	OpSubmit UserOp = 1 + iota
+	OpQuery
+	OpCancel
+)
+
+// PeerMessage is a user's call passed to the leader, or its answer.
+type PeerMessage struct {
+	Kind PeerKind
+	// A call.
+	Op   UserOp
+	Ref  string
+	From string
+	// An answer. Status 0: the node called does not lead.
+	Status     uint16
+	RetryAfter Micros
+	// The body of either.
+	Body []byte
+}
+
+var errFrame = errors.New("malformed frame")
+
+// AppendPeer writes a frame.
+func AppendPeer(b []byte, m *PeerMessage) []byte {
+	start := len(b)
+	b = append(b, 0, 0, 0, 0, peerVersion, byte(m.Kind))
+	if m.Kind == PeerCall {
+		b = append(b, byte(m.Op))
+		b = appendPeerText(b, m.Ref)
+		b = appendPeerText(b, m.From)
+	} else {
+		b = binary.BigEndian.AppendUint16(b, m.Status)
+		b = binary.BigEndian.AppendUint64(b, uint64(m.RetryAfter))
+	}
+	b = binary.BigEndian.AppendUint32(b, uint32(len(m.Body)))
+	b = append(b, m.Body...)
+	binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-4))
+	return b
+}
+
+func appendPeerText(b []byte, s string) []byte {
+	b = binary.BigEndian.AppendUint16(b, uint16(len(s)))
+	return append(b, s...)
+}
+
+// SplitPeer finds a whole frame at the start of buf, without its length.
+func SplitPeer(buf []byte) (frame []byte, used int, err error) {
+	if len(buf) < 4 {
+		return nil, 0, nil
+	}
+	n := binary.BigEndian.Uint32(buf)
+	if n < 2 || n > maxPeerFrame {
+		return nil, 0, errFrame
+	}
+	if len(buf) < int(n)+4 {
+		return nil, 0, nil
+	}
+	return append([]byte(nil), buf[4:4+n]...), int(n) + 4, nil
+}
+
+// ParsePeer reads a frame that SplitPeer found.
+func ParsePeer(frame []byte) (*PeerMessage, error) {
+	r := peerReader{b: frame}
+	if r.byte() != peerVersion {
+		return nil, errors.New("unknown version of a frame")
+	}
+	m := &PeerMessage{Kind: PeerKind(r.byte())}
+	switch m.Kind {
+	case PeerCall:
+		m.Op = UserOp(r.byte())
+		m.Ref = string(r.take(int(r.uint(2))))
+		m.From = string(r.take(int(r.uint(2))))
+		if m.Op < OpSubmit || m.Op > OpCancel {
+			return nil, errFrame
+		}
+	case PeerAnswer:
+		m.Status = uint16(r.uint(2))
+		m.RetryAfter = Micros(r.uint(8))
+		if m.RetryAfter < 0 {
+			return nil, errFrame
+		}
+	default:
+		return nil, errFrame
+	}
+	m.Body = append([]byte(nil), r.take(int(r.uint(4)))...)
+	if r.bad || len(r.b) != 0 || len(m.Body) > MaxPeerBody {
+		return nil, errFrame
+	}
+	return m, nil
+}
+
+// MaxPeerBody is the largest body in a frame.
+const MaxPeerBody = 64 << 10
+
+type peerReader struct {
+	b   []byte
+	bad bool
+}
+
+func (r *peerReader) take(n int) []byte {
+	if n < 0 || n > len(r.b) {
+		r.bad = true
+		return nil
+	}
+	t := r.b[:n]
+	r.b = r.b[n:]
+	return t
+}
+
+func (r *peerReader) byte() byte {
+	if t := r.take(1); t != nil {
+		return t[0]
+	}
+	return 0
+}
+
+func (r *peerReader) uint(n int) uint64 {
+	var v uint64
+	for _, c := range r.take(n) {
+		v = v<<8 | uint64(c)
+	}
+	return v
+}
--- /dev/null
+++ b/internal/protocol/settings.go
@@ -0,0 +1,338 @@
+package protocol
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	Name, Zone, Address string
+}
+
+// Team is a team's guarantee and limit. A zero limit means none.
+type Team struct {
+	Name             string
+	Guarantee, Limit Resources
+}
+
+// Objective repeats one aim on starting or finishing.
+type Objective struct {
+	Kind, Class string
+	Within      Micros
+	Share       float64
+}
+
+// Platform is the file that the platform hands over, checked and converted.
+type Platform struct {
+	Node, Zone                  string
+	ClientListen, ClusterListen string
+	Siblings                    []Sibling
+	CloudAddr, StateAddr        string
+	Zones                       []string
+	ClockOff                    Micros
+	Teams                       map[string]Team
+	Objectives                  []Objective
+
+	ReportEvery, WorkerLease   Micros
+	GangWait, GangPeer, Cancel Micros
+	StateRate, StateWriteRate  float64
+	ValueBytes, TxnOps         int
+	CloudRate                  float64
+	ListLag                    Micros
+	CPUShare                   float64
+	MemoryBytes                int64
+	MaxConnections             int
+}
+
+type platformFile struct {
+	NodeName      string `toml:"node_name"`
+	Area          string `toml:"area"`
+	ClientListen  string `toml:"client_listen"`
+	ClusterListen string `toml:"cluster_listen"`
+	Siblings      []struct {
+		NodeName string `toml:"node_name"`
+		Area     string `toml:"area"`
+		Address  string `toml:"address"`
+	} `toml:"siblings"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Facts struct {
+		Nodes      int      `toml:"nodes"`
+		Zones      []string `toml:"zones"`
+		ClockOffMS float64  `toml:"clock_off_ms"`
+		Teams      []struct {
+			Name    string  `toml:"name"`
+			CPUs    float64 `toml:"cpus"`
+			CPUsMax float64 `toml:"cpus_max"`
+			GPUs    float64 `toml:"gpus"`
+			GPUsMax float64 `toml:"gpus_max"`
+		} `toml:"teams"`
+		Objectives []struct {
+			Kind    string  `toml:"kind"`
+			Class   string  `toml:"class"`
+			WithinS float64 `toml:"within_s"`
+			Share   float64 `toml:"share"`
+		} `toml:"objectives"`
+		Workers struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Quota struct {
+			CPU            float64 `toml:"cpu"`
+			MemoryMB       float64 `toml:"memory_mb"`
+			MaxConnections int     `toml:"max_connections"`
+		} `toml:"quota"`
+	} `toml:"facts"`
+}
+
+// KeyError names the settings key that is missing or impossible.
+type KeyError struct{ Key, Problem string }
+
+func (e *KeyError) Error() string { return e.Key + ": " + e.Problem }
+
+// LoadPlatform reads and checks the platform's file. Unknown keys are ignored.
+func LoadPlatform(path string) (*Platform, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p, err := ParsePlatform(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, oneLine(err))
+	}
+	return p, nil
+}
+
+// ParsePlatform checks and converts the text of the platform's file.
+func ParsePlatform(text []byte) (*Platform, error) {
+	var f platformFile
+	if err := toml.Unmarshal(text, &f); err != nil {
+		return nil, err
+	}
+	p := &Platform{
+		Node: f.NodeName, Zone: f.Area, ClientListen: f.ClientListen, ClusterListen: f.ClusterListen,
+		CloudAddr: f.Services.Cloud, StateAddr: f.Services.State, Zones: f.Facts.Zones,
+		ClockOff:    FromSeconds(f.Facts.ClockOffMS / 1000),
+		Teams:       make(map[string]Team),
+		ReportEvery: FromSeconds(f.Facts.Workers.ReportS), WorkerLease: FromSeconds(f.Facts.Workers.LeaseS),
+		GangWait: FromSeconds(f.Facts.Workers.GangWaitS), GangPeer: FromSeconds(f.Facts.Workers.GangPeerS),
+		Cancel:    FromSeconds(f.Facts.Workers.CancelS),
+		StateRate: f.Facts.State.RPS, StateWriteRate: f.Facts.State.WriteRPS,
+		ValueBytes: int(f.Facts.State.ValueKB * 1024), TxnOps: f.Facts.State.TxnOps,
+		CloudRate: f.Facts.Cloud.RPS, ListLag: FromSeconds(f.Facts.Cloud.ListLagS),
+		CPUShare: f.Facts.Quota.CPU, MemoryBytes: int64(f.Facts.Quota.MemoryMB * 1e6),
+		MaxConnections: f.Facts.Quota.MaxConnections,
+	}
+	for _, s := range f.Siblings {
+		p.Siblings = append(p.Siblings, Sibling{s.NodeName, s.Area, s.Address})
+	}
+	for _, t := range f.Facts.Teams {
+		p.Teams[t.Name] = Team{Name: t.Name,
+			Guarantee: Resources{CPU: offerThousandths(t.CPUs), GPU: offerThousandths(t.GPUs)},
+			Limit:     Resources{CPU: offerThousandths(t.CPUsMax), GPU: offerThousandths(t.GPUsMax)}}
+	}
+	for _, o := range f.Facts.Objectives {
+		p.Objectives = append(p.Objectives, Objective{o.Kind, o.Class, FromSeconds(o.WithinS), o.Share})
+	}
+	return p, p.check(&f)
+}
+
+func (p *Platform) check(f *platformFile) error {
+	texts := []struct{ key, v string }{{"node_name", p.Node}, {"area", p.Zone}}
+	for _, t := range texts {
+		if t.v == "" {
+			return &KeyError{t.key, "missing"}
+		}
+	}
+	addrs := []struct{ key, v string }{{"client_listen", p.ClientListen}, {"cluster_listen", p.ClusterListen},
+		{"services.cloud", p.CloudAddr}, {"services.state", p.StateAddr}}
+	for i, s := range p.Siblings {
+		if s.Name == "" {
+			return &KeyError{fmt.Sprintf("siblings[%d].node_name", i), "missing"}
+		}
+		addrs = append(addrs, struct{ key, v string }{fmt.Sprintf("siblings[%d].address", i), s.Address})
+	}
+	for _, a := range addrs {
+		if a.v == "" {
+			return &KeyError{a.key, "missing"}
+		}
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			return &KeyError{a.key, fmt.Sprintf("%q is not an IP address with a port", a.v)}
+		}
+	}
+	if len(p.Zones) == 0 {
+		return &KeyError{"facts.zones", "missing"}
+	}
+	numbers := []struct {
+		key string
+		v   float64
+		max float64
+	}{
+		{"facts.workers.report_s", p.ReportEvery.Seconds(), 3600}, {"facts.workers.lease_s", p.WorkerLease.Seconds(), 86400},
+		{"facts.workers.gang_wait_s", p.GangWait.Seconds(), 86400}, {"facts.workers.gang_peer_s", p.GangPeer.Seconds(), 86400},
+		{"facts.workers.cancel_s", p.Cancel.Seconds(), 86400},
+		{"facts.state.rps", p.StateRate, 1e9}, {"facts.state.write_rps", p.StateWriteRate, 1e9},
+		{"facts.state.value_kb", f.Facts.State.ValueKB, 1e6}, {"facts.state.txn_ops", float64(p.TxnOps), 1e6},
+		{"facts.cloud.rps", p.CloudRate, 1e9}, {"facts.quota.cpu", p.CPUShare, 4096},
+		{"facts.quota.memory_mb", f.Facts.Quota.MemoryMB, 1e9},
+		{"facts.quota.max_connections", float64(p.MaxConnections), 1e8},
+	}
+	for _, n := range numbers {
+		if math.IsNaN(n.v) || n.v <= 0 || n.v > n.max {
+			return &KeyError{n.key, fmt.Sprintf("missing or impossible: must be above 0 and at most %g", n.max)}
+		}
+	}
+	if p.TxnOps < 6 {
+		return &KeyError{"facts.state.txn_ops", "at least 6 changes in a transaction are needed"}
+	}
+	if p.ListLag < 0 || p.ClockOff < 0 {
+		return &KeyError{"facts", "list_lag_s and clock_off_ms must not be negative"}
+	}
+	for i, t := range f.Facts.Teams {
+		if t.Name == "" {
+			return &KeyError{fmt.Sprintf("facts.teams[%d].name", i), "missing"}
+		}
+		for _, v := range []float64{t.CPUs, t.CPUsMax, t.GPUs, t.GPUsMax} {
+			if math.IsNaN(v) || v < 0 || v > 1e9 {
+				return &KeyError{fmt.Sprintf("facts.teams[%d]", i), "amounts must be from 0 to 1e9"}
+			}
+		}
+	}
+	return nil
+}
+
+// Operator holds the operators' own settings, all optional.
+type Operator struct {
+	LeaderLease    Micros  // time the leader's lease lasts without renewal
+	RoundEvery     Micros  // longest time between planning rounds
+	RoundGap       Micros  // shortest time between planning rounds
+	DeadlineMargin Micros  // kept between a booked end and its deadline
+	AnswerOn       Micros  // how long workers are answered after the lease may have ended
+	SilentRelease  Micros  // silence after which a machine is released as a fence
+	IdleReturn     Micros  // idle time after which a machine goes back
+	WarmSpare      float64 // arrivals per class for which room is kept, in units of what comes during a boot
+}
+
+// DefaultOperator holds the values used where the operators set none.
+func DefaultOperator() Operator {
+	return Operator{LeaderLease: 3 * Second, RoundEvery: 2 * Second, RoundGap: 200 * Millisecond,
+		DeadlineMargin: 3 * Second, AnswerOn: 30 * Second, SilentRelease: 12 * Second,
+		IdleReturn: 60 * Second, WarmSpare: 1}
+}
+
+type operatorFile struct {
+	LeaderLeaseS    *float64 `toml:"leader_lease_s"`
+	RoundS          *float64 `toml:"round_s"`
+	RoundGapS       *float64 `toml:"round_gap_s"`
+	DeadlineMarginS *float64 `toml:"deadline_margin_s"`
+	AnswerOnS       *float64 `toml:"answer_on_s"`
+	SilentReleaseS  *float64 `toml:"silent_release_s"`
+	IdleReturnS     *float64 `toml:"idle_return_s"`
+	WarmSpare       *float64 `toml:"warm_spare"`
+}
+
+// LoadOperator reads the operators' file; an unknown key is an error.
+func LoadOperator(path string) (Operator, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Operator{}, err
+	}
+	o, err := ParseOperator(text)
+	if err != nil {
+		return o, fmt.Errorf("%s: %w", path, oneLine(err))
+	}
+	return o, nil
+}
+
+// ParseOperator checks the text of the operators' file.
+func ParseOperator(text []byte) (Operator, error) {
+	o := DefaultOperator()
+	var f operatorFile
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		var strict *toml.StrictMissingError
+		if errors.As(err, &strict) && len(strict.Errors) > 0 {
+			key := ""
+			for i, k := range strict.Errors[0].Key() {
+				if i > 0 {
+					key += "."
+				}
+				key += k
+			}
+			return o, &KeyError{key, "unknown key"}
+		}
+		return o, err
+	}
+	spans := []struct {
+		key      string
+		from     *float64
+		to       *Micros
+		min, max float64
+	}{
+		{"leader_lease_s", f.LeaderLeaseS, &o.LeaderLease, 1, 60},
+		{"round_s", f.RoundS, &o.RoundEvery, 0.1, 60},
+		{"round_gap_s", f.RoundGapS, &o.RoundGap, 0.01, 10},
+		{"deadline_margin_s", f.DeadlineMarginS, &o.DeadlineMargin, 0, 3600},
+		{"answer_on_s", f.AnswerOnS, &o.AnswerOn, 0, 600},
+		{"silent_release_s", f.SilentReleaseS, &o.SilentRelease, 5, 3600},
+		{"idle_return_s", f.IdleReturnS, &o.IdleReturn, 1, 86400},
+	}
+	for _, s := range spans {
+		if s.from == nil {
+			continue
+		}
+		if math.IsNaN(*s.from) || *s.from < s.min || *s.from > s.max {
+			return o, &KeyError{s.key, fmt.Sprintf("must be from %g to %g", s.min, s.max)}
+		}
+		*s.to = FromSeconds(*s.from)
+	}
+	if f.WarmSpare != nil {
+		if math.IsNaN(*f.WarmSpare) || *f.WarmSpare < 0 || *f.WarmSpare > 100 {
+			return o, &KeyError{"warm_spare", "must be from 0 to 100"}
+		}
+		o.WarmSpare = *f.WarmSpare
+	}
+	return o, nil
+}
+
+func oneLine(err error) error {
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, col := de.Position()
+		key := ""
+		for i, k := range de.Key() {
+			if i > 0 {
+				key += "."
+			}
+			key += k
+		}
+		if key != "" {
+			return fmt.Errorf("line %d, column %d: %s: %s", row, col, key, de.Error())
+		}
+		return fmt.Errorf("line %d, column %d: %s", row, col, de.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/protocol/state.go
@@ -0,0 +1,182 @@
+package protocol
+
+import (
+	"errors"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+)
+
+// Entry is one key of the state service.
+type Entry struct {
+	Key   string
+	Value []byte // JSON
+	Stamp uint64
+}
+
+// Condition asks that a key has a stamp (0: that it does not exist).
+type Condition struct {
+	Key   string
+	Stamp uint64
+}
+
+// Change is one put, or a delete where Value is nil.
+type Change struct {
+	Key   string
+	Value []byte
+	Lease uint64
+}
+
+// AppendTxn writes a transaction.
+func AppendTxn(b []byte, when []Condition, then []Change) []byte {
+	b = append(b, `{"when":[`...)
+	for i, c := range when {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = appendQuoted(append(b, `{"path":`...), c.Key)
+		b = strconv.AppendUint(append(b, `,"stamp":`...), c.Stamp, 10)
+		b = append(b, '}')
+	}
+	b = append(b, `],"then":[`...)
+	for i, c := range then {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		if c.Value == nil {
+			b = appendQuoted(append(b, `{"drop":`...), c.Key)
+		} else {
+			b = appendQuoted(append(b, `{"set":`...), c.Key)
+			b = append(append(b, `,"data":`...), c.Value...)
+			if c.Lease > 0 {
+				b = strconv.AppendUint(append(b, `,"hold":`...), c.Lease, 10)
+			}
+		}
+		b = append(b, '}')
+	}
+	return append(b, "]}"...)
+}
+
+// TxnResult is the answer to a transaction.
+type TxnResult struct {
+	Stamp  uint64
+	Failed []string
+}
+
+// ParseTxn reads the answer to a transaction.
+func ParseTxn(body []byte) (TxnResult, error) {
+	var r TxnResult
+	v, err := parseObject(body)
+	if err != nil {
+		return r, err
+	}
+	f := &fields{obj: v}
+	r.Stamp = f.count("generation")
+	for _, k := range v.GetArray("failed") {
+		r.Failed = append(r.Failed, string(k.GetStringBytes()))
+	}
+	return r, f.err
+}
+
+func entryFrom(v *fastjson.Value) (Entry, error) {
+	f := &fields{obj: v}
+	e := Entry{Key: f.text("path"), Stamp: f.count("stamp")}
+	data := v.Get("data")
+	if data == nil {
+		return e, errors.New("data: missing")
+	}
+	e.Value = data.MarshalTo(nil)
+	return e, f.err
+}
+
+// ParseEntry reads one key.
+func ParseEntry(body []byte) (Entry, error) {
+	v, err := parseObject(body)
+	if err != nil {
+		return Entry{}, err
+	}
+	return entryFrom(v)
+}
+
+// Page is a page of keys.
+type Page struct {
+	Entries  []Entry
+	More     bool
+	Revision uint64
+}
+
+// ParsePage reads a page of keys.
+func ParsePage(body []byte) (Page, error) {
+	var p Page
+	v, err := parseObject(body)
+	if err != nil {
+		return p, err
+	}
+	f := &fields{obj: v}
+	p.Revision = f.count("generation")
+	p.More = v.GetBool("truncated")
+	list, err := v.Get("entries").Array()
+	if err != nil {
+		return p, errors.New("entries: invalid")
+	}
+	for _, it := range list {
+		e, err := entryFrom(it)
+		if err != nil {
+			return p, err
+		}
+		p.Entries = append(p.Entries, e)
+	}
+	return p, f.err
+}
+
+// ParseFollow reads the changes of a watch; a dropped key has a nil Value.
+func ParseFollow(body []byte) (entries []Entry, revision uint64, err error) {
+	v, err := parseObject(body)
+	if err != nil {
+		return nil, 0, err
+	}
+	f := &fields{obj: v}
+	revision = f.count("generation")
+	list, err := v.Get("news").Array()
+	if err != nil {
+		return nil, 0, errors.New("news: invalid")
+	}
+	for _, it := range list {
+		nf := &fields{obj: it}
+		e := Entry{Stamp: nf.count("stamp")}
+		if it.Exists("drop") {
+			e.Key = nf.text("drop")
+		} else {
+			e.Key = nf.text("set")
+			if data := it.Get("data"); data != nil {
+				e.Value = data.MarshalTo(nil)
+			} else {
+				nf.fail("data", "missing")
+			}
+		}
+		if nf.err != nil {
+			return nil, 0, nf.err
+		}
+		entries = append(entries, e)
+	}
+	return entries, revision, f.err
+}
+
+// LeaseBody asks for a lease.
+func LeaseBody(ttl Micros) []byte {
+	return append(strconv.AppendInt([]byte(`{"ttlMs":`), int64(ttl/Millisecond), 10), '}')
+}
+
+// ParseLease reads the id of a new lease.
+func ParseLease(body []byte) (uint64, error) {
+	v, err := parseObject(body)
+	if err != nil {
+		return 0, err
+	}
+	f := &fields{obj: v}
+	id := f.count("hold")
+	if f.err == nil && id == 0 {
+		f.fail("hold", "invalid")
+	}
+	return id, f.err
+}
--- /dev/null
+++ b/internal/protocol/user.go
@@ -0,0 +1,363 @@
+package protocol
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+)
+
+// Kind is a job's shape.
+type Kind uint8
+
+// Kinds of jobs.
+const (
+	Array   Kind = iota // independent tasks
+	Gang                // all tasks run at the same time
+	Service             // replicas run until cancelled
+)
+
+// Rank is a job's priority; a lower value goes first.
+type Rank uint8
+
+// Ranks, highest first.
+const (
+	Critical Rank = iota
+	High
+	Standard
+	Low
+)
+
+var (
+	kindNames = []string{"array", "ensemble", "daemon"}
+	rankNames = []string{"critical", "high", "standard", "low"}
+)
+
+// MaxTasks is the largest number of tasks in a job.
+const MaxTasks = 100000
+
+// JobSpec is what a user submits.
+type JobSpec struct {
+	Ref, Class, Team       string
+	Kind                   Kind
+	Rank                   Rank
+	Tasks                  int
+	Need                   Resources
+	Image                  string
+	ImageSize              int64    // thousandths of a GB
+	Types                  []string // nil: any
+	Zone                   string   // "": any
+	OneZone, Spread, Spot  bool
+	Estimate               Micros
+	CheckpointEvery, Saves Micros // 0: never saves
+	Deadline               Micros // from submission; 0: none
+}
+
+// Durable reports whether tasks can save progress.
+func (s *JobSpec) Checkpoints() bool { return s.CheckpointEvery > 0 }
+
+// AllowsType reports whether the job may run on a machine type.
+func (s *JobSpec) AllowsType(name string) bool {
+	if s.Types == nil {
+		return true
+	}
+	for _, t := range s.Types {
+		if t == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ValidRef reports whether a job id has the published form.
+func ValidRef(s string) bool {
+	if len(s) < 10 || len(s) > 24 || s[:4] != "req-" {
+		return false
+	}
+	for _, c := range []byte(s[4:]) {
+		if c < '0' || c > '9' {
+			return false
+		}
+	}
+	return true
+}
+
+// fields reads the members of a JSON object and keeps the first problem.
+type fields struct {
+	obj *fastjson.Value
+	err error
+}
+
+func (f *fields) fail(name, problem string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s: %s", name, problem)
+	}
+}
+
+func (f *fields) get(name string, kind fastjson.Type) *fastjson.Value {
+	v := f.obj.Get(name)
+	if v == nil {
+		f.fail(name, "missing")
+		return nil
+	}
+	if v.Type() != kind {
+		f.fail(name, "invalid")
+		return nil
+	}
+	return v
+}
+
+func (f *fields) text(name string) string {
+	v := f.get(name, fastjson.TypeString)
+	if v == nil {
+		return ""
+	}
+	s := string(v.GetStringBytes())
+	if s == "" || len(s) > 200 {
+		f.fail(name, "invalid")
+	}
+	return s
+}
+
+func (f *fields) number(name string) float64 {
+	v := f.get(name, fastjson.TypeNumber)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Float64()
+	if err != nil || math.IsNaN(n) || n < 0 || n > 1e12 {
+		f.fail(name, "invalid")
+		return 0
+	}
+	return n
+}
+
+func (f *fields) flag(name string) bool {
+	v := f.obj.Get(name)
+	if v == nil || (v.Type() != fastjson.TypeTrue && v.Type() != fastjson.TypeFalse) {
+		f.fail(name, "missing or invalid")
+		return false
+	}
+	return v.Type() == fastjson.TypeTrue
+}
+
+func (f *fields) choice(name string, from []string) int {
+	s := f.text(name)
+	for i, c := range from {
+		if c == s {
+			return i
+		}
+	}
+	f.fail(name, "invalid")
+	return 0
+}
+
+// optional returns a member, or nil where it is null or left out.
+func (f *fields) optional(name string) *fastjson.Value {
+	v := f.obj.Get(name)
+	if v == nil || v.Type() == fastjson.TypeNull {
+		return nil
+	}
+	return v
+}
+
+func (f *fields) count(name string) uint64 {
+	v := f.get(name, fastjson.TypeNumber)
+	if v == nil {
+		return 0
+	}
+	n, err := v.Uint64()
+	if err != nil {
+		// 16.0 is a whole number too.
+		x, ferr := v.Float64()
+		if ferr != nil || x < 0 || x != math.Trunc(x) || x >= 1<<53 {
+			f.fail(name, "invalid")
+			return 0
+		}
+		n = uint64(x)
+	}
+	return n
+}
+
+func parseObject(body []byte) (*fastjson.Value, error) {
+	if err := fastjson.ValidateBytes(body); err != nil {
+		return nil, errors.New("not JSON")
+	}
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return nil, errors.New("not JSON")
+	}
+	if v.Type() != fastjson.TypeObject {
+		return nil, errors.New("not an object")
+	}
+	return v, nil
+}
+
+// ParseJob checks a submission. Any error means 400.
+func ParseJob(body []byte) (*JobSpec, error) {
+	v, err := parseObject(body)
+	if err != nil {
+		return nil, err
+	}
+	return jobFrom(v)
+}
+
+func jobFrom(v *fastjson.Value) (*JobSpec, error) {
+	f := &fields{obj: v}
+	s := &JobSpec{
+		Ref: f.text("ref"), Class: f.text("jobclass"), Team: f.text("owner"),
+		Kind: Kind(f.choice("shape", kindNames)), Rank: Rank(f.choice("rank", rankNames)),
+		Need: Resources{CPU: needThousandths(f.number("cores")), GPU: needThousandths(f.number("gpus")),
+			Mem: needThousandths(f.number("memoryGb"))},
+		Image: f.text("bundle"), ImageSize: needThousandths(f.number("sizeGb")),
+		OneZone: f.flag("samePlace"), Spread: f.flag("apart"), Spot: f.flag("reclaimable"),
+		Estimate:        FromSeconds(f.number("expectS")),
+		CheckpointEvery: FromSeconds(f.number("snapshotEveryS")),
+		Saves:           FromSeconds(f.number("snapshotS")),
+	}
+	if f.err == nil && !ValidRef(s.Ref) {
+		f.fail("ref", "invalid")
+	}
+	n := f.count("shards")
+	if n < 1 || n > MaxTasks {
+		f.fail("shards", "invalid")
+	}
+	s.Tasks = int(n)
+	if v := f.optional("flavors"); v != nil {
+		list, err := v.Array()
+		if err != nil || len(list) > 1000 {
+			f.fail("flavors", "invalid")
+		}
+		s.Types = []string{}
+		for _, t := range list {
+			if t.Type() != fastjson.TypeString {
+				f.fail("flavors", "invalid")
+				break
+			}
+			s.Types = append(s.Types, string(t.GetStringBytes()))
+		}
+	}
+	if f.optional("region") != nil {
+		s.Zone = f.text("region")
+	}
+	if f.optional("dueS") != nil {
+		if s.Deadline = FromSeconds(f.number("dueS")); s.Deadline == 0 {
+			s.Deadline = 1
+		}
+	}
+	return s, f.err
+}
+
+// AppendJob writes a job in the form of the interface, which is also the form
+// in which it is kept.
+func AppendJob(b []byte, s *JobSpec) []byte {
+	text := func(name, v string) {
+		b = append(b, '"')
+		b = append(b, name...)
+		b = append(b, `":`...)
+		b = appendQuoted(b, v)
+		b = append(b, ',')
+	}
+	amount := func(name string, v int64) {
+		b = append(b, '"')
+		b = append(b, name...)
+		b = append(b, `":`...)
+		b = appendThousandths(b, v)
+		b = append(b, ',')
+	}
+	span := func(name string, v Micros) {
+		b = append(b, '"')
+		b = append(b, name...)
+		b = append(b, `":`...)
+		b = appendSeconds(b, v)
+		b = append(b, ',')
+	}
+	flag := func(name string, v bool) {
+		b = append(b, '"')
+		b = append(b, name...)
+		b = append(b, `":`...)
+		b = strconv.AppendBool(b, v)
+		b = append(b, ',')
+	}
+	b = append(b, '{')
+	text("ref", s.Ref)
+	text("jobclass", s.Class)
+	text("owner", s.Team)
+	text("shape", kindNames[s.Kind])
+	text("rank", rankNames[s.Rank])
+	b = append(b, `"shards":`...)
+	b = strconv.AppendInt(b, int64(s.Tasks), 10)
+	b = append(b, ',')
+	amount("cores", s.Need.CPU)
+	amount("gpus", s.Need.GPU)
+	amount("memoryGb", s.Need.Mem)
+	text("bundle", s.Image)
+	amount("sizeGb", s.ImageSize)
+	if s.Types != nil {
+		b = append(b, `"flavors":[`...)
+		for i, t := range s.Types {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = appendQuoted(b, t)
+		}
+		b = append(b, "],"...)
+	}
+	if s.Zone != "" {
+		text("region", s.Zone)
+	}
+	flag("samePlace", s.OneZone)
+	flag("apart", s.Spread)
+	flag("reclaimable", s.Spot)
+	span("expectS", s.Estimate)
+	span("snapshotEveryS", s.CheckpointEvery)
+	if s.Deadline > 0 {
+		span("dueS", s.Deadline)
+	}
+	b = append(b, `"snapshotS":`...)
+	b = appendSeconds(b, s.Saves)
+	return append(b, '}')
+}
+
+func appendQuoted(b []byte, s string) []byte {
+	var a fastjson.Arena
+	return a.NewString(s).MarshalTo(b)
+}
+
+// Phase is what users are told of a job.
+type Phase string
+
+// Phases of a job.
+const (
+	Queued    Phase = "queued"
+	Running   Phase = "running"
+	Done      Phase = "done"
+	Cancelled Phase = "cancelled"
+)
+
+// JobAnswer is the body that says how a job stands.
+func JobAnswer(ref string, p Phase, done, running int) []byte {
+	b := append([]byte(`{"ref":`), appendQuoted(nil, ref)...)
+	b = append(b, `,"phase":"`...)
+	b = append(b, p...)
+	b = append(b, `","done":`...)
+	b = strconv.AppendInt(b, int64(done), 10)
+	b = append(b, `,"running":`...)
+	b = strconv.AppendInt(b, int64(running), 10)
+	return append(b, '}')
+}
+
+// ErrorBody is the body of an answer that reports a problem.
+func ErrorBody(text string) []byte {
+	return append(appendQuoted([]byte(`{"error":`), text), '}')
+}
+
+// LeaderBody is the body of a 421.
+func LeaderBody(leader string) []byte {
+	if leader == "" {
+		return []byte(`{}`)
+	}
+	return append(appendQuoted([]byte(`{"leader":`), leader), '}')
+}
--- /dev/null
+++ b/internal/protocol/worker.go
@@ -0,0 +1,165 @@
+package protocol
+
+import (
+	"errors"
+	"strconv"
+	"strings"
+)
+
+// TaskState is a task's state on a machine, as its worker reports it.
+type TaskState uint8
+
+// States of a task on a machine.
+const (
+	Fetching TaskState = iota
+	Waiting
+	Executing
+	Saving
+	Exited
+)
+
+var taskStates = map[string]TaskState{"fetching": Fetching, "waiting": Waiting, "running": Executing, "saving": Saving, "exited": Exited}
+
+// ExitReason says why a task ended.
+type ExitReason string
+
+// Reasons for an exit.
+const (
+	ExitDone       ExitReason = "done"
+	ExitStopped    ExitReason = "stopped"
+	ExitPeers      ExitReason = "peers"
+	ExitIncomplete ExitReason = "incomplete"
+	ExitError      ExitReason = "error"
+	ExitFull       ExitReason = "full"
+	ExitBusy       ExitReason = "busy"
+	ExitUnknown    ExitReason = "no_such"
+)
+
+// TaskName is a task of a job.
+type TaskName struct {
+	Job   string
+	Index int
+}
+
+func (t TaskName) String() string { return t.Job + "/" + strconv.Itoa(t.Index) }
+
+// AttemptName is one start of a task.
+type AttemptName struct {
+	TaskName
+	Number uint64
+}
+
+// TaskReport is one task of a report.
+type TaskReport struct {
+	AttemptName
+	State  TaskState
+	Reason ExitReason
+	Saved  bool
+}
+
+// Report is what a worker says of its machine.
+type Report struct {
+	Host, Addr, Type, Zone string
+	Spot                   bool
+	Session, Tick, Epoch   uint64
+	Noticed                bool
+	Notice                 Micros
+	Tasks                  []TaskReport
+}
+
+// Newer reports whether r is newer than the message (session, tick).
+func (r *Report) Newer(session, tick uint64) bool {
+	return r.Session > session || (r.Session == session && r.Tick > tick)
+}
+
+// ParseReport checks a worker's report.
+func ParseReport(body []byte) (*Report, error) {
+	v, err := parseObject(body)
+	if err != nil {
+		return nil, err
+	}
+	f := &fields{obj: v}
+	r := &Report{Host: f.text("host"), Addr: f.text("addr"), Type: f.text("flavor"), Zone: f.text("region"),
+		Spot: f.flag("reclaimable"), Session: f.count("tenure"), Tick: f.count("tick"), Epoch: f.count("epoch")}
+	if f.optional("reclaimInS") != nil {
+		r.Noticed, r.Notice = true, FromSeconds(f.number("reclaimInS"))
+	}
+	list := v.Get("shards")
+	if list == nil {
+		return nil, errors.New("shards: missing")
+	}
+	items, err := list.Array()
+	if err != nil {
+		return nil, errors.New("shards: invalid")
+	}
+	for _, it := range items {
+		tf := &fields{obj: it}
+		name, ok := parseTaskName(tf.text("shard"))
+		state, known := taskStates[tf.text("phase")]
+		t := TaskReport{AttemptName: AttemptName{name, tf.count("try")}, State: state}
+		if v := it.Get("saved"); v != nil {
+			t.Saved = v.GetBool()
+		}
+		if state == Exited && tf.optional("exitReason") != nil {
+			t.Reason = ExitReason(tf.text("exitReason"))
+		}
+		if tf.err != nil || !ok || !known {
+			return nil, errors.New("shards: invalid")
+		}
+		r.Tasks = append(r.Tasks, t)
+	}
+	return r, f.err
+}
+
+func parseTaskName(s string) (TaskName, bool) {
+	job, index, ok := strings.Cut(s, "/")
+	n, err := strconv.Atoi(index)
+	return TaskName{job, n}, ok && err == nil && n >= 0 && n < MaxTasks && job != ""
+}
+
+// Verb is what a command asks of a worker.
+type Verb uint8
+
+// Commands to workers.
+const (
+	Launch Verb = iota
+	Stop
+	Forget
+)
+
+// Command is one command to a worker.
+type Command struct {
+	Verb  Verb
+	Name  AttemptName
+	Grace Micros
+}
+
+// AppendCommands writes the answer to a report. The line limit is 64 KiB, so
+// commands beyond it wait for the next report: Fits says how many go.
+func AppendCommands(b []byte, epoch uint64, session uint64, cmds []Command) []byte {
+	b = append(b, `{"epoch":`...)
+	b = strconv.AppendUint(b, epoch, 10)
+	if session > 0 {
+		b = append(b, `,"tenure":`...)
+		b = strconv.AppendUint(b, session, 10)
+	}
+	b = append(b, `,"orders":[`...)
+	for i, c := range cmds {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, [...]string{`{"verb":"launch","shard":`, `{"verb":"stop","shard":`, `{"verb":"forget","shard":`}[c.Verb]...)
+		b = appendQuoted(b, c.Name.TaskName.String())
+		b = append(b, `,"try":`...)
+		b = strconv.AppendUint(b, c.Name.Number, 10)
+		if c.Verb == Stop {
+			b = append(b, `,"drainS":`...)
+			b = appendSeconds(b, c.Grace)
+		}
+		b = append(b, '}')
+	}
+	return append(b, "]}"...)
+}
+
+// MaxCommands is how many commands fit into one line of 64 KiB.
+const MaxCommands = 500
--- /dev/null
+++ b/internal/transport/dialer.go
@@ -0,0 +1,122 @@
+package transport
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// Dialer makes outbound calls to one kind of peer. It keeps connections alive
+// between calls, bounds the sockets in use, and gives every call a deadline.
+type Dialer struct {
+	MaxOpen  int // connections in all
+	MaxPer   int // connections to one address
+	KeepIdle time.Duration
+
+	mu   sync.Mutex
+	open int
+	per  map[string]int
+	idle map[string][]idleConn
+}
+
+type idleConn struct {
+	conn  net.Conn
+	since time.Time
+}
+
+// Errors of a call that certainly was not sent.
+var (
+	ErrSockets = errors.New("no free socket")
+	ErrRefused = errors.New("connection failed")
+)
+
+func (d *Dialer) take(addr string) (net.Conn, bool, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.per == nil {
+		d.per, d.idle = make(map[string]int), make(map[string][]idleConn)
+	}
+	for list := d.idle[addr]; len(list) > 0; list = d.idle[addr] {
+		c := list[len(list)-1]
+		d.idle[addr] = list[:len(list)-1]
+		if time.Since(c.since) < d.KeepIdle {
+			return c.conn, true, nil
+		}
+		d.drop(addr, c.conn)
+	}
+	if d.open >= d.MaxOpen || d.per[addr] >= d.MaxPer {
+		return nil, false, ErrSockets
+	}
+	d.open++
+	d.per[addr]++
+	return nil, false, nil
+}
+
+func (d *Dialer) drop(addr string, c net.Conn) {
+	if c != nil {
+		c.Close()
+	}
+	d.open--
+	if d.per[addr]--; d.per[addr] == 0 {
+		delete(d.per, addr)
+		delete(d.idle, addr)
+	}
+}
+
+func (d *Dialer) release(addr string, c net.Conn, keep bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !keep {
+		d.drop(addr, c)
+		return
+	}
+	d.idle[addr] = append(d.idle[addr], idleConn{c, time.Now()})
+}
+
+// Do sends payload and reads until parse has a whole answer. parse returns the
+// bytes used (0: more are needed) and whether the connection may be kept.
+func (d *Dialer) Do(addr string, payload []byte, timeout time.Duration, parse func(buf []byte, eof bool) (used int, keep bool, err error)) error {
+	deadline := time.Now().Add(timeout)
+	conn, reused, err := d.take(addr)
+	if err != nil {
+		return err
+	}
+	if !reused {
+		conn, err = net.DialTimeout("tcp4", addr, min(timeout, 2*time.Second))
+		if err != nil {
+			d.release(addr, nil, false)
+			return ErrRefused
+		}
+	}
+	conn.SetDeadline(deadline)
+	keep := false
+	defer func() { d.release(addr, conn, keep) }()
+	if _, err := conn.Write(payload); err != nil {
+		return err
+	}
+	buf := make([]byte, 0, 2048)
+	for {
+		if len(buf) == cap(buf) {
+			buf = append(buf, 0)[:len(buf)]
+		}
+		n, rerr := conn.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if n > 0 || rerr != nil {
+			used, ok, perr := parse(buf, rerr != nil)
+			if perr != nil {
+				return perr
+			}
+			if used > 0 {
+				keep = ok && rerr == nil && used == len(buf)
+				return nil
+			}
+		}
+		if rerr != nil {
+			return rerr
+		}
+		if len(buf) > MaxAnswer {
+			return errors.New("answer too large")
+		}
+	}
+}
