Rehearsal of a whole deployment in simulated time, with kept traces

Found by them: idle machines asked back while the cloud is down could neither be used nor counted as gone; they are now kept until it answers. Parsers and the peer codec have fuzz targets with seeds.

--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -37,6 +37,7 @@
 	planned     bool
 	next        micros
 	releasing   bool
+	answering   bool // the cloud answered the last request for its list
 	nextRelease micros
 }
 
@@ -132,6 +133,7 @@
 			if c.term != t {
 				return
 			}
+			t.rental.answering = r.Status == 200
 			if r.Status == 200 {
 				hosts, more, err := protocol.ParseHosts(r.Body)
 				if err != nil {
@@ -479,11 +481,16 @@
 func (c *Controller) returnIdle() {
 	t := c.term
 	at := c.at.Steady
+	if !t.rental.answering {
+		// A release that is asked for and not answered leaves a machine that
+		// can neither be used nor counted as gone.
+		return
+	}
 	for _, h := range t.hosts() {
 		if h.State != bookkeeping.HostReady || !h.Proven || !h.Empty() || t.rental.needed[h.Name] {
 			continue
 		}
-		if at-h.IdleSince > c.operator.IdleReturn && at-t.started > c.operator.IdleReturn {
+		if at-h.IdleSince > c.operator.IdleReturn {
 			c.release(h, "idle for "+strconv.FormatInt(int64((at-h.IdleSince)/protocol.Second), 10)+" s")
 		}
 	}
--- /dev/null
+++ b/internal/protocol/protocol_test.go
@@ -0,0 +1,202 @@
+package protocol
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const goodJob = `{"ref":"req-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"high","shards":16,
+"cores":8.0,"gpus":1.0,"memoryGb":64.0,"bundle":"img-07","sizeGb":6.2,"flavors":["g8"],"region":null,"samePlace":true,
+"apart":false,"reclaimable":true,"expectS":240.0,"snapshotEveryS":30.0,"snapshotS":4.0,"dueS":900.0}`
+
+func TestParseJob(t *testing.T) {
+	want := &JobSpec{Ref: "req-000412", Class: "train", Team: "vision", Kind: Gang, Rank: High, Tasks: 16,
+		Need: Resources{8000, 1000, 64000}, Image: "img-07", ImageSize: 6200, Types: []string{"g8"}, OneZone: true, Spot: true,
+		Estimate: 240 * Second, CheckpointEvery: 30 * Second, Saves: 4 * Second, Deadline: 900 * Second}
+	got, err := ParseJob([]byte(goodJob))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+	again, err := ParseJob(AppendJob(nil, got))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(got, again); d != "" {
+		t.Errorf("kept and read again: %s", d)
+	}
+}
+
+func TestParseJobRefuses(t *testing.T) {
+	cases := [][2]string{
+		{`"shards":16`, `"shards":0`}, {`"shards":16`, `"shards":100001`}, {`"shards":16`, `"shards":1.5`}, {`"shards":16`, `"shards":"16"`},
+		{`"cores":8.0`, `"cores":-1`}, {`"cores":8.0`, `"cores":1e999`}, {`"cores":8.0`, `"cores":null`}, {`"cores":8.0,`, ``},
+		{`"ref":"req-000412"`, `"ref":"job-1"`}, {`"ref":"req-000412"`, `"ref":"req-00x412"`}, {`"ref":"req-000412"`, `"ref":412`},
+		{`"shape":"ensemble"`, `"shape":"heap"`}, {`"rank":"high"`, `"rank":"higher"`}, {`"samePlace":true`, `"samePlace":1`},
+		{`"flavors":["g8"]`, `"flavors":"g8"`}, {`"flavors":["g8"]`, `"flavors":[8]`}, {`"dueS":900.0`, `"dueS":-1`},
+		{`"expectS":240.0`, `"expectS":"long"`}, {`"owner":"vision"`, `"owner":""`},
+	}
+	for _, c := range cases {
+		in := strings.Replace(goodJob, c[0], c[1], 1)
+		if in == goodJob {
+			t.Fatalf("%s is not in the example", c[0])
+		}
+		if _, err := ParseJob([]byte(in)); err == nil {
+			t.Errorf("%s was taken", c[1])
+		}
+	}
+	for _, in := range []string{"", "{", "[]", "null", `"x"`, goodJob + "x"} {
+		if _, err := ParseJob([]byte(in)); err == nil {
+			t.Errorf("%q was taken", in)
+		}
+	}
+}
+
+func TestParseReport(t *testing.T) {
+	in := `{"host":"n-000231","addr":"10.1.0.232:9000","flavor":"g8","region":"a","reclaimable":true,"tenure":1,"tick":88,"epoch":41,
+"reclaimInS":12.5,"new":1,"shards":[{"shard":"req-000412/3","try":2,"phase":"running"},{"shard":"req-000398/0","try":1,"phase":"exited","exitReason":"stopped","saved":true}]}`
+	want := &Report{Host: "n-000231", Addr: "10.1.0.232:9000", Type: "g8", Zone: "a", Spot: true, Session: 1, Tick: 88, Epoch: 41,
+		Noticed: true, Notice: 12500 * Millisecond, Tasks: []TaskReport{
+			{AttemptName: AttemptName{TaskName{"req-000412", 3}, 2}, State: Executing},
+			{AttemptName: AttemptName{TaskName{"req-000398", 0}, 1}, State: Exited, Reason: ExitStopped, Saved: true}}}
+	got, err := ParseReport([]byte(in))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestOperatorSettings(t *testing.T) {
+	o, err := ParseOperator([]byte("round_s = 5\nwarm_spare = 0.5\n"))
+	if err != nil || o.RoundEvery != 5*Second || o.WarmSpare != 0.5 || o.LeaderLease != DefaultOperator().LeaderLease {
+		t.Errorf("%+v, %v", o, err)
+	}
+	for in, key := range map[string]string{"round_z = 1": "round_z", "round_s = 0": "round_s", "warm_spare = -1": "warm_spare"} {
+		var ke *KeyError
+		if _, err := ParseOperator([]byte(in)); !errors.As(err, &ke) || ke.Key != key {
+			t.Errorf("%s: %v, want a word on %s", in, err, key)
+		}
+	}
+}
+
+const platform = `node_name = "n0"
+area = "a"
+client_listen = "10.0.0.1:8080"
+cluster_listen = "10.0.0.1:8081"
+later = "ignored"
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[facts]
+zones = ["a"]
+[[facts.teams]]
+name = "red"
+gpus_max = 4.0
+[facts.workers]
+report_s = 3.0
+lease_s = 24.0
+gang_wait_s = 50.0
+gang_peer_s = 8.0
+cancel_s = 54.0
+[facts.state]
+rps = 150.0
+write_rps = 35.0
+value_kb = 8.0
+txn_ops = 12
+[facts.cloud]
+rps = 4.0
+[facts.quota]
+cpu = 0.3
+memory_mb = 234.0
+max_connections = 3000
+`
+
+func TestPlatformSettings(t *testing.T) {
+	p, err := ParsePlatform([]byte(platform))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.WorkerLease != 24*Second || p.Teams["red"].Limit.GPU != 4000 {
+		t.Errorf("%+v", p)
+	}
+	for _, c := range [][3]string{
+		{`node_name = "n0"`, "", "node_name"}, {`"10.2.0.1:2379"`, `"state:2379"`, "services.state"},
+		{"lease_s = 24.0", "", "facts.workers.lease_s"}, {"cpu = 0.3", "cpu = -1", "facts.quota.cpu"}, {`zones = ["a"]`, "", "facts.zones"},
+		{"gpus_max = 4.0", "gpus_max = -4.0", "facts.teams[0]"}, {"txn_ops = 12", "txn_ops = 2", "facts.state.txn_ops"},
+	} {
+		var ke *KeyError
+		if _, err := ParsePlatform([]byte(strings.Replace(platform, c[0], c[1], 1))); !errors.As(err, &ke) || ke.Key != c[2] {
+			t.Errorf("%s: %v, want a word on %s", c[0], err, c[2])
+		}
+	}
+}
+
+func TestPeerMessages(t *testing.T) {
+	for _, m := range []*PeerMessage{
+		{Kind: PeerCall, Op: OpSubmit, Ref: "req-000001", From: "n0", Body: []byte(goodJob)},
+		{Kind: PeerAnswer, Status: 503, RetryAfter: 2 * Second, Body: []byte("{}")},
+	} {
+		b := AppendPeer(nil, m)
+		frame, used, err := SplitPeer(append(b, 1, 2, 3))
+		if err != nil || used != len(b) {
+			t.Fatalf("used %d of %d: %v", used, len(b), err)
+		}
+		got, err := ParsePeer(frame)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(m, got); d != "" {
+			t.Error(d)
+		}
+		frame[0]++ // another version
+		if _, err := ParsePeer(frame); err == nil {
+			t.Error("a frame of another version was taken")
+		}
+	}
+	if _, _, err := SplitPeer([]byte{0xff, 0, 0, 0}); err == nil {
+		t.Error("a frame over the limit was taken")
+	}
+}
+
+// Whatever is taken from another controller reads the same when written again.
+func FuzzPeer(f *testing.F) {
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerCall, Op: OpCancel, Ref: "req-000001", From: "n0"}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerAnswer, Status: 200, Body: []byte("{}")}))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		frame, used, err := SplitPeer(in)
+		if err != nil || used == 0 {
+			return
+		}
+		m, err := ParsePeer(frame)
+		if err != nil {
+			return
+		}
+		if d := cmp.Diff(in[:used], AppendPeer(nil, m)); d != "" {
+			t.Error(d)
+		}
+	})
+}
+
+func FuzzParseJob(f *testing.F) {
+	f.Add([]byte(goodJob))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		s, err := ParseJob(in)
+		if err != nil {
+			return
+		}
+		again, err := ParseJob(AppendJob(nil, s))
+		if err != nil {
+			t.Fatalf("%v: %s", err, AppendJob(nil, s))
+		}
+		if d := cmp.Diff(s, again); d != "" {
+			t.Error(d)
+		}
+	})
+}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -239,7 +239,7 @@
 func DefaultOperator() Operator {
 	return Operator{LeaderLease: 3 * Second, RoundEvery: 2 * Second, RoundGap: 200 * Millisecond,
 		DeadlineMargin: 3 * Second, AnswerOn: 30 * Second, SilentRelease: 12 * Second,
-		IdleReturn: 60 * Second, WarmSpare: 1}
+		IdleReturn: 40 * Second, WarmSpare: 1}
 }
 
 type operatorFile struct {
--- /dev/null
+++ b/internal/rehearsal/machines.go
@@ -0,0 +1,431 @@
+package rehearsal
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/protocol"
+)
+
+// machine is a rented machine with its worker.
+type machine struct {
+	name, typ, zone string
+	spot            bool
+	rented, up      micros
+	phase           string // booting, running, failed
+	slow            bool   // answers of the controllers come too late
+	hung            bool
+	held            bool // reports are held back on the way
+	heldReports     []func()
+	node            int
+	session, tick   uint64
+	epoch           uint64
+	leaseFrom       micros
+	inFlight        bool
+	next            micros
+	changed         bool
+	notice          micros
+	images          map[string]micros
+	tasks           map[string]*runningTask
+}
+
+// runningTask is an attempt on a machine.
+type runningTask struct {
+	job           *userJob
+	index         int
+	try           uint64
+	state, reason string
+	saved         bool
+	ready, ends   micros
+	started       micros
+	on            bool
+}
+
+func (t *runningTask) key() string { return fmt.Sprintf("%s/%d#%d", t.job.spec.Ref, t.index, t.try) }
+
+func (m *machine) sorted() []*runningTask {
+	keys := make([]string, 0, len(m.tasks))
+	for k := range m.tasks {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	list := make([]*runningTask, len(keys))
+	for i, k := range keys {
+		list[i] = m.tasks[k]
+	}
+	return list
+}
+
+func (w *World) typeOf(m *machine) *protocol.MachineType {
+	for _, t := range w.Types {
+		if t.Name == m.typ {
+			return t
+		}
+	}
+	return nil
+}
+
+func (m *machine) report() string {
+	var items []string
+	for _, t := range m.sorted() {
+		item := fmt.Sprintf(`{"shard":"%s/%d","try":%d,"phase":%q`, t.job.spec.Ref, t.index, t.try, t.state)
+		if t.state == "exited" {
+			item += fmt.Sprintf(`,"exitReason":%q,"saved":%t`, t.reason, t.saved)
+		}
+		items = append(items, item+"}")
+	}
+	m.tick++
+	return fmt.Sprintf(`{"host":%q,"addr":"10.9.0.1:9000","flavor":%q,"region":%q,"reclaimable":%t,"tenure":%d,"tick":%d,"epoch":%d,"reclaimInS":null,"shards":[%s]}`,
+		m.name, m.typ, m.zone, m.spot, m.session, m.tick, m.epoch, strings.Join(items, ","))
+}
+
+// tickMachine does what is due on one machine.
+func (w *World) tickMachine(m *machine) {
+	if m.phase == "booting" && m.up <= w.now {
+		m.phase, m.session, m.leaseFrom = "running", 1, w.now
+	}
+	if m.phase != "running" {
+		return
+	}
+	lease := w.Platform.WorkerLease
+	if w.now > m.leaseFrom+lease { // a machine that hangs can't go on with its tasks after this
+		for _, t := range m.sorted() {
+			w.leave(m, t)
+		}
+		m.tasks = map[string]*runningTask{}
+		m.session++
+		m.tick = 0
+		m.leaseFrom = w.now
+	}
+	if m.hung {
+		return
+	}
+	for _, t := range m.sorted() {
+		w.tickTask(m, t)
+	}
+	if !m.inFlight && (w.now >= m.next || m.changed && w.now >= m.next-w.Platform.ReportEvery+protocol.Second/2) {
+		w.sendReport(m)
+	}
+}
+
+func (w *World) tickTask(m *machine, t *runningTask) {
+	switch t.state {
+	case "fetching":
+		if w.now < t.ready {
+			return
+		}
+		m.images[t.job.spec.Image] = 0
+		w.enter(m, t)
+		m.changed = true
+		if t.job.results[t.index] {
+			w.exit(m, t, "done")
+			return
+		}
+		if t.job.fails {
+			w.exit(m, t, "error")
+			return
+		}
+		if t.job.spec.Kind == protocol.Gang {
+			t.state, t.started = "waiting", w.now
+			w.tryGang(t.job, t.try)
+			return
+		}
+		t.state, t.started, t.ends = "running", w.now, w.now+t.job.run
+	case "waiting":
+		if w.now > t.started+w.Platform.GangWait {
+			w.exit(m, t, "incomplete")
+		}
+	case "running":
+		if t.job.spec.Kind == protocol.Gang && !w.gangWhole(t.job, t.try) {
+			w.exit(m, t, "peers")
+			return
+		}
+		if t.job.spec.Kind != protocol.Service && w.now >= t.ends {
+			if t.job.spec.Kind == protocol.Gang {
+				for i := range t.job.results {
+					t.job.results[i] = true
+				}
+			}
+			t.job.results[t.index] = true
+			w.exit(m, t, "done")
+		}
+	}
+}
+
+func (w *World) attemptsOf(j *userJob, try uint64) (list []*runningTask, hosts []*machine) {
+	for _, m := range w.sortedMachines() {
+		for _, t := range m.sorted() {
+			if t.job == j && t.try == try && t.on {
+				list, hosts = append(list, t), append(hosts, m)
+			}
+		}
+	}
+	return list, hosts
+}
+
+func (w *World) tryGang(j *userJob, try uint64) {
+	list, hosts := w.attemptsOf(j, try)
+	waiting := 0
+	for _, t := range list {
+		if t.state == "waiting" {
+			waiting++
+		}
+	}
+	if waiting < j.spec.Tasks {
+		return
+	}
+	for i, t := range list {
+		t.state, t.ends = "running", w.now+j.run
+		hosts[i].changed = true
+	}
+}
+
+func (w *World) gangWhole(j *userJob, try uint64) bool {
+	list, _ := w.attemptsOf(j, try)
+	for i := range j.results {
+		if j.results[i] {
+			return true
+		}
+	}
+	return len(list) == j.spec.Tasks
+}
+
+// enter notes that a task is on its machine, and checks the rules for it.
+func (w *World) enter(m *machine, t *runningTask) {
+	t.on = true
+	w.started++
+	s := t.job.spec
+	name := fmt.Sprintf("%s/%d", s.Ref, t.index)
+	w.note("%s starts on %s", name, m.name)
+	typ := w.typeOf(m)
+	if !s.AllowsType(m.typ) || s.Zone != "" && s.Zone != m.zone || m.spot && !s.Spot || !typ.Offer.Holds(s.Need) {
+		w.broken("wrong_place: %s on %s", name, m.name)
+	}
+	zones := map[string]int{}
+	var used protocol.Resources
+	for _, o := range w.sortedMachines() {
+		for _, x := range o.sorted() {
+			if !x.on {
+				continue
+			}
+			if x != t && x.job == t.job && x.index == t.index {
+				w.broken("ran_twice: %s on %s and %s", name, m.name, o.name)
+			}
+			if x.job == t.job {
+				zones[o.zone]++
+			}
+			if x.job.spec.Team == s.Team {
+				used = used.Add(x.job.spec.Need, 1)
+			}
+		}
+	}
+	if s.OneZone && len(zones) > 1 {
+		w.broken("wrong_place: %s is not with the others", name)
+	}
+	if s.Spread && zones[m.zone] > (s.Tasks+1)/2 {
+		w.broken("wrong_place: %s, too many in zone %s", name, m.zone)
+	}
+	limit := w.Platform.Teams[s.Team].Limit
+	if limit.GPU > 0 && used.GPU > limit.GPU || limit.CPU > 0 && used.CPU > limit.CPU {
+		w.broken("quota: %s with %s", s.Team, name)
+	}
+	if t.job.toldCancelled > 0 && w.now > t.job.toldCancelled+w.Platform.Cancel {
+		w.broken("ran_cancelled: %s", name)
+	}
+}
+
+func (w *World) leave(m *machine, t *runningTask) {
+	if t.on {
+		t.on = false
+		w.note("%s leaves %s", fmt.Sprintf("%s/%d", t.job.spec.Ref, t.index), m.name)
+	}
+}
+
+func (w *World) exit(m *machine, t *runningTask, why string) {
+	w.leave(m, t)
+	t.state, t.reason = "exited", why
+	m.changed = true
+}
+
+func (w *World) sendReport(m *machine) {
+	m.inFlight, m.changed = true, false
+	sent := w.now
+	m.next = w.now + w.Platform.ReportEvery
+	body := m.report()
+	session := m.session
+	node := w.nodes[m.node%len(w.nodes)]
+	answered := false
+	fail := func() {
+		if !answered {
+			answered = true
+			m.inFlight = false
+			m.node++
+			m.next = w.now + protocol.Second
+		}
+	}
+	deliver := func() {
+		if !node.alive || node.cut {
+			w.after(w.delay(), fail)
+			return
+		}
+		w.request(node, "hello", body, func(status int, resp []byte) {
+			if m.slow || m.hung {
+				return // lost on the way
+			}
+			w.after(w.delay(), func() {
+				if answered || m.phase != "running" {
+					return
+				}
+				answered = true
+				m.inFlight = false
+				w.tookAnswer(m, session, sent, status, resp)
+			})
+		})
+	}
+	if m.held {
+		m.heldReports = append(m.heldReports, deliver)
+	} else {
+		w.after(w.delay(), deliver)
+	}
+	w.after(4*protocol.Second, fail)
+}
+
+func (w *World) tookAnswer(m *machine, session uint64, sent micros, status int, resp []byte) {
+	if status == 421 {
+		leader := fastjson.GetString(resp, "leader")
+		for i, n := range w.nodes {
+			if n.name == leader && i != m.node%len(w.nodes) {
+				m.node = i
+				m.next = w.now + 100*protocol.Millisecond
+				return
+			}
+		}
+	}
+	if status != 200 {
+		m.node++
+		m.next = w.now + protocol.Second
+		return
+	}
+	epoch := uint64(fastjson.GetInt(resp, "epoch"))
+	if epoch < m.epoch || epoch == 0 || session != m.session {
+		return
+	}
+	if epoch > m.epoch {
+		m.epoch = epoch
+		m.changed = true
+	}
+	m.leaseFrom = sent
+	w.execute(m, resp)
+}
+
+// execute carries out commands.
+func (w *World) execute(m *machine, body []byte) {
+	v := fastjson.MustParseBytes(body)
+	for _, c := range v.GetArray("orders") {
+		ref, idx, _ := strings.Cut(string(c.GetStringBytes("shard")), "/")
+		var index int
+		fmt.Sscan(idx, &index)
+		try := c.GetUint64("try")
+		j := w.jobs[ref]
+		key := fmt.Sprintf("%s/%d#%d", ref, index, try)
+		t := m.tasks[key]
+		switch string(c.GetStringBytes("verb")) {
+		case "launch":
+			if t != nil || j == nil {
+				continue
+			}
+			w.launch(m, j, index, try, key)
+		case "stop":
+			if t != nil && t.state != "exited" {
+				t.saved = j.spec.Checkpoints()
+				w.exit(m, t, "stopped")
+			}
+		case "forget":
+			if t != nil && t.state == "exited" {
+				delete(m.tasks, key)
+				m.changed = true
+			}
+		}
+	}
+}
+
+func (w *World) launch(m *machine, j *userJob, index int, try uint64, key string) {
+	t := &runningTask{job: j, index: index, try: try, state: "fetching"}
+	m.tasks[key] = t
+	m.changed = true
+	var used protocol.Resources
+	for _, x := range m.tasks {
+		if x.state != "exited" {
+			used = used.Add(x.job.spec.Need, 1)
+		}
+		if x != t && x.job == j && x.index == index && x.state != "exited" {
+			t.state, t.reason = "exited", "busy"
+			return
+		}
+	}
+	if !w.typeOf(m).Offer.Holds(used) {
+		t.state, t.reason = "exited", "full"
+		return
+	}
+	t.ready = w.now
+	if ready, ok := m.images[j.spec.Image]; ok {
+		t.ready = max(t.ready, ready)
+	} else {
+		t.ready += w.typeOf(m).FetchTime(j.spec.ImageSize)
+		m.images[j.spec.Image] = t.ready
+	}
+}
+
+// serveCloud answers one request to the cloud.
+func (w *World) serveCloud(method, target string, body []byte) (int, string) {
+	if w.cloudDown {
+		return 503, `{"error":"trouble"}`
+	}
+	path, _, _ := strings.Cut(target, "?")
+	switch {
+	case path == "/machine_types":
+		return 200, string(protocol.AppendTypes(nil, w.Types))
+	case path == "/machines" && method == "GET":
+		var items []string
+		for _, m := range w.sortedMachines() {
+			items = append(items, fmt.Sprintf(`{"ref":%q,"addr":"10.9.0.1:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
+				m.name, m.typ, m.zone, m.spot, m.phase, (w.now-m.rented).Seconds()))
+		}
+		return 200, `{"hosts":[` + strings.Join(items, ",") + `],"truncated":false}`
+	case path == "/machines":
+		claim := fastjson.GetString(body, "claim")
+		if old, ok := w.claims[claim]; ok {
+			return 200, old
+		}
+		if w.noCapacity {
+			return 503, `{"error":"no capacity"}`
+		}
+		var names []string
+		for i := 0; i < fastjson.GetInt(body, "count"); i++ {
+			m := w.addMachine(fmt.Sprintf("n-%06d", 500000+len(w.machines)+w.removed), fastjson.GetString(body, "flavor"), fastjson.GetString(body, "region"),
+				fastjson.GetBool(body, "reclaimable"))
+			m.phase, m.up = "booting", w.now+w.typeOf(m).Boot
+			names = append(names, fmt.Sprintf("%q", m.name))
+		}
+		w.claims[claim] = `{"hosts":[` + strings.Join(names, ",") + `]}`
+		return 200, w.claims[claim]
+	case path == "/machines/release":
+		for _, n := range fastjson.MustParseBytes(body).GetArray("hosts") {
+			name := string(n.GetStringBytes())
+			if m := w.machines[name]; m != nil {
+				for _, t := range m.sorted() {
+					w.leave(m, t)
+				}
+				m.phase = "gone"
+				delete(w.machines, name)
+				w.removed++
+				w.note("%s is released", name)
+			}
+		}
+		return 200, `{}`
+	}
+	return 400, `{}`
+}
--- /dev/null
+++ b/internal/rehearsal/trace.go
@@ -0,0 +1,316 @@
+package rehearsal
+
+import (
+	"bufio"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"mapleslip/internal/protocol"
+)
+
+// A trace is a text that people read: what a deployment has, what happens to
+// it and when, and what is expected. Lines that start with "at" or "every"
+// carry an instant in seconds; the others set the scene. "#" begins a comment.
+//
+//	nodes 2
+//	team red gpus=4 max=6
+//	type small cpus=8 gpus=2 mem=64 boot=10 fetch=1 zones=a,b
+//	machine n-000001 small a
+//	at 2 submit req-000001 array tasks=2 run=10
+//	at 9 kill leader
+//	at 9 expect req-000001 running
+//
+// Whatever a trace expects, the rules of the protocol are checked throughout.
+
+// RunTrace plays a trace and returns the world as it was at its end.
+func RunTrace(text string, prepare func(*World)) (*World, error) {
+	w := NewWorld(3)
+	if prepare != nil {
+		prepare(w)
+	}
+	started := false
+	sc := bufio.NewScanner(strings.NewReader(text))
+	for no := 1; sc.Scan(); no++ {
+		line, _, _ := strings.Cut(sc.Text(), "#")
+		words := strings.Fields(line)
+		if len(words) == 0 {
+			continue
+		}
+		fail := func(format string, args ...any) (*World, error) {
+			return w, fmt.Errorf("line %d (%s): %s", no, strings.TrimSpace(line), fmt.Sprintf(format, args...))
+		}
+		if words[0] != "at" {
+			if err := w.scene(words); err != nil {
+				return fail("%v", err)
+			}
+			continue
+		}
+		if !started {
+			w.Start()
+			started = true
+		}
+		if len(words) < 3 {
+			return fail("too short")
+		}
+		at, err := strconv.ParseFloat(words[1], 64)
+		if err != nil {
+			return fail("%v", err)
+		}
+		w.Run(protocol.FromSeconds(at))
+		if err := w.act(words[2:]); err != nil {
+			return fail("%v", err)
+		}
+	}
+	if len(w.Broken) > 0 {
+		return w, fmt.Errorf("rules broken: %s", strings.Join(w.Broken, "; "))
+	}
+	return w, nil
+}
+
+// options reads words of the form name=value.
+func options(words []string) map[string]string {
+	o := map[string]string{}
+	for _, word := range words {
+		k, v, _ := strings.Cut(word, "=")
+		o[k] = v
+	}
+	return o
+}
+
+func number(o map[string]string, name string, def float64) float64 {
+	if v, err := strconv.ParseFloat(o[name], 64); err == nil {
+		return v
+	}
+	return def
+}
+
+func thousandths(v float64) int64 { return int64(v * 1000) }
+
+func (w *World) scene(words []string) error {
+	switch words[0] {
+	case "nodes":
+		n, err := strconv.Atoi(words[1])
+		if err != nil || n < 1 || n > 3 {
+			return fmt.Errorf("one to three nodes")
+		}
+		w.nodes = w.nodes[:n]
+	case "team":
+		o := options(words[2:])
+		w.Platform.Teams[words[1]] = protocol.Team{Name: words[1],
+			Guarantee: protocol.Resources{GPU: thousandths(number(o, "gpus", 0))}, Limit: protocol.Resources{GPU: thousandths(number(o, "max", 0))}}
+	case "type":
+		o := options(words[2:])
+		w.Types = append(w.Types, &protocol.MachineType{Name: words[1],
+			Offer: protocol.Resources{CPU: thousandths(number(o, "cpus", 8)), GPU: thousandths(number(o, "gpus", 2)), Mem: thousandths(number(o, "mem", 64))},
+			Cache: thousandths(number(o, "cache", 100)), FetchRate: number(o, "fetch", 1) / 1000, Price: number(o, "price", 1), SpotPrice: number(o, "price", 1) / 2,
+			Boot: protocol.FromSeconds(number(o, "boot", 10)), Zones: strings.Split(o["zones"], ",")})
+	case "machine":
+		m := w.addMachine(words[1], words[2], words[3], len(words) > 4 && words[4] == "spot")
+		if w.typeOf(m) == nil {
+			return fmt.Errorf("unknown type %s", words[2])
+		}
+	case "no-capacity":
+		w.noCapacity = true
+	default:
+		return fmt.Errorf("unknown word %s", words[0])
+	}
+	return nil
+}
+
+func (w *World) leader() *node {
+	for _, n := range w.nodes {
+		if r := n.ctl.Role().String(); n.alive && (r == "leading" || r == "doubtful") {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) nodeNamed(name string) *node {
+	if name == "leader" {
+		return w.leader()
+	}
+	for _, n := range w.nodes {
+		if n.name == name {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *World) act(words []string) error {
+	w.note("-- %s", strings.Join(words, " "))
+	switch words[0] {
+	case "submit":
+		return w.actSubmit(words)
+	case "cancel":
+		j := w.jobs[words[1]]
+		if j == nil {
+			return fmt.Errorf("no such job")
+		}
+		w.cancel(j)
+	case "kill", "start", "cut", "join":
+		names := []string{words[1]}
+		if words[1] == "all" {
+			names = nil
+			for _, n := range w.nodes {
+				names = append(names, n.name)
+			}
+		}
+		for _, name := range names {
+			n := w.nodeNamed(name)
+			if n == nil {
+				return fmt.Errorf("no such node")
+			}
+			switch words[0] {
+			case "kill":
+				n.alive = false
+			case "start":
+				w.startNode(n)
+			case "cut":
+				n.cut = true
+			case "join":
+				n.cut = false
+			}
+		}
+	case "state":
+		w.store.setDown(words[1] == "down")
+	case "cloud":
+		w.cloudDown = words[1] == "down"
+	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports":
+		m := w.machines[words[1]]
+		if m == nil {
+			return fmt.Errorf("no such machine")
+		}
+		w.actMachine(words[0], m)
+	case "expect":
+		return w.expect(words[1:])
+	default:
+		return fmt.Errorf("unknown word %s", words[0])
+	}
+	return nil
+}
+
+func (w *World) actMachine(what string, m *machine) {
+	switch what {
+	case "hang":
+		m.hung = true
+	case "wake":
+		m.hung = false
+	case "die":
+		for _, t := range m.sorted() {
+			w.leave(m, t)
+		}
+		m.tasks = map[string]*runningTask{}
+		m.phase = "failed"
+	case "lose-answers":
+		m.slow = true
+	case "pass-answers":
+		m.slow = false
+	case "hold-reports":
+		m.held = true
+	case "deliver-reports":
+		m.held = false
+		for _, f := range m.heldReports {
+			w.after(w.delay(), f)
+		}
+		m.heldReports = nil
+	}
+}
+
+var kindWords = map[string]protocol.Kind{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
+var rankWords = map[string]protocol.Rank{"critical": protocol.Critical, "high": protocol.High, "standard": protocol.Standard, "low": protocol.Low}
+
+func (w *World) actSubmit(words []string) error {
+	if len(words) < 3 {
+		return fmt.Errorf("submit REF KIND")
+	}
+	o := options(words[3:])
+	has := func(k string) bool { _, ok := o[k]; return ok }
+	text := func(k, def string) string {
+		if has(k) {
+			return o[k]
+		}
+		return def
+	}
+	kind, ok := kindWords[words[2]]
+	rank, ok2 := rankWords[text("rank", "standard")]
+	if !ok || !ok2 {
+		return fmt.Errorf("unknown kind or rank")
+	}
+	run := protocol.FromSeconds(number(o, "run", 10))
+	s := &protocol.JobSpec{Ref: words[1], Class: text("class", "work"), Team: text("team", "red"), Kind: kind, Rank: rank, Tasks: int(number(o, "tasks", 1)),
+		Need:  protocol.Resources{CPU: thousandths(number(o, "cpus", 1)), GPU: thousandths(number(o, "gpus", 1)), Mem: thousandths(number(o, "mem", 1))},
+		Image: text("image", "img-1"), ImageSize: thousandths(number(o, "size", 2)), Zone: o["zone"], OneZone: has("one-zone"), Spread: has("spread"), Spot: has("spot"),
+		Estimate: protocol.FromSeconds(number(o, "estimate", run.Seconds())), CheckpointEvery: protocol.FromSeconds(number(o, "checkpoint", 0)),
+		Deadline: protocol.FromSeconds(number(o, "deadline", 0))}
+	if has("types") {
+		s.Types = strings.Split(o["types"], ",")
+	}
+	j := &userJob{spec: s, body: protocol.AppendJob(nil, s), run: run, fails: has("fails"), results: make([]bool, s.Tasks)}
+	w.submit(j)
+	return nil
+}
+
+// expect checks one expectation.
+func (w *World) expect(words []string) error {
+	differs := func(got, want string) error {
+		if got != want {
+			return fmt.Errorf("got %s", got)
+		}
+		return nil
+	}
+	switch words[0] {
+	case "leader":
+		name := "none"
+		if n := w.leader(); n != nil {
+			name = n.name
+		}
+		if words[1] == "some" && name != "none" {
+			return nil
+		}
+		return differs(name, words[1])
+	case "role":
+		n := w.nodeNamed(words[1])
+		return differs(n.ctl.Role().String(), words[2])
+	case "on": // on TASK MACHINE[,MACHINE] or nowhere, or somewhere
+		got := w.hostsOf(words[1])
+		if words[2] == "somewhere" && got != "nowhere" {
+			return nil
+		}
+		return differs(got, words[2])
+	case "machines":
+		return differs(strconv.Itoa(len(w.machines)), words[1])
+	case "machine":
+		got := "here"
+		if w.machines[words[1]] == nil {
+			got = "gone"
+		}
+		return differs(got, words[2])
+	case "starts":
+		return differs(strconv.Itoa(w.started), words[1])
+	case "kept": // kept KEY yes|no
+		got := "no"
+		if w.store.keys[words[1]] != nil {
+			got = "yes"
+		}
+		return differs(got, words[2])
+	case "submitted": // submitted REF STATUS
+		return differs(strconv.Itoa(w.jobs[words[1]].status), words[2])
+	}
+	j := w.jobs[words[0]]
+	if j == nil {
+		return fmt.Errorf("no such job")
+	}
+	if j.phase != words[1] {
+		return fmt.Errorf("it is %q, done %d, running %d", j.phase, j.done, j.running)
+	}
+	o := options(words[2:])
+	for name, got := range map[string]int{"done": j.done, "running": j.running} {
+		if want, ok := o[name]; ok && want != strconv.Itoa(got) {
+			return fmt.Errorf("%s is %d", name, got)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/rehearsal/world.go
@@ -0,0 +1,456 @@
+package rehearsal
+
+import (
+	"container/heap"
+	"fmt"
+	"io"
+	"log/slog"
+	"sort"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/coordination"
+	"mapleslip/internal/protocol"
+)
+
+// World is a whole deployment in simulated time: nothing in it depends on the
+// clock or on luck.
+type World struct {
+	Platform protocol.Platform
+	Operator protocol.Operator
+	Types    []*protocol.MachineType
+	Log      []string // what happened, for people
+	Broken   []string // rules that were broken
+	Logger   *slog.Logger
+
+	now        micros
+	seq        int
+	events     eventHeap
+	nodes      []*node
+	store      *store
+	machines   map[string]*machine
+	jobs       map[string]*userJob
+	claims     map[string]string
+	cloudDown  bool
+	noCapacity bool
+	removed    int
+	started    int
+	poller     int
+	nextConn   uint64
+	answers    map[uint64]func(int, []byte)
+}
+
+type event struct {
+	at  micros
+	seq int
+	fn  func()
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].seq < h[b].seq
+}
+func (h eventHeap) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// node is one controller.
+type node struct {
+	name  string
+	alive bool
+	cut   bool // from everything
+	born  micros
+	life  int
+	ctl   *coordination.Controller
+	seed  uint64
+}
+
+// userJob is what a job's user knows and expects.
+type userJob struct {
+	spec          *protocol.JobSpec
+	body          []byte
+	run           micros
+	fails         bool
+	results       []bool
+	accepted      bool
+	status        int // of the last submission
+	phase         string
+	done, running int
+	asked         bool // to cancel
+	cancelStatus  int
+	toldDone      bool
+	toldCancelled micros
+}
+
+// NewWorld makes a deployment of n controllers.
+func NewWorld(n int) *World {
+	w := &World{Operator: protocol.DefaultOperator(), machines: make(map[string]*machine), jobs: make(map[string]*userJob),
+		claims: make(map[string]string), answers: make(map[uint64]func(int, []byte)),
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+	w.Platform = protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
+		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
+		Cancel: 50 * protocol.Second, StateRate: 200, StateWriteRate: 50, ValueBytes: 8192, TxnOps: 12, CloudRate: 5,
+		ListLag: 3 * protocol.Second, CPUShare: 1, MemoryBytes: 1 << 28, MaxConnections: 1000}
+	w.store = newStore(w)
+	for i := 0; i < n; i++ {
+		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), seed: uint64(i + 1)})
+	}
+	return w
+}
+
+func (w *World) note(format string, args ...any) {
+	w.Log = append(w.Log, fmt.Sprintf("%8.2f ", w.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (w *World) broken(format string, args ...any) {
+	w.note("BROKEN "+format, args...)
+	w.Broken = append(w.Broken, fmt.Sprintf("%.2f: ", w.now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+func (w *World) after(d micros, fn func()) {
+	w.seq++
+	heap.Push(&w.events, event{w.now + d, w.seq, fn})
+}
+
+// delay is how long a message travels; it differs from message to message,
+// the same way in every run.
+func (w *World) delay() micros { return micros(2000 + (w.seq*37)%1500) }
+
+// Start brings all controllers up.
+func (w *World) Start() {
+	for _, n := range w.nodes {
+		w.startNode(n)
+	}
+	var beat func()
+	beat = func() {
+		w.store.tick()
+		for _, m := range w.sortedMachines() {
+			w.tickMachine(m)
+		}
+		w.checkCancelled()
+		w.after(50*protocol.Millisecond, beat)
+	}
+	beat()
+	var poll func()
+	poll = func() {
+		w.poll()
+		w.after(protocol.Second, poll)
+	}
+	poll()
+}
+
+func (w *World) startNode(n *node) {
+	if n.alive {
+		return
+	}
+	n.alive, n.born = true, w.now
+	n.life++
+	n.seed += 100
+	p := w.Platform
+	p.Node = n.name
+	p.Siblings = nil
+	for _, o := range w.nodes {
+		if o != n {
+			p.Siblings = append(p.Siblings, protocol.Sibling{Name: o.name, Zone: "a", Address: o.name})
+		}
+	}
+	n.ctl = coordination.New(&p, w.Operator, n.seed, w.Logger.With("node", n.name))
+	life := n.life
+	w.perform(n, n.ctl.Start(w.timeOf(n)))
+	var tick func()
+	tick = func() {
+		if n.alive && n.life == life {
+			w.step(n, coordination.Tick{})
+			w.after(50*protocol.Millisecond, tick)
+		}
+	}
+	tick()
+}
+
+func (w *World) timeOf(n *node) protocol.Now {
+	return protocol.Now{Steady: w.now - n.born + protocol.Second, Wall: w.now + 1_700_000_000*protocol.Second}
+}
+
+func (w *World) step(n *node, ev coordination.Event) { w.perform(n, n.ctl.Step(w.timeOf(n), ev)) }
+
+func (w *World) perform(n *node, effects []coordination.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case coordination.Reply:
+			fn := w.answers[e.To.Conn]
+			delete(w.answers, e.To.Conn)
+			if fn != nil {
+				fn(e.Status, e.Body)
+			}
+		case coordination.Call:
+			w.call(n, e)
+		}
+	}
+}
+
+// request hands a request to a controller.
+func (w *World) request(n *node, what, body string, answer func(int, []byte)) {
+	w.nextConn++
+	w.answers[w.nextConn] = answer
+	to := coordination.Address{Conn: w.nextConn}
+	switch what {
+	case "hello":
+		w.step(n, coordination.WorkerReport{Reply: to, Body: []byte(body)})
+	case "submit":
+		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpSubmit, Body: []byte(body)})
+	case "query":
+		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpQuery, Ref: body})
+	case "cancel":
+		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpCancel, Ref: body})
+	}
+}
+
+// call carries an outbound call of a controller.
+func (w *World) call(n *node, c coordination.Call) {
+	life, answered := n.life, false
+	finish := func(d coordination.CallDone) {
+		if !answered && n.alive && n.life == life {
+			answered = true
+			d.ID = c.ID
+			w.step(n, d)
+		}
+	}
+	back := func(status int, body string) {
+		w.after(w.delay(), func() {
+			if !n.cut {
+				finish(coordination.CallDone{Status: status, Body: []byte(body)})
+			}
+		})
+	}
+	w.after(c.Timeout, func() { finish(coordination.CallDone{}) })
+	if n.cut {
+		return
+	}
+	w.after(w.delay(), func() {
+		switch c.Target {
+		case coordination.ToState:
+			w.store.serve(c.Method, c.Path, c.Body, back)
+		case coordination.ToCloud:
+			status, body := w.serveCloud(c.Method, c.Path, c.Body)
+			back(status, body)
+		case coordination.ToPeer:
+			w.carryPeer(c, back, finish)
+		case coordination.ToWorker:
+			finish(coordination.CallDone{Unsent: true})
+		}
+	})
+}
+
+func (w *World) carryPeer(c coordination.Call, back func(int, string), finish func(coordination.CallDone)) {
+	for _, o := range w.nodes {
+		if o.name != c.Addr {
+			continue
+		}
+		if !o.alive {
+			finish(coordination.CallDone{Unsent: true})
+			return
+		}
+		if o.cut {
+			return
+		}
+		frame, _, err := protocol.SplitPeer(c.Body)
+		if err != nil {
+			w.broken("malformed frame: %v", err)
+			return
+		}
+		msg, err := protocol.ParsePeer(frame)
+		if err != nil {
+			w.broken("malformed frame: %v", err)
+			return
+		}
+		w.nextConn++
+		w.answers[w.nextConn] = func(status int, body []byte) {
+			out := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(status), Body: body})
+			frame, _, _ := protocol.SplitPeer(out)
+			back(200, string(frame))
+		}
+		w.step(o, coordination.UserCall{Reply: coordination.Address{Conn: w.nextConn, Peer: true}, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
+	}
+}
+
+func (w *World) sortedMachines() []*machine {
+	list := make([]*machine, 0, len(w.machines))
+	for _, m := range w.machines {
+		list = append(list, m)
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].name < list[b].name })
+	return list
+}
+
+func (w *World) addMachine(name, typ, zone string, spot bool) *machine {
+	m := &machine{name: name, typ: typ, zone: zone, spot: spot, rented: w.now, phase: "running", session: 1, leaseFrom: w.now,
+		images: map[string]micros{}, tasks: map[string]*runningTask{}, node: len(w.machines)}
+	w.machines[name] = m
+	return m
+}
+
+func (w *World) upNode() *node {
+	for i := range w.nodes {
+		w.poller++
+		if n := w.nodes[(w.poller+i)%len(w.nodes)]; n.alive && !n.cut {
+			return n
+		}
+	}
+	return nil
+}
+
+// submit sends a job as its user would, and again until it is taken.
+func (w *World) submit(j *userJob) {
+	w.jobs[j.spec.Ref] = j
+	var try func(left int)
+	try = func(left int) {
+		again := func() {
+			if left > 0 {
+				w.after(protocol.Second, func() { try(left - 1) })
+			}
+		}
+		n := w.upNode()
+		if n == nil {
+			again()
+			return
+		}
+		w.request(n, "submit", string(j.body), func(status int, _ []byte) {
+			j.status = status
+			switch {
+			case status == 200 || status == 201:
+				j.accepted = true
+			case status == 400 || status == 422:
+				if j.accepted {
+					w.broken("forgotten: %s got %d", j.spec.Ref, status)
+				}
+			default:
+				again()
+			}
+		})
+	}
+	try(60)
+}
+
+func (w *World) cancel(j *userJob) {
+	j.asked = true
+	var try func(left int)
+	try = func(left int) {
+		again := func() {
+			if left > 0 {
+				w.after(protocol.Second, func() { try(left - 1) })
+			}
+		}
+		n := w.upNode()
+		if n == nil {
+			again()
+			return
+		}
+		w.request(n, "cancel", j.spec.Ref, func(status int, body []byte) {
+			j.cancelStatus = status
+			if status != 200 {
+				again()
+				return
+			}
+			w.heard(j, fastjson.GetString(body, "phase"))
+		})
+	}
+	try(60)
+}
+
+// poll asks for every job, from a node that differs from time to time.
+func (w *World) poll() {
+	refs := make([]string, 0, len(w.jobs))
+	for r := range w.jobs {
+		refs = append(refs, r)
+	}
+	sort.Strings(refs)
+	for _, r := range refs {
+		j := w.jobs[r]
+		n := w.upNode()
+		if n == nil || !j.accepted {
+			continue
+		}
+		w.request(n, "query", r, func(status int, body []byte) {
+			if status == 404 {
+				w.broken("forgotten: %s", r)
+			}
+			if status == 200 {
+				j.done, j.running = fastjson.GetInt(body, "done"), fastjson.GetInt(body, "running")
+				w.heard(j, fastjson.GetString(body, "phase"))
+			}
+		})
+	}
+}
+
+// heard checks what a user is told.
+func (w *World) heard(j *userJob, phase string) {
+	ref := j.spec.Ref
+	if j.toldDone && phase != "done" || j.toldCancelled > 0 && phase != "cancelled" {
+		w.broken("went_back: %s is %s", ref, phase)
+	}
+	if phase != j.phase {
+		w.note("%s is %s", ref, phase)
+	}
+	j.phase = phase
+	switch phase {
+	case "done":
+		j.toldDone = true
+		for i, ok := range j.results {
+			if !ok {
+				w.broken("not_done: %s/%d", ref, i)
+			}
+		}
+	case "cancelled":
+		if !j.asked {
+			w.broken("went_back: nobody cancelled %s", ref)
+		}
+		if j.toldCancelled == 0 {
+			j.toldCancelled = w.now
+		}
+	}
+}
+
+func (w *World) checkCancelled() {
+	for _, m := range w.sortedMachines() {
+		for _, t := range m.sorted() {
+			if t.on && t.job.toldCancelled > 0 && w.now > t.job.toldCancelled+w.Platform.Cancel {
+				t.job.toldCancelled = w.now // once
+				w.broken("ran_cancelled: %s/%d", t.job.spec.Ref, t.index)
+			}
+		}
+	}
+}
+
+// Run lets time pass until the given instant.
+func (w *World) Run(until micros) {
+	for len(w.events) > 0 && w.events[0].at <= until {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.fn()
+	}
+	w.now = until
+}
+
+// hostsOf names the machines that a task is on.
+func (w *World) hostsOf(task string) string {
+	var list []string
+	for _, m := range w.sortedMachines() {
+		for _, t := range m.sorted() {
+			if t.on && fmt.Sprintf("%s/%d", t.job.spec.Ref, t.index) == task {
+				list = append(list, m.name)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return "nowhere"
+	}
+	return strings.Join(list, ",")
+}
