Direct commands: launches and stops leave at once

Cause: a launch waited for its host's next report, 1.5 s in the mean and up to 3.75 s, on top of the image fetch.

--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -61,6 +61,8 @@
 	Attempts     map[protocol.AttemptName]*Attempt
 	Images       map[string]*Image
 	IdleSince    micros
+	Calling      bool   // a direct command is on its way
+	NoCalls      micros // no direct commands before
 	Faults       int
 	FaultUntil   micros
 	FullUntil    micros
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -133,7 +133,8 @@
 	StopGrace     micros
 	StopAt        micros // when the stop first left
 	Reason        protocol.ExitReason
-	Direct        bool // a direct command may still be on its way
+	Doubt         bool // a direct launch was not answered: it may be executed at any time
+	ViaReport     bool // the launch left with the answer to a report
 	Adopted       bool
 	ExpectedReady micros
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -268,7 +268,8 @@
 	if since >= c.operator.RoundEvery || (t.dirty && since >= c.operator.RoundGap) {
 		c.round()
 	}
-	if c.term == t {
+	if c.term == t && c.mayStart() {
+		c.callHosts()
 		c.manageRental()
 	}
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -54,18 +54,22 @@
 		c.log.Debug("machine reports that was not rented in this term", "host", r.Host)
 	}
 	if h.Session > 0 && !r.Newer(h.Session, h.Tick) {
-		// Held up on the way: what it says is older than what is known.
-		c.unavailable(e.Reply, "late report")
+		// What it says is older than what is known: it was held up on the way,
+		// or crossed the answer to a direct command. In the second case the
+		// worker still waits, so it is answered, but the book stays as it is.
+		h.Answered = max(h.Answered, c.at.Steady)
+		c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, nil), 0)
 		return
 	}
-	c.takeReport(h, r)
+	c.takeReport(h, r, false)
 	cmds := c.commands(h)
 	h.Answered = max(h.Answered, c.at.Steady)
 	c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, cmds), 0)
 }
 
-// takeReport brings the book to what a newer report says.
-func (c *Controller) takeReport(h *bookkeeping.Host, r *protocol.Report) {
+// takeReport brings the book to what a newer report says. direct tells that
+// it answers a direct command.
+func (c *Controller) takeReport(h *bookkeeping.Host, r *protocol.Report, direct bool) {
 	t := c.term
 	at := c.at.Steady
 	if h.Session > 0 && r.Session > h.Session {
@@ -124,6 +128,14 @@
 		if a.State == bookkeeping.AttemptLaunched && !r.Newer(a.SentSession, a.SentTick) {
 			continue
 		}
+		if a.Doubt {
+			continue // the launch may still be on its way
+		}
+		if a.State == bookkeeping.AttemptLaunched && a.ViaReport && direct {
+			// The answer with the launch and this message may have crossed.
+			// Only the next report must come after it.
+			continue
+		}
 		// The launch did not arrive, or the task is gone.
 		c.log.Debug("attempt is not on its host", "task", a.Name.TaskName.String(), "host", h.Name, "state", a.State.String())
 		c.lost(a)
@@ -363,8 +375,18 @@
 					continue
 				}
 			}
+			if a.Doubt {
+				// A launch that comes late has no effect only as long as the
+				// worker knows the attempt.
+				continue
+			}
 			cmds = append(cmds, protocol.Command{Verb: protocol.Forget, Name: a.Name})
 		case a.State.MayRun():
+			if a.State == bookkeeping.AttemptLaunched && a.Doubt && !h.Calling {
+				// In doubt: repeated to the same host, it has no effect twice.
+				a.SentSession, a.SentTick = h.Session, h.Tick
+				cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
+			}
 			if !a.Stop && (j == nil || j.State != bookkeeping.JobLive) {
 				a.Stop, a.StopGrace = true, 0
 			}
@@ -378,7 +400,7 @@
 			if !h.Recorded || j.State != bookkeeping.JobLive {
 				continue
 			}
-			a.SentSession, a.SentTick = h.Session, h.Tick
+			a.SentSession, a.SentTick, a.ViaReport = h.Session, h.Tick, true
 			t.book.Move(at, a, bookkeeping.AttemptLaunched)
 			cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
 		}
@@ -386,6 +408,94 @@
 	return cmds
 }
 
+// callTimeout is how long a worker has to answer a direct command.
+const callTimeout = 2 * protocol.Second
+
+// callHosts sends commands that should not wait for the next report.
+func (c *Controller) callHosts() {
+	t := c.term
+	at := c.at.Steady
+	for _, h := range t.hosts() {
+		if h.Calling || at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed || !h.Recorded || len(h.Attempts) == 0 {
+			continue
+		}
+		var cmds []protocol.Command
+		var launched []*bookkeeping.Attempt
+		for _, a := range sortedAttempts(h) {
+			switch {
+			case a.State == bookkeeping.AttemptAssigned && a.Job.State == bookkeeping.JobLive:
+				launched = append(launched, a)
+				cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
+			case a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched:
+				a.StopAt = at
+				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
+			}
+			if len(cmds) >= protocol.MaxCommands {
+				break
+			}
+		}
+		if len(cmds) > 0 && h.State == bookkeeping.HostReady && h.Proven {
+			c.callHost(h, cmds, launched)
+		}
+	}
+}
+
+// callHost sends a direct command. Until it is answered its launches are in
+// doubt: the worker may execute them at any time in the same session, also
+// long after this node has given up.
+func (c *Controller) callHost(h *bookkeeping.Host, cmds []protocol.Command, launched []*bookkeeping.Attempt) {
+	t := c.term
+	h.Calling = true
+	for _, a := range launched {
+		a.Doubt, a.ViaReport = true, false
+		a.SentSession, a.SentTick = h.Session, h.Tick
+		t.book.Move(c.at.Steady, a, bookkeeping.AttemptLaunched)
+	}
+	body := protocol.AppendCommands(nil, t.epoch, h.Session, cmds)
+	c.callAddr(ToWorker, h.Addr, "/commands", body, callTimeout, func(r CallDone) {
+		if c.term != t {
+			return
+		}
+		h.Calling = false
+		var report *protocol.Report
+		if r.Status == 200 || r.Status == 409 {
+			var err error
+			if report, err = protocol.ParseReport(r.Body); err != nil || report.Host != h.Name {
+				c.malformed("worker", err)
+				report = nil
+			}
+		}
+		if report == nil {
+			h.NoCalls = c.at.Steady + 8*protocol.Second
+			if !r.Unsent {
+				return
+			}
+		}
+		for _, a := range launched {
+			a.Doubt = false
+			if report != nil {
+				// Any later message must show what came of the launch.
+				a.SentSession, a.SentTick = report.Session, report.Tick-1
+			}
+		}
+		if report == nil {
+			for _, a := range launched {
+				if a.State == bookkeeping.AttemptLaunched {
+					c.lost(a) // never left
+				}
+			}
+			return
+		}
+		if report.Epoch > t.epoch {
+			c.deposed("a worker has seen a newer epoch")
+			return
+		}
+		if t.book.Hosts[h.Name] == h && report.Newer(h.Session, h.Tick) {
+			c.takeReport(h, report, true)
+		}
+	})
+}
+
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
 func (c *Controller) watchHosts() {
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
 )
 
@@ -20,6 +21,8 @@
 	hung            bool
 	held            bool // reports are held back on the way
 	heldReports     []func()
+	holdCalls       bool
+	heldCalls       []func() // direct commands that come once it goes on
 	node            int
 	session, tick   uint64
 	epoch           uint64
@@ -78,8 +81,8 @@
 		items = append(items, item+"}")
 	}
 	m.tick++
-	return fmt.Sprintf(`{"host":%q,"addr":"10.9.0.1:9000","flavor":%q,"region":%q,"reclaimable":%t,"tenure":%d,"tick":%d,"epoch":%d,"reclaimInS":null,"shards":[%s]}`,
-		m.name, m.typ, m.zone, m.spot, m.session, m.tick, m.epoch, strings.Join(items, ","))
+	return fmt.Sprintf(`{"host":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"tenure":%d,"tick":%d,"epoch":%d,"reclaimInS":null,"shards":[%s]}`,
+		m.name, m.name, m.typ, m.zone, m.spot, m.session, m.tick, m.epoch, strings.Join(items, ","))
 }
 
 // tickMachine does what is due on one machine.
@@ -321,6 +324,32 @@
 	w.execute(m, resp)
 }
 
+// callWorker hands a direct command to a worker. A machine that hangs executes
+// it when it goes on, if token and session still match.
+func (w *World) callWorker(c coordination.Call, back func(int, string)) {
+	m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]
+	if m == nil || m.phase != "running" {
+		return
+	}
+	serve := func() {
+		v := fastjson.MustParseBytes(c.Body)
+		status := 409
+		if v.GetUint64("epoch") >= m.epoch && v.GetUint64("tenure") == m.session {
+			status, m.epoch = 200, v.GetUint64("epoch")
+			w.execute(m, c.Body)
+		}
+		report := m.report()
+		if !m.slow {
+			back(status, report)
+		}
+	}
+	if m.hung || m.holdCalls {
+		m.heldCalls = append(m.heldCalls, serve)
+		return
+	}
+	serve()
+}
+
 // execute carries out commands.
 func (w *World) execute(m *machine, body []byte) {
 	v := fastjson.MustParseBytes(body)
@@ -391,8 +420,8 @@
 	case path == "/machines" && method == "GET":
 		var items []string
 		for _, m := range w.sortedMachines() {
-			items = append(items, fmt.Sprintf(`{"ref":%q,"addr":"10.9.0.1:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
-				m.name, m.typ, m.zone, m.spot, m.phase, (w.now-m.rented).Seconds()))
+			items = append(items, fmt.Sprintf(`{"ref":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
+				m.name, m.name, m.typ, m.zone, m.spot, m.phase, (w.now-m.rented).Seconds()))
 		}
 		return 200, `{"hosts":[` + strings.Join(items, ",") + `],"truncated":false}`
 	case path == "/machines":
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -178,7 +178,7 @@
 		w.store.setDown(words[1] == "down")
 	case "cloud":
 		w.cloudDown = words[1] == "down"
-	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports":
+	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls":
 		m := w.machines[words[1]]
 		if m == nil {
 			return fmt.Errorf("no such machine")
@@ -196,8 +196,14 @@
 	switch what {
 	case "hang":
 		m.hung = true
-	case "wake":
-		m.hung = false
+	case "hold-calls":
+		m.holdCalls = true
+	case "wake", "deliver-calls":
+		m.hung, m.holdCalls = false, false
+		for _, f := range m.heldCalls {
+			f()
+		}
+		m.heldCalls = nil
 	case "die":
 		for _, t := range m.sorted() {
 			w.leave(m, t)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -244,7 +244,7 @@
 		case coordination.ToPeer:
 			w.carryPeer(c, back, finish)
 		case coordination.ToWorker:
-			finish(coordination.CallDone{Unsent: true})
+			w.callWorker(c, back)
 		}
 	})
 }
