--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -282,7 +282,7 @@
 }
 
 // maxBooting bounds how many machines boot at a time.
-const maxBooting = 24
+const maxBooting = 100
 
 // planRental finds what to rent so that waiting work starts sooner, with room
 // to spare for what arrives, and returns what is idle.
