Rental: patience from the aims, shared spare, shorter idle time; a fleet log line

Each class now looks for its spare room by itself, a class whose only aims are on finishing rents only when its place would come after half of that time, machines go back after 20 s, and 0.6 of the arrivals of a boot time are kept room for.

--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -36,6 +36,7 @@
 	needed      map[string]bool // idle hosts that the last round counted on
 	planned     bool
 	next        micros
+	nextLog     micros
 	releasing   bool
 	answering   bool // the cloud answered the last request for its list
 	nextRelease micros
@@ -315,11 +316,11 @@
 			}
 		}
 		left.Limit = min(left.Tasks, c.allowance(w.job))
+		left.Patient = c.patience(w.job)
 		if left.Tasks > 0 && left.Limit > 0 {
 			requests = append(requests, &left)
 		}
 	}
-	requests = append(requests, c.spare()...)
 	var offers []*slottable.Offer
 	var kinds []kind
 	for _, typ := range c.types {
@@ -340,23 +341,72 @@
 			}
 		}
 	}
-	clone := table.Clone()
-	for _, m := range clone.Machines {
+	work := table.Clone()
+	for _, m := range work.Machines {
 		m.Taken = 0
 	}
-	rent := clone.Rent(requests, offers, 3*protocol.Second, max(0, maxBooting-booting))
+	most := max(0, maxBooting-booting)
+	rent := work.Rent(requests, offers, 3*protocol.Second, most)
 	r.needed = make(map[string]bool)
-	for _, m := range clone.Machines {
-		if m.Taken > 0 {
-			r.needed[m.Name] = true
+	note := func(t *slottable.Table) {
+		for _, m := range t.Machines {
+			if m.Taken > 0 {
+				r.needed[m.Name] = true
+			}
 		}
 	}
+	note(work)
+	// Classes seldom burst together: each looks for its spare room by itself,
+	// so the same room may serve several.
+	spares := make(map[int]int)
+	for _, s := range c.spare() {
+		room := work.Clone()
+		for i, n := range room.Rent([]*slottable.Request{s}, offers, 3*protocol.Second, most) {
+			spares[i] = max(spares[i], n)
+		}
+		note(room)
+	}
 	for i := range offers {
-		if n := rent[i]; n > 0 {
+		if n := rent[i] + spares[i]; n > 0 {
 			c.rent(kinds[i], n)
 		}
 	}
 	c.returnIdle()
+	if at >= r.nextLog {
+		r.nextLog = at + 20*protocol.Second
+		c.logFleet(booting, len(list))
+	}
+}
+
+// logFleet tells how the machines are used.
+func (c *Controller) logFleet(booting, waiting int) {
+	type sum struct{ hosts, empty, needed, gpus, used int64 }
+	byType := make(map[string]*sum)
+	var names []string
+	for _, h := range c.term.hosts() {
+		if h.Type == nil || h.State != bookkeeping.HostReady {
+			continue
+		}
+		k := byType[h.TypeName]
+		if k == nil {
+			k = &sum{}
+			byType[h.TypeName] = k
+			names = append(names, h.TypeName)
+		}
+		k.hosts++
+		k.gpus += h.Type.Offer.GPU / 1000
+		k.used += h.Used().GPU / 1000
+		if h.Empty() {
+			k.empty++
+			if c.term.rental.needed[h.Name] {
+				k.needed++
+			}
+		}
+	}
+	for _, n := range names {
+		k := byType[n]
+		c.log.Info("fleet", "type", n, "hosts", k.hosts, "empty", k.empty, "kept_spare", k.needed, "gpus", k.gpus, "gpus_used", k.used, "booting", booting, "jobs_waiting", waiting)
+	}
 }
 
 // spare lists requests for room that is kept for what arrives most often.
@@ -396,6 +446,28 @@
 	return names
 }
 
+// patience is until when a job may become ready without an aim being missed,
+// where the only aim of its class is on finishing. Half of the time is left to
+// errors of the estimates.
+func (c *Controller) patience(j *bookkeeping.Job) micros {
+	var within micros
+	for _, o := range c.platform.Objectives {
+		if o.Class != j.Spec.Class {
+			continue
+		}
+		if o.Kind != "finished" {
+			return 0
+		}
+		if within == 0 || o.Within < within {
+			within = o.Within
+		}
+	}
+	if within == 0 || j.Spec.Kind == protocol.Service {
+		return 0
+	}
+	return j.Submitted + within/2 - c.class(j.Spec.Class).length(j.Spec)
+}
+
 // hasty reports whether an aim says that a class should start soon.
 func (c *Controller) hasty(class string) bool {
 	for _, o := range c.platform.Objectives {
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -36,7 +36,7 @@
 						continue
 					}
 					ready := t.Now + o.Boot + o.Fetch(r.ImageSize)
-					if ok && !r.Spare && p.Ready <= ready+slack {
+					if ok && !r.Spare && p.Ready <= max(ready+slack, r.Patient) {
 						continue
 					}
 					if ok && r.Spare && p.Begin <= t.Now+slack {
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -144,7 +144,8 @@
 	Deadline  micros // latest end, 0: none
 	Hold      bool   // may be booked, may not start now
 	Avoid     func(machine string) bool
-	Spare     bool // room to keep, not work
+	Spare     bool   // room to keep, not work
+	Patient   micros // no machine is rented for what is ready by then
 }
 
 func (r *Request) allows(m *Machine) bool {
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -239,7 +239,7 @@
 func DefaultOperator() Operator {
 	return Operator{LeaderLease: 3 * Second, RoundEvery: 2 * Second, RoundGap: 200 * Millisecond,
 		DeadlineMargin: 3 * Second, AnswerOn: 30 * Second, SilentRelease: 12 * Second,
-		IdleReturn: 40 * Second, WarmSpare: 1}
+		IdleReturn: 20 * Second, WarmSpare: 0.6}
 }
 
 type operatorFile struct {
