--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -45,8 +45,9 @@
 	State        HostState
 	Recorded     bool // in the state service; nothing is launched before
 	Recording    bool
-	FromRecord   bool // recorded under an earlier epoch: may hold tasks unseen
-	Proven       bool // has reported under this epoch, or its tasks are gone
+	RecordedWall micros // time of day of its record
+	FromRecord   bool   // recorded under an earlier epoch: may hold tasks unseen
+	Proven       bool   // has reported under this epoch, or its tasks are gone
 	Session      uint64
 	Tick         uint64
 	Heard        micros // last report
@@ -63,6 +64,8 @@
 	IdleSince    micros
 	Calling      bool   // a direct command is on its way
 	NoCalls      micros // no direct commands before
+	ProbeAt      micros // when a silent host is asked again
+	ProbeFailed  bool   // it did not answer the last time
 	Faults       int
 	FaultUntil   micros
 	FullUntil    micros
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -84,6 +84,7 @@
 	o.Set("type", a.NewString(h.TypeName))
 	o.Set("zone", a.NewString(h.Zone))
 	o.Set("addr", a.NewString(h.Addr))
+	o.Set("at", a.NewNumberString(strconv.FormatInt(int64(h.RecordedWall), 10)))
 	if h.Spot {
 		o.Set("spot", a.NewTrue())
 	}
@@ -98,6 +99,7 @@
 	}
 	h := NewHost(now, name, string(v.GetStringBytes("type")), string(v.GetStringBytes("zone")), v.GetBool("spot"))
 	h.Addr = string(v.GetStringBytes("addr"))
+	h.RecordedWall = micros(v.GetInt64("at"))
 	h.Recorded, h.FromRecord = true, true
 	return h, nil
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -245,10 +245,10 @@
 	c.emit(Call{ID: c.callSeq, Target: target, Method: method, Path: path, Body: body, Timeout: timeout, Priority: prio, Changes: changes})
 }
 
-func (c *Controller) callAddr(target Target, addr, path string, body []byte, timeout micros, done func(CallDone)) {
+func (c *Controller) callAddr(target Target, method, addr, path string, body []byte, timeout micros, done func(CallDone)) {
 	c.callSeq++
 	c.calls[c.callSeq] = done
-	c.emit(Call{ID: c.callSeq, Target: target, Addr: addr, Method: "POST", Path: path, Body: body, Timeout: timeout})
+	c.emit(Call{ID: c.callSeq, Target: target, Addr: addr, Method: method, Path: path, Body: body, Timeout: timeout})
 }
 
 // after runs fn once the time has come, within the resolution of ticks.
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -187,15 +187,18 @@
 		if !here && h.AbsentSince == 0 {
 			h.AbsentSince = at
 		}
-		silent := at-h.Heard > 2*c.platform.ReportEvery
+		silent := at-h.Heard > c.platform.ReportEvery+2*protocol.Second
+		// A list is at most twice the lag old, so a machine that had reported
+		// before that and is not in it is gone.
+		known := h.RecordedWall > 0 && c.at.Wall-h.RecordedWall > 2*c.platform.ListLag+2*protocol.Second
 		switch {
 		case h.State == bookkeeping.HostReleasing || h.State == bookkeeping.HostGone:
 		case here && h.ListedState == protocol.CloudFailed:
 			c.release(h, "failed")
+		case !here && silent && known:
+			c.release(h, "not listed any more")
 		case !here && h.Listed && silent && at-h.AbsentSince > 2*c.platform.ListLag+protocol.Second:
 			c.release(h, "not listed any more")
-		case !here && h.FromRecord && !h.Proven && silent && at-h.AbsentSince > 2*c.platform.ListLag:
-			c.release(h, "recorded, not listed")
 		case h.State == bookkeeping.HostBooting && !h.FromRecord && h.Type != nil && at-h.Since > 3*h.Type.Boot+10*protocol.Second:
 			c.release(h, "does not come up")
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -146,6 +146,9 @@
 			c.reread(t)
 		}
 	})
+	for _, h := range t.hosts() {
+		c.probe(t, h)
+	}
 	c.pollTypes(t)
 	c.pollMachines(t)
 	t.dirty = true
@@ -283,7 +286,9 @@
 	}
 	var batch []*bookkeeping.Host
 	for _, h := range t.hosts() {
-		if !h.Recorded && !h.Recording && (h.State == bookkeeping.HostReady || h.State == bookkeeping.HostBooting) {
+		// Only once it reports: a successor waits for every recorded host, and
+		// one that still boots has nothing to tell.
+		if !h.Recorded && !h.Recording && h.State == bookkeeping.HostReady {
 			batch = append(batch, h)
 			if len(batch) == c.platform.TxnOps {
 				break
@@ -295,7 +300,7 @@
 	}
 	var then []protocol.Change
 	for _, h := range batch {
-		h.Recording = true
+		h.Recording, h.RecordedWall = true, c.at.Wall
 		then = append(then, protocol.Change{Key: bookkeeping.HostPrefix + h.Name, Value: bookkeeping.EncodeHost(h)})
 	}
 	c.lead(prioUrgent, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -71,7 +71,7 @@
 	}
 	epoch := c.leader.Epoch
 	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
-	c.callAddr(ToPeer, addr, "", frame, forwardTimeout, func(r CallDone) {
+	c.callAddr(ToPeer, "", addr, "", frame, forwardTimeout, func(r CallDone) {
 		if r.Status == 200 {
 			m, err := protocol.ParsePeer(r.Body)
 			if err == nil && m.Kind == protocol.PeerAnswer && m.Status != 0 {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -76,7 +76,7 @@
 		// The worker's lease expired: it has killed and forgotten everything.
 		c.loseAll(h, "its session ended")
 	}
-	h.Session, h.Tick, h.Heard = r.Session, r.Tick, at
+	h.Session, h.Tick, h.Heard, h.ProbeFailed = r.Session, r.Tick, at, false
 	h.Addr = r.Addr
 	if h.Type == nil {
 		h.Type = c.typeByName[r.Type]
@@ -452,7 +452,7 @@
 		t.book.Move(c.at.Steady, a, bookkeeping.AttemptLaunched)
 	}
 	body := protocol.AppendCommands(nil, t.epoch, h.Session, cmds)
-	c.callAddr(ToWorker, h.Addr, "/commands", body, callTimeout, func(r CallDone) {
+	c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) {
 		if c.term != t {
 			return
 		}
@@ -496,6 +496,43 @@
 	})
 }
 
+// probe asks a recorded host what is on it, rather than waiting until its
+// worker finds the new leader. Its session is not recorded, so its report is
+// read first; then an empty command shows it the new epoch. From there on
+// commands of earlier epochs have no effect, and its report is proof.
+func (c *Controller) probe(t *term, h *bookkeeping.Host) {
+	if h.Addr == "" {
+		return
+	}
+	take := func(r CallDone) *protocol.Report {
+		h.ProbeFailed = r.Status == 0
+		if c.term != t || t.book.Hosts[h.Name] != h || (r.Status != 200 && r.Status != 409) {
+			return nil
+		}
+		report, err := protocol.ParseReport(r.Body)
+		if err != nil || report.Host != h.Name {
+			c.malformed("worker", err)
+			return nil
+		}
+		if report.Epoch > t.epoch {
+			c.deposed("a worker has seen a newer epoch")
+			return nil
+		}
+		if h.Session == 0 || report.Newer(h.Session, h.Tick) {
+			c.takeReport(h, report, true)
+		}
+		return report
+	}
+	c.callAddr(ToWorker, "GET", h.Addr, "/status", nil, callTimeout, func(r CallDone) {
+		report := take(r)
+		if report == nil || h.Proven {
+			return
+		}
+		body := protocol.AppendCommands(nil, t.epoch, report.Session, nil)
+		c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) { take(r) })
+	})
+}
+
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
 func (c *Controller) watchHosts() {
@@ -528,8 +565,12 @@
 				c.loseAll(h, "silent for longer than its lease")
 				h.To(bookkeeping.HostSilent)
 				h.Proven = true
-			} else if at-h.Heard > limit && c.mayStart() {
+			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-h.Heard > limit+limit/2) && c.mayStart() {
+				// It neither reports nor answers.
 				c.release(h, "silent")
+			} else if at-h.Heard > c.platform.ReportEvery*3/2 && at >= h.ProbeAt && c.mayStart() {
+				h.ProbeAt = at + callTimeout
+				c.probe(t, h)
 			}
 		case bookkeeping.HostSilent:
 			if at-h.Heard > limit+lease/2 && c.mayStart() {
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -332,6 +332,10 @@
 		return
 	}
 	serve := func() {
+		if c.Path == "/status" {
+			back(200, m.report())
+			return
+		}
 		v := fastjson.MustParseBytes(c.Body)
 		status := 409
 		if v.GetUint64("epoch") >= m.epoch && v.GetUint64("tenure") == m.session {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -99,6 +99,7 @@
 		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
 		Cancel: 50 * protocol.Second, StateRate: 200, StateWriteRate: 50, ValueBytes: 8192, TxnOps: 12, CloudRate: 5,
 		ListLag: 3 * protocol.Second, CPUShare: 1, MemoryBytes: 1 << 28, MaxConnections: 1000}
+	w.Operator.IdleReturn = 60 * protocol.Second
 	w.store = newStore(w)
 	for i := 0; i < n; i++ {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), seed: uint64(i + 1)})
