--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -15,6 +15,7 @@
 	request *slottable.Request
 	tasks   []int
 	within  bool // its team's jobs up to this one fit into the guarantee
+	missed  bool // too late for its deadline and every aim on finishing
 	result  slottable.Result
 }
 
@@ -174,6 +175,7 @@
 			r.Avoid = func(name string) bool { return failures[name] > 0 }
 		}
 		w.request = r
+		w.missed = c.missed(j)
 		list = append(list, w)
 	}
 	sort.SliceStable(list, func(a, b int) bool {
@@ -181,11 +183,38 @@
 		if x.job.Spec.Rank != y.job.Spec.Rank {
 			return x.job.Spec.Rank < y.job.Spec.Rank
 		}
+		if x.missed != y.missed {
+			return y.missed
+		}
 		return x.within && !y.within
 	})
 	return list
 }
 
+// overdueFor is how long a job that is too late lets others pass.
+const overdueFor = 600 * protocol.Second
+
+// missed reports whether a job is too late for whatever was asked of its end.
+// Such a job lets those pass that are not: served in order of submission, in an
+// overload each late job would make the next one late too.
+func (c *Controller) missed(j *bookkeeping.Job) bool {
+	s := j.Spec
+	var due micros
+	if s.Deadline > 0 {
+		due = j.Submitted + s.Deadline
+	}
+	for _, o := range c.platform.Objectives {
+		if o.Kind == "finished" && o.Class == s.Class {
+			due = max(due, j.Submitted+o.Within)
+		}
+	}
+	if due == 0 || s.Kind == protocol.Service {
+		return false
+	}
+	late := c.at.Steady + c.class(s.Class).length(s) - due
+	return late > 0 && late < overdueFor
+}
+
 // stopping reports whether an attempt of a job is being stopped.
 func (c *Controller) stopping(j *bookkeeping.Job) bool {
 	for i := range j.Tasks {
