--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -74,6 +74,8 @@
 	Held          micros // not placed before, after failures
 	Chunks        map[int]bool
 	FirstStart    micros
+	RoomOn        string // host on which room was made for it
+	RoomUntil     micros
 }
 
 // NewJob makes a job from its specification.
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -32,7 +32,6 @@
 	open        map[kind]int // machines asked for and not answered yet
 	bootFactor  map[string]float64
 	fetchFactor map[string]float64
-	preempted   map[string]micros
 	needed      map[string]bool // idle hosts that the last round counted on
 	planned     bool
 	next        micros
@@ -44,7 +43,7 @@
 
 func (r *rental) init() {
 	*r = rental{refused: make(map[kind]micros), backoff: make(map[kind]micros), open: make(map[kind]int),
-		bootFactor: make(map[string]float64), fetchFactor: make(map[string]float64), preempted: make(map[string]micros),
+		bootFactor: make(map[string]float64), fetchFactor: make(map[string]float64),
 		needed: make(map[string]bool)}
 }
 
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -174,6 +174,9 @@
 			failures := j.Failures
 			r.Avoid = func(name string) bool { return failures[name] > 0 }
 		}
+		if at < j.RoomUntil {
+			r.Prefer = j.RoomOn
+		}
 		w.request = r
 		w.missed = c.missed(j)
 		list = append(list, w)
@@ -349,10 +352,11 @@
 		if s.Kind == protocol.Gang && len(w.tasks) > 1 {
 			continue
 		}
-		if len(w.result.Booked) > 0 && w.result.Booked[0].Begin < at+5*protocol.Second {
-			continue
+		soonest := at + 10*protocol.Second + c.class(s.Class).length(s)
+		if n := len(w.result.Booked); n > 0 {
+			soonest = w.result.Booked[n-1].Ready
 		}
-		if at < t.rental.preempted[s.Ref]+6*protocol.Second {
+		if at < w.job.RoomUntil {
 			continue
 		}
 		var best []*bookkeeping.Attempt
@@ -365,9 +369,21 @@
 				continue
 			}
 			victims, loss := c.victims(h, w.job)
+			ready := at + protocol.Second
+			for _, a := range victims {
+				if a.Job.Spec.Checkpoints() {
+					ready = max(ready, at+a.Job.Spec.Saves+protocol.Second)
+				}
+			}
 			if _, ok := h.Images[s.Image]; !ok {
-				loss += c.fetchTime(h.Type, s.ImageSize).Seconds()
+				ready += c.fetchTime(h.Type, s.ImageSize)
+			}
+			// Stopping work for a place that is ready hardly sooner than the
+			// one the job has anyway only loses work.
+			if ready+5*protocol.Second > soonest {
+				continue
 			}
+			loss += (ready - at).Seconds()
 			if victims != nil && (best == nil || loss < bestLoss) {
 				best, bestLoss = victims, loss
 			}
@@ -375,7 +391,7 @@
 		if best == nil {
 			continue
 		}
-		t.rental.preempted[s.Ref] = at
+		w.job.RoomOn, w.job.RoomUntil = best[0].Host.Name, at+10*protocol.Second
 		for _, a := range best {
 			grace := micros(0)
 			if a.Job.Spec.Checkpoints() {
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -144,6 +144,7 @@
 	Deadline  micros // latest end, 0: none
 	Hold      bool   // may be booked, may not start now
 	Avoid     func(machine string) bool
+	Prefer    string // machine on which room was made for it
 	Spare     bool   // room to keep, not work
 	Patient   micros // no machine is rented for what is ready by then
 }
@@ -258,6 +259,9 @@
 		if !ok || c < cost {
 			found, cost, ok = p, c, true
 		}
+		if at == t.Now && r.Prefer == m.Name {
+			return p, true
+		}
 		if at == t.Now && (!okNow || c < costNow) {
 			now, costNow, okNow = p, c, true
 		}
