--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -318,7 +318,6 @@
 			}
 		}
 		left.Limit = min(left.Tasks, c.allowance(w.job))
-		left.Patient = c.patience(w.job)
 		if left.Tasks > 0 && left.Limit > 0 {
 			requests = append(requests, &left)
 		}
@@ -382,18 +381,29 @@
 
 // logFleet tells how the machines are used.
 func (c *Controller) logFleet(booting, waiting int) {
-	type sum struct{ hosts, empty, needed, gpus, used int64 }
+	type sum struct{ hosts, empty, needed, gpus, used, yielding int64 }
 	byType := make(map[string]*sum)
 	var names []string
 	for _, h := range c.term.hosts() {
 		if h.Type == nil || h.State != bookkeeping.HostReady {
 			continue
 		}
-		k := byType[h.TypeName]
+		name := h.TypeName
+		if h.Spot {
+			name += ",spot"
+		}
+		k := byType[name]
 		if k == nil {
 			k = &sum{}
-			byType[h.TypeName] = k
-			names = append(names, h.TypeName)
+			byType[name] = k
+			names = append(names, name)
+		}
+		anchored := false
+		for _, a := range h.Attempts {
+			anchored = anchored || a.State.Occupies() && a.Job != nil && !c.yields(a.Job.Spec)
+		}
+		if !anchored && !h.Empty() {
+			k.yielding++
 		}
 		k.hosts++
 		k.gpus += h.Type.Offer.GPU / 1000
@@ -407,7 +417,7 @@
 	}
 	for _, n := range names {
 		k := byType[n]
-		c.log.Info("fleet", "type", n, "hosts", k.hosts, "empty", k.empty, "kept_spare", k.needed, "gpus", k.gpus, "gpus_used", k.used, "booting", booting, "jobs_waiting", waiting)
+		c.log.Info("fleet", "type", n, "hosts", k.hosts, "empty", k.empty, "kept_spare", k.needed, "yielding", k.yielding, "gpus", k.gpus, "gpus_used", k.used, "booting", booting, "jobs_waiting", waiting)
 	}
 }
 
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -178,6 +178,7 @@
 			r.Prefer = j.RoomOn
 		}
 		w.request = r
+		r.Patient = c.patience(j)
 		w.missed = c.missed(j)
 		list = append(list, w)
 	}
@@ -403,6 +404,12 @@
 	}
 }
 
+// yields reports whether a job's tasks may be stopped for one of the two upper
+// ranks.
+func (c *Controller) yields(s *protocol.JobSpec) bool {
+	return s.Rank > protocol.High && (s.Kind != protocol.Gang || s.Tasks == 1)
+}
+
 // victims finds attempts of lower rank on a host whose end makes room, those
 // that lose least first.
 func (c *Controller) victims(h *bookkeeping.Host, j *bookkeeping.Job) ([]*bookkeeping.Attempt, float64) {
@@ -422,7 +429,7 @@
 			continue
 		}
 		s := a.Job.Spec
-		if s.Rank <= j.Spec.Rank || s.Kind == protocol.Gang && s.Tasks > 1 {
+		if s.Rank <= j.Spec.Rank || !c.yields(s) {
 			continue
 		}
 		ran := micros(0)
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -282,10 +282,12 @@
 		}
 	}
 	w := micros(left.Times(r.Need)) * 300 * protocol.Millisecond
+	w = min(w, 5*protocol.Second)
 	if r.Spot && !m.Spot {
-		w += 1500 * protocol.Millisecond
+		// Spot machines are of use to few; the others are kept for the rest.
+		w += 6 * protocol.Second
 	}
-	return min(w, 5*protocol.Second)
+	return w
 }
 
 func (t *Table) mark(r *Request, p Place, till micros) {
