--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -16,6 +16,7 @@
 	tasks   []int
 	within  bool // its team's jobs up to this one fit into the guarantee
 	missed  bool // too late for its deadline and every aim on finishing
+	turn    micros
 	result  slottable.Result
 }
 
@@ -180,6 +181,12 @@
 		w.request = r
 		r.Patient = c.patience(j)
 		w.missed = c.missed(j)
+		w.turn = j.Submitted
+		if s.Kind == protocol.Array {
+			// Jobs count alike, so a large one lets small ones pass that come a
+			// little later: by its work, spread over some machines.
+			w.turn += c.class(s.Class).length(s) * micros(s.Tasks-j.Done) / 8
+		}
 		list = append(list, w)
 	}
 	sort.SliceStable(list, func(a, b int) bool {
@@ -190,7 +197,10 @@
 		if x.missed != y.missed {
 			return y.missed
 		}
-		return x.within && !y.within
+		if x.within != y.within {
+			return x.within
+		}
+		return x.turn < y.turn
 	})
 	return list
 }
