--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -61,6 +61,7 @@
 	Draining     bool
 	Attempts     map[protocol.AttemptName]*Attempt
 	Images       map[string]*Image
+	ImagesNew    bool // the record does not have them all
 	IdleSince    micros
 	Calling      bool   // a direct command is on its way
 	NoCalls      micros // no direct commands before
@@ -122,6 +123,7 @@
 	if im == nil {
 		im = &Image{Size: size}
 		h.Images[name] = im
+		h.ImagesNew = true
 	}
 	im.Used = now
 	if h.Type == nil {
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -88,6 +88,11 @@
 	if h.Spot {
 		o.Set("spot", a.NewTrue())
 	}
+	images := a.NewObject()
+	for name, im := range h.Images {
+		images.Set(name, a.NewNumberString(strconv.FormatInt(im.Size, 10)))
+	}
+	o.Set("images", images)
 	return o.MarshalTo(nil)
 }
 
@@ -100,6 +105,13 @@
 	h := NewHost(now, name, string(v.GetStringBytes("type")), string(v.GetStringBytes("zone")), v.GetBool("spot"))
 	h.Addr = string(v.GetStringBytes("addr"))
 	h.RecordedWall = micros(v.GetInt64("at"))
+	if images, err := v.Get("images").Object(); err == nil {
+		images.Visit(func(key []byte, v *fastjson.Value) {
+			if size, err := v.Int64(); err == nil {
+				h.Images[string(key)] = &Image{Size: size}
+			}
+		})
+	}
 	h.Recorded, h.FromRecord = true, true
 	return h, nil
 }
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -29,6 +29,7 @@
 	booked  []string // bookings to be recorded
 
 	nextRecord micros
+	nextImages micros
 }
 
 // load reads the records of jobs, hosts and bookings.
@@ -218,6 +219,7 @@
 		}
 	}
 	c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
 }
 
@@ -295,12 +297,25 @@
 			}
 		}
 	}
+	if c.at.Steady >= t.nextImages {
+		// Which images a host has is worth knowing after a take-over, but it
+		// need not be recorded at once.
+		t.nextImages = c.at.Steady + 3*protocol.Second
+		for _, h := range t.hosts() {
+			if len(batch) < c.platform.TxnOps && h.Recorded && !h.Recording && h.ImagesNew && h.State == bookkeeping.HostReady {
+				batch = append(batch, h)
+			}
+		}
+	}
 	if len(batch) == 0 {
 		return
 	}
 	var then []protocol.Change
 	for _, h := range batch {
-		h.Recording, h.RecordedWall = true, c.at.Wall
+		if !h.Recorded {
+			h.RecordedWall = c.at.Wall
+		}
+		h.Recording, h.ImagesNew = true, false
 		then = append(then, protocol.Change{Key: bookkeeping.HostPrefix + h.Name, Value: bookkeeping.EncodeHost(h)})
 	}
 	c.lead(prioUrgent, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
@@ -309,6 +324,8 @@
 			if o == txnApplied {
 				h.Recorded = true
 				t.dirty = true
+			} else {
+				h.ImagesNew = true
 			}
 		}
 		if o != txnApplied {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -215,6 +215,7 @@
 		return
 	}
 	t.book.Move(at, a, to)
+	c.log.Debug("task", "task", a.Name.TaskName.String(), "host", a.Host.Name, "state", to.String())
 }
 
 // exited handles the end of an attempt.
