--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -239,7 +239,7 @@
 func DefaultOperator() Operator {
 	return Operator{LeaderLease: 2 * Second, RoundEvery: 2 * Second, RoundGap: 200 * Millisecond,
 		DeadlineMargin: 3 * Second, AnswerOn: 30 * Second, SilentRelease: 6 * Second,
-		IdleReturn: 20 * Second, WarmSpare: 0.6}
+		IdleReturn: 20 * Second, WarmSpare: 0.4}
 }
 
 type operatorFile struct {
