A zone that falls silent keeps its tasks; outages of a minute end none

A trace showed that the first host to come back made the others look like single failures, and they were released at the end of the cut: a zone that looked cut off stays so for 10 s. Workers are answered for 180 s in state trouble instead of 30 s, since hosts are asked directly after a take-over and a successor seldom has to wait it out. Records of jobs that are over and did not fit into their last transaction are removed at the next take-over.

--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -24,10 +24,13 @@
 	cancels map[string][]Address
 	gone    map[string]bool // machines that are certainly gone
 	rental  rental
+	cutSeen map[string]micros // when a zone last looked cut off
 	chunks  chunkWriter
 	classes map[string]*class
 	booked  []string // bookings to be recorded
 
+	orphans []string // keys of jobs that are over
+
 	nextRecord micros
 	nextImages micros
 }
@@ -38,7 +41,7 @@
 	c.seat.nextRenew = c.at.Steady
 	t := &term{book: bookkeeping.NewBook(), epoch: c.seat.epoch, started: c.at.Steady,
 		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]bool),
-		classes: make(map[string]*class)}
+		classes: make(map[string]*class), cutSeen: make(map[string]micros)}
 	t.rental.init()
 	c.term = t
 	bookings := make(map[string]micros)
@@ -99,11 +102,16 @@
 			for ref, at := range bookings {
 				if j := t.book.Jobs[ref]; j != nil {
 					j.Booked, j.BookingKept = c.steadyOf(at), true
+				} else {
+					t.orphans = append(t.orphans, bookkeeping.BookingPrefix+ref)
 				}
 			}
 			for ref, list := range chunks {
 				j := t.book.Jobs[ref]
 				for _, e := range list {
+					if j == nil {
+						t.orphans = append(t.orphans, e.Key)
+					}
 					k, err := strconv.Atoi(e.Key[strings.LastIndexByte(e.Key, '/')+1:])
 					if j != nil && err == nil {
 						if j.Chunks == nil {
@@ -150,6 +158,18 @@
 	for _, h := range t.hosts() {
 		c.probe(t, h)
 	}
+	// What belongs to jobs that are over: the transaction that ends a job has
+	// room for some of its records only.
+	sort.Strings(t.orphans)
+	for len(t.orphans) > 0 {
+		n := min(len(t.orphans), c.platform.TxnOps)
+		var then []protocol.Change
+		for _, key := range t.orphans[:n] {
+			then = append(then, protocol.Change{Key: key})
+		}
+		t.orphans = t.orphans[n:]
+		c.dropRecords(t, then)
+	}
 	c.pollTypes(t)
 	c.pollMachines(t)
 	t.dirty = true
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -540,12 +540,19 @@
 	t := c.term
 	at := c.at.Steady
 	silent, reporting := 0, 0
+	zones := make(map[string][2]int) // silent and all hosts of a zone
 	for _, h := range t.book.Hosts {
 		if h.State == bookkeeping.HostReady || h.FromRecord && !h.Proven {
+			z := zones[h.Zone]
 			reporting++
+			z[1]++
+			if at-h.Heard > c.platform.ReportEvery*3/2 {
+				z[0]++
+			}
 			if at-h.Heard > c.operator.SilentRelease {
 				silent++
 			}
+			zones[h.Zone] = z
 		}
 	}
 	limit := c.operator.SilentRelease
@@ -556,6 +563,16 @@
 	unproven := 0
 	for _, h := range t.hosts() {
 		lease := c.platform.WorkerLease
+		limit := limit
+		if z := zones[h.Zone]; z[0] >= 3 && 2*z[0] >= z[1] {
+			t.cutSeen[h.Zone] = at
+		}
+		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < 10*protocol.Second {
+			// The zone is cut off: its tasks go on within their leases, and a
+			// release would end them all. When the cut ends, its hosts do not
+			// all come back at the same instant.
+			limit = max(limit, lease)
+		}
 		expired := at > h.Answered+lease+drift(lease)+100*protocol.Millisecond
 		switch h.State {
 		case bookkeeping.HostReady, bookkeeping.HostBooting:
@@ -574,7 +591,7 @@
 				c.probe(t, h)
 			}
 		case bookkeeping.HostSilent:
-			if at-h.Heard > limit+lease/2 && c.mayStart() {
+			if at-h.Heard > limit+lease && c.mayStart() {
 				c.release(h, "silent")
 			}
 		case bookkeeping.HostReleasing:
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -238,7 +238,7 @@
 // DefaultOperator holds the values used where the operators set none.
 func DefaultOperator() Operator {
 	return Operator{LeaderLease: 2 * Second, RoundEvery: 2 * Second, RoundGap: 200 * Millisecond,
-		DeadlineMargin: 3 * Second, AnswerOn: 30 * Second, SilentRelease: 6 * Second,
+		DeadlineMargin: 3 * Second, AnswerOn: 180 * Second, SilentRelease: 6 * Second,
 		IdleReturn: 20 * Second, WarmSpare: 0.4}
 }
 
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -299,9 +299,9 @@
 }
 
 func (w *World) upNode() *node {
-	for i := range w.nodes {
+	for range w.nodes {
 		w.poller++
-		if n := w.nodes[(w.poller+i)%len(w.nodes)]; n.alive && !n.cut {
+		if n := w.nodes[w.poller%len(w.nodes)]; n.alive && !n.cut {
 			return n
 		}
 	}
