--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -427,7 +427,7 @@
 	var list []*slottable.Request
 	for _, name := range c.classNames() {
 		k := t.classes[name]
-		if k.last == nil || !c.hasty(name) {
+		if k.last == nil || c.startWithin(name) == 0 {
 			continue
 		}
 		s := k.last
@@ -444,7 +444,10 @@
 			continue
 		}
 		list = append(list, &slottable.Request{Tasks: min(n, 8), Limit: min(n, 8), Need: s.Need, Image: s.Image, ImageSize: s.ImageSize,
-			Types: s.Types, Spot: s.Spot, Length: 30 * protocol.Second, Spare: true})
+			Types: s.Types, Spot: s.Spot, Length: 30 * protocol.Second, Spare: true,
+			// Room is missing only if a job that came now would start too late:
+			// a machine that is soon free does as well as an empty one.
+			Patient: c.at.Steady + c.startWithin(name)*7/10})
 	}
 	return list
 }
@@ -480,14 +483,15 @@
 	return j.Submitted + within/2 - c.class(j.Spec.Class).length(j.Spec)
 }
 
-// hasty reports whether an aim says that a class should start soon.
-func (c *Controller) hasty(class string) bool {
+// startWithin is the shortest time that an aim gives a class to start, or 0.
+func (c *Controller) startWithin(class string) micros {
+	var within micros
 	for _, o := range c.platform.Objectives {
-		if o.Kind == "wait" && o.Class == class {
-			return true
+		if o.Kind == "wait" && o.Class == class && (within == 0 || o.Within < within) {
+			within = o.Within
 		}
 	}
-	return false
+	return within
 }
 
 // rent asks the cloud for machines. The name of a request is never used again.
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -39,7 +39,7 @@
 					if ok && !r.Spare && p.Ready <= max(ready+slack, r.Patient) {
 						continue
 					}
-					if ok && r.Spare && p.Begin <= t.Now+slack {
+					if ok && r.Spare && (p.Begin <= t.Now+slack || p.Ready <= r.Patient) {
 						continue
 					}
 					fit := max(1, min(o.Resources.Times(r.Need), int64(n-i)))
