A job of high rank keeps its team's limit from being taken task by task

Ruled out: room (machines had it) and bookings (a team at its limit gets none). What such a gang needs is now held back from later jobs of its team. team_limit.trace fails without it.

--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -317,7 +317,7 @@
 				left.Tasks += n
 			}
 		}
-		left.Limit = min(left.Tasks, c.allowance(w.job))
+		left.Limit = min(left.Tasks, c.allowance(w.job, protocol.Resources{}))
 		if left.Tasks > 0 && left.Limit > 0 {
 			requests = append(requests, &left)
 		}
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -38,8 +38,16 @@
 		w.request.Tag = i
 		byTag[i], requests[i] = w, w.request
 	}
+	held := make(map[string]protocol.Resources) // by team, for jobs that come first
 	table.Plan(requests, func(r *slottable.Request) {
-		r.Limit = c.allowance(byTag[r.Tag].job)
+		j := byTag[r.Tag].job
+		r.Limit = c.allowance(j, held[j.Spec.Team])
+		if r.Gang && r.Limit < r.Tasks && j.Spec.Rank <= protocol.High {
+			// Its team's limit leaves no room for all of its tasks at once.
+			// Without this, smaller jobs of the team would take what comes free,
+			// one task at a time, for as long as they last.
+			held[j.Spec.Team] = held[j.Spec.Team].Add(j.Spec.Need, int64(r.Tasks))
+		}
 	}, func(res slottable.Result) {
 		w := byTag[res.Request.Tag]
 		w.result = res
@@ -244,11 +252,11 @@
 }
 
 // allowance is how many more tasks of a job its team's limit allows, with all
-// that may still be on hosts counted.
-func (c *Controller) allowance(j *bookkeeping.Job) int {
+// that may still be on hosts counted, and what is held for others of the team.
+func (c *Controller) allowance(j *bookkeeping.Job, held protocol.Resources) int {
 	t := c.term
 	limit := c.platform.Teams[j.Spec.Team].Limit
-	used := t.book.Used[j.Spec.Team]
+	used := t.book.Used[j.Spec.Team].Add(held, 1)
 	if !t.recovered && limit != (protocol.Resources{}) {
 		for _, h := range t.book.Hosts {
 			if h.FromRecord && !h.Proven {
