Slow machines are preferred less; repeated code and unused fields removed

A machine whose tasks take 1.8 times what their class does, averaged over some, is preferred less by as many tens of seconds as it is slow.

--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -58,7 +58,6 @@
 	AbsentSince  micros
 	Noticed      bool
 	TakenAt      micros
-	Draining     bool
 	Attempts     map[protocol.AttemptName]*Attempt
 	Images       map[string]*Image
 	ImagesNew    bool // the record does not have them all
@@ -72,7 +71,6 @@
 	FullUntil    micros
 	Slowness     float64 // run time against others of the class, 1 is usual
 	ReleaseWhy   string
-	ReleaseAsked micros
 }
 
 // NewHost makes a host.
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -159,8 +159,6 @@
 // Counters are kept for the log.
 type Counters struct {
 	Malformed int
-	Steps     int
-	Rounds    int
 }
 
 // final is the last phase of a job that is over.
@@ -197,7 +195,6 @@
 		at.Steady = c.at.Steady
 	}
 	c.at = at
-	c.Counters.Steps++
 	c.runTimers()
 	switch e := ev.(type) {
 	case UserCall:
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -33,7 +33,6 @@
 	bootFactor  map[string]float64
 	fetchFactor map[string]float64
 	needed      map[string]bool // idle hosts that the last round counted on
-	planned     bool
 	next        micros
 	nextLog     micros
 	releasing   bool
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -25,7 +25,6 @@
 func (c *Controller) round() {
 	t := c.term
 	t.lastRound, t.dirty = c.at.Steady, false
-	c.Counters.Rounds++
 	if !c.mayStart() || len(c.types) == 0 {
 		return
 	}
@@ -76,7 +75,7 @@
 // usable reports whether tasks may be put on a host.
 func (c *Controller) usable(h *bookkeeping.Host) bool {
 	at := c.at.Steady
-	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed && !h.Draining &&
+	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed &&
 		at >= h.FaultUntil && at >= h.FullUntil && at-h.Heard < 2*c.platform.ReportEvery+protocol.Second
 }
 
@@ -99,6 +98,9 @@
 		default:
 			m.Blocked = true
 		}
+		if h.Slowness > 1.8 {
+			m.Penalty = micros((h.Slowness - 1) * 10 * float64(protocol.Second))
+		}
 		for name := range h.Images {
 			m.Images[name] = 0
 		}
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -35,8 +35,6 @@
 	FetchDone        micros            // when the fetches under way end
 	Fetch            func(size int64) micros
 	Penalty          micros // how much later another machine may be and still be preferred
-	Fresh            bool   // rented in this plan
-	Offered          int    // index of the offer it was made from, if Fresh
 	Blocked          bool   // no task may start, but what runs takes room
 	spans            []Span
 	Taken            int // spans added by plans of this round
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -145,16 +145,7 @@
 		c.checkFinished(j)
 	}
 	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Jobs), "hosts", len(t.book.Hosts), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
-	c.watch(bookkeeping.JobPrefix, rev, func() bool { return c.term != t }, func(e protocol.Entry) {
-		// Jobs that other nodes took while this one couldn't be reached.
-		if e.Value != nil {
-			c.learnJob(e)
-		}
-	}, func() {
-		if c.term == t {
-			c.reread(t)
-		}
-	})
+	c.followJobs(t, rev)
 	for _, h := range t.hosts() {
 		c.probe(t, h)
 	}
@@ -175,34 +166,31 @@
 	t.dirty = true
 }
 
-// reread reads the jobs again after changes were missed.
-func (c *Controller) reread(t *term) {
-	c.list(prioUrgent, bookkeeping.JobPrefix, func(e protocol.Entry) {
-		if c.term == t {
+// followJobs notices the jobs that other nodes took while this one could not
+// be reached. After changes were missed it reads them all again.
+func (c *Controller) followJobs(t *term, rev uint64) {
+	gone := func() bool { return c.term != t }
+	take := func(e protocol.Entry) {
+		if e.Value != nil && !gone() {
 			c.learnJob(e)
 		}
-	}, func(rev uint64, ok bool) {
-		if c.term != t {
-			return
-		}
-		if !ok {
-			c.after(protocol.Second, func() {
-				if c.term == t {
-					c.reread(t)
-				}
-			})
+	}
+	var reread func()
+	reread = func() {
+		if gone() {
 			return
 		}
-		c.watch(bookkeeping.JobPrefix, rev, func() bool { return c.term != t }, func(e protocol.Entry) {
-			if e.Value != nil {
-				c.learnJob(e)
-			}
-		}, func() {
-			if c.term == t {
-				c.reread(t)
+		c.list(prioUrgent, bookkeeping.JobPrefix, take, func(rev uint64, ok bool) {
+			switch {
+			case gone():
+			case ok:
+				c.followJobs(t, rev)
+			default:
+				c.after(protocol.Second, reread)
 			}
 		})
-	})
+	}
+	c.watch(bookkeeping.JobPrefix, rev, gone, take, reread)
 }
 
 // learnJob takes a job's record into the book, unless it is there.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -262,8 +262,15 @@
 	if j.Spec.Kind == protocol.Service {
 		return // a replica has no end of its own: it is started again
 	}
-	if a.Started > 0 && !a.Adopted {
-		c.class(j.Spec.Class).ran(j, c.at.Steady-a.Started)
+	if took := c.at.Steady - a.Started; a.Started > 0 && !a.Adopted {
+		k := c.class(j.Spec.Class)
+		// Machines differ by a tenth, estimates by half: only a machine that is
+		// far off for several tasks in a row shows.
+		if length := k.length(j.Spec); length > 0 {
+			r := max(0.3, min(5, float64(took)/float64(length)))
+			a.Host.Slowness += (r - a.Host.Slowness) * 0.25
+		}
+		k.ran(j, took)
 	}
 	if j.Spec.Kind == protocol.Gang {
 		// The tasks of a gang complete together: if one is done, all are.
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -85,7 +85,6 @@
 	phase         string
 	done, running int
 	asked         bool // to cancel
-	cancelStatus  int
 	toldDone      bool
 	toldCancelled micros
 }
@@ -308,9 +307,9 @@
 	return nil
 }
 
-// submit sends a job as its user would, and again until it is taken.
-func (w *World) submit(j *userJob) {
-	w.jobs[j.spec.Ref] = j
+// insist sends a request as a user would, to one node after another until
+// taken says that the answer is final.
+func (w *World) insist(what, body string, taken func(status int, body []byte) bool) {
 	var try func(left int)
 	try = func(left int) {
 		again := func() {
@@ -323,16 +322,8 @@
 			again()
 			return
 		}
-		w.request(n, "submit", string(j.body), func(status int, _ []byte) {
-			j.status = status
-			switch {
-			case status == 200 || status == 201:
-				j.accepted = true
-			case status == 400 || status == 422:
-				if j.accepted {
-					w.broken("forgotten: %s got %d", j.spec.Ref, status)
-				}
-			default:
+		w.request(n, what, body, func(status int, answer []byte) {
+			if !taken(status, answer) {
 				again()
 			}
 		})
@@ -340,30 +331,33 @@
 	try(60)
 }
 
-func (w *World) cancel(j *userJob) {
-	j.asked = true
-	var try func(left int)
-	try = func(left int) {
-		again := func() {
-			if left > 0 {
-				w.after(protocol.Second, func() { try(left - 1) })
+func (w *World) submit(j *userJob) {
+	w.jobs[j.spec.Ref] = j
+	w.insist("submit", string(j.body), func(status int, _ []byte) bool {
+		j.status = status
+		switch status {
+		case 200, 201:
+			j.accepted = true
+		case 400, 422:
+			if j.accepted {
+				w.broken("forgotten: %s got %d", j.spec.Ref, status)
 			}
+		default:
+			return false
 		}
-		n := w.upNode()
-		if n == nil {
-			again()
-			return
+		return true
+	})
+}
+
+func (w *World) cancel(j *userJob) {
+	j.asked = true
+	w.insist("cancel", j.spec.Ref, func(status int, body []byte) bool {
+		if status != 200 {
+			return false
 		}
-		w.request(n, "cancel", j.spec.Ref, func(status int, body []byte) {
-			j.cancelStatus = status
-			if status != 200 {
-				again()
-				return
-			}
-			w.heard(j, fastjson.GetString(body, "phase"))
-		})
-	}
-	try(60)
+		w.heard(j, fastjson.GetString(body, "phase"))
+		return true
+	})
 }
 
 // poll asks for every job, from a node that differs from time to time.
