--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -16,7 +16,6 @@
 	renewing    bool
 	nextRenew   micros
 	predAnswers micros // until then the predecessor may answer workers
-	tries       int
 }
 
 // become is the one place where the role changes.
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -18,6 +18,8 @@
 	open int
 	per  map[string]int
 	idle map[string][]idleConn
+	// when idle connections were last looked at
+	swept time.Time
 }
 
 type idleConn struct {
@@ -45,6 +47,7 @@
 		}
 		d.drop(addr, c.conn)
 	}
+	d.sweep()
 	if d.open >= d.MaxOpen || d.per[addr] >= d.MaxPer {
 		return nil, false, ErrSockets
 	}
@@ -53,6 +56,26 @@
 	return nil, false, nil
 }
 
+// sweep closes connections that have been idle for long. Machines come and go:
+// without this, connections to those that are gone would use up the sockets.
+func (d *Dialer) sweep() {
+	if time.Since(d.swept) < d.KeepIdle/2 {
+		return
+	}
+	d.swept = time.Now()
+	for addr, list := range d.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if time.Since(c.since) < d.KeepIdle {
+				kept = append(kept, c)
+			} else {
+				defer d.drop(addr, c.conn)
+			}
+		}
+		d.idle[addr] = kept
+	}
+}
+
 func (d *Dialer) drop(addr string, c net.Conn) {
 	if c != nil {
 		c.Close()
--- /dev/null
+++ b/internal/transport/dialer_test.go
@@ -0,0 +1,68 @@
+package transport
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// serveOne answers every request on its connections with an empty 200.
+func serveOne(t *testing.T) string {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				buf := make([]byte, 1024)
+				for {
+					if _, err := c.Read(buf); err != nil {
+						return
+					}
+					c.Write(AppendResponse(nil, 200, []byte("{}"), 0, false))
+				}
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func ask(d *Dialer, addr string) (status int, err error) {
+	err = d.Do(addr, AppendRequest(nil, "GET", addr, "/", nil), 10*time.Second, func(buf []byte, eof bool) (int, bool, error) {
+		r, used, err := ParseResponse(buf, eof)
+		if r != nil {
+			status = r.Status
+		}
+		return used, true, err
+	})
+	return status, err
+}
+
+// A connection is kept between calls, and what is kept for one address does
+// not bar another for ever.
+func TestDialerSockets(t *testing.T) {
+	a, b := serveOne(t), serveOne(t)
+	d := &Dialer{MaxOpen: 1, MaxPer: 1, KeepIdle: time.Hour}
+	for range 3 {
+		if status, err := ask(d, a); status != 200 || err != nil {
+			t.Fatalf("status %d, %v", status, err)
+		}
+	}
+	if d.open != 1 || len(d.idle[a]) != 1 {
+		t.Fatalf("%d open, %d idle", d.open, len(d.idle[a]))
+	}
+	if _, err := ask(d, b); err != ErrSockets {
+		t.Fatalf("a second connection of one: %v", err)
+	}
+	d.KeepIdle, d.swept = 0, time.Time{}
+	if status, err := ask(d, b); status != 200 || err != nil {
+		t.Fatalf("after the first was idle for long: status %d, %v", status, err)
+	}
+}
