Classes that have to start at once don't wait for others to save

For a class with an aim on starting below 10 s room is now made after a sixteenth of it, and without a grace.

--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -367,7 +367,16 @@
 	at := c.at.Steady
 	for _, w := range list {
 		s := w.job.Spec
-		if s.Rank > protocol.High || len(w.result.Start) == len(w.tasks) || w.request.Limit < 1 || w.job.Submitted+2*protocol.Second > at {
+		if s.Rank > protocol.High || len(w.result.Start) == len(w.tasks) || w.request.Limit < 1 {
+			continue
+		}
+		// A class that has to start at once can't wait for others to save.
+		within := c.startWithin(s.Class)
+		if within == 0 {
+			within = protocol.Forever
+		}
+		hurry := within < 10*protocol.Second
+		if at < w.job.Submitted+min(2*protocol.Second, within/16) {
 			continue
 		}
 		if s.Kind == protocol.Gang && len(w.tasks) > 1 {
@@ -392,7 +401,7 @@
 			victims, loss := c.victims(h, w.job)
 			ready := at + protocol.Second
 			for _, a := range victims {
-				if a.Job.Spec.Checkpoints() {
+				if a.Job.Spec.Checkpoints() && !hurry {
 					ready = max(ready, at+a.Job.Spec.Saves+protocol.Second)
 				}
 			}
@@ -401,7 +410,7 @@
 			}
 			// Stopping work for a place that is ready hardly sooner than the
 			// one the job has anyway only loses work.
-			if ready+5*protocol.Second > soonest {
+			if ready+min(5*protocol.Second, within/4) > soonest {
 				continue
 			}
 			loss += (ready - at).Seconds()
@@ -415,7 +424,7 @@
 		w.job.RoomOn, w.job.RoomUntil = best[0].Host.Name, at+10*protocol.Second
 		for _, a := range best {
 			grace := micros(0)
-			if a.Job.Spec.Checkpoints() {
+			if a.Job.Spec.Checkpoints() && !hurry {
 				grace = a.Job.Spec.Saves + protocol.Second
 			}
 			c.log.Info("preempted", "task", a.Name.TaskName.String(), "host", a.Host.Name, "for", s.Ref)
