The lease is looked at before an event, not only after

Cause, from reading: a process that stood still for longer than the lease would have handled the first event after it in its old role.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -195,6 +195,9 @@
 		at.Steady = c.at.Steady
 	}
 	c.at = at
+	// Before anything else: the process may have been frozen for longer than
+	// the lease, and for longer than workers may be answered without one.
+	c.watchLease()
 	c.runTimers()
 	switch e := ev.(type) {
 	case UserCall:
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -150,7 +150,7 @@
 			return fmt.Errorf("no such job")
 		}
 		w.cancel(j)
-	case "kill", "start", "cut", "join":
+	case "kill", "start", "cut", "join", "freeze", "thaw":
 		names := []string{words[1]}
 		if words[1] == "all" {
 			names = nil
@@ -168,6 +168,10 @@
 				n.alive = false
 			case "start":
 				w.startNode(n)
+			case "freeze":
+				n.frozen = true
+			case "thaw":
+				w.thaw(n)
 			case "cut":
 				n.cut = true
 			case "join":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -67,10 +67,13 @@
 	name  string
 	alive bool
 	cut   bool // from everything
-	born  micros
-	life  int
-	ctl   *coordination.Controller
-	seed  uint64
+	// frozen: it does nothing, and what comes waits until it goes on.
+	frozen  bool
+	waiting []coordination.Event
+	born    micros
+	life    int
+	ctl     *coordination.Controller
+	seed    uint64
 }
 
 // userJob is what a job's user knows and expects.
@@ -179,7 +182,25 @@
 	return protocol.Now{Steady: w.now - n.born + protocol.Second, Wall: w.now + 1_700_000_000*protocol.Second}
 }
 
-func (w *World) step(n *node, ev coordination.Event) { w.perform(n, n.ctl.Step(w.timeOf(n), ev)) }
+func (w *World) step(n *node, ev coordination.Event) {
+	if n.frozen {
+		if _, tick := ev.(coordination.Tick); !tick {
+			n.waiting = append(n.waiting, ev)
+		}
+		return
+	}
+	w.perform(n, n.ctl.Step(w.timeOf(n), ev))
+}
+
+// thaw lets a frozen node go on with what came meanwhile.
+func (w *World) thaw(n *node) {
+	n.frozen = false
+	waiting := n.waiting
+	n.waiting = nil
+	for _, ev := range waiting {
+		w.step(n, ev)
+	}
+}
 
 func (w *World) perform(n *node, effects []coordination.Effect) {
 	for _, e := range effects {
