Room is made on a machine with the image where a free one would start too late

Ruled out: room, commands. A job of the two upper ranks that would miss its aim on starting that way now takes the place of work of lower rank on a machine with the image, if that is in time.

--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -187,6 +187,10 @@
 		}
 		if at < j.RoomUntil {
 			r.Prefer = j.RoomOn
+			// Until then it waits for that room rather than fetch elsewhere.
+			if h := t.book.Hosts[j.RoomOn]; h != nil && c.usable(h) && s.Tasks == 1 {
+				r.Avoid = func(name string) bool { return name != j.RoomOn }
+			}
 		}
 		w.request = r
 		r.Patient = c.patience(j)
@@ -360,6 +364,13 @@
 	})
 }
 
+func end(from, span micros) micros {
+	if span >= protocol.Forever-from {
+		return protocol.Forever
+	}
+	return from + span
+}
+
 // preempt makes room for jobs of higher rank, where no place comes free soon:
 // of all hosts the one where the least work is lost.
 func (c *Controller) preempt(list []*wanted) {
@@ -367,7 +378,7 @@
 	at := c.at.Steady
 	for _, w := range list {
 		s := w.job.Spec
-		if s.Rank > protocol.High || len(w.result.Start) == len(w.tasks) || w.request.Limit < 1 {
+		if s.Rank > protocol.High || w.request.Limit < 1 {
 			continue
 		}
 		// A class that has to start at once can't wait for others to save.
@@ -376,7 +387,11 @@
 			within = protocol.Forever
 		}
 		hurry := within < 10*protocol.Second
-		if at < w.job.Submitted+min(2*protocol.Second, within/16) {
+		due := end(w.job.Submitted, within)
+		// A place that is free but has to fetch the image first may be too late,
+		// where one with the image would not be.
+		cold := s.Tasks == 1 && len(w.result.Start) == 1 && at < due && w.result.Start[0].Ready > due
+		if len(w.result.Start) == len(w.tasks) && !cold || !cold && at < w.job.Submitted+min(2*protocol.Second, within/16) {
 			continue
 		}
 		if s.Kind == protocol.Gang && len(w.tasks) > 1 {
@@ -386,6 +401,9 @@
 		if n := len(w.result.Booked); n > 0 {
 			soonest = w.result.Booked[n-1].Ready
 		}
+		if cold {
+			soonest = w.result.Start[0].Ready
+		}
 		if at < w.job.RoomUntil {
 			continue
 		}
@@ -410,7 +428,7 @@
 			}
 			// Stopping work for a place that is ready hardly sooner than the
 			// one the job has anyway only loses work.
-			if ready+min(5*protocol.Second, within/4) > soonest {
+			if ready+min(5*protocol.Second, within/4) > soonest || cold && ready > due {
 				continue
 			}
 			loss += (ready - at).Seconds()
@@ -421,6 +439,13 @@
 		if best == nil {
 			continue
 		}
+		if cold {
+			a := w.job.Tasks[w.tasks[0]].Current
+			if a == nil || a.State != bookkeeping.AttemptAssigned {
+				continue
+			}
+			c.lost(a) // no launch has left yet
+		}
 		w.job.RoomOn, w.job.RoomUntil = best[0].Host.Name, at+10*protocol.Second
 		for _, a := range best {
 			grace := micros(0)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -110,6 +110,9 @@
 		if w.typeOf(m) == nil {
 			return fmt.Errorf("unknown type %s", words[2])
 		}
+	case "aim": // aim wait CLASS within=15
+		o := options(words[3:])
+		w.Platform.Objectives = append(w.Platform.Objectives, protocol.Objective{Kind: words[1], Class: words[2], Within: protocol.FromSeconds(number(o, "within", 10))})
 	case "no-capacity":
 		w.noCapacity = true
 	default:
