--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -530,7 +530,8 @@
 // closeJobs lets go of jobs that are over and of which no attempt is left.
 func (c *Controller) closeJobs() {
 	t := c.term
-	for ref, j := range t.book.Jobs {
+	for _, j := range t.jobs() {
+		ref := j.Spec.Ref
 		switch j.State {
 		case bookkeeping.JobDone, bookkeeping.JobClosed:
 			if j.Settled() {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -153,7 +153,7 @@
 			return fmt.Errorf("no such job")
 		}
 		w.cancel(j)
-	case "kill", "start", "cut", "join", "freeze", "thaw":
+	case "kill", "start", "cut", "join", "freeze", "thaw", "deny", "admit":
 		names := []string{words[1]}
 		if words[1] == "all" {
 			names = nil
@@ -171,6 +171,10 @@
 				n.alive = false
 			case "start":
 				w.startNode(n)
+			case "deny":
+				n.denied = true
+			case "admit":
+				n.denied = false
 			case "freeze":
 				n.frozen = true
 			case "thaw":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -67,6 +67,8 @@
 	name  string
 	alive bool
 	cut   bool // from everything
+	// denied: the state service answers this node alone with 503.
+	denied bool
 	// frozen: it does nothing, and what comes waits until it goes on.
 	frozen  bool
 	waiting []coordination.Event
@@ -258,6 +260,10 @@
 	w.after(w.delay(), func() {
 		switch c.Target {
 		case coordination.ToState:
+			if n.denied {
+				back(503, `{"error":"trouble"}`)
+				return
+			}
 			w.store.serve(c.Method, c.Path, c.Body, back)
 		case coordination.ToCloud:
 			status, body := w.serveCloud(c.Method, c.Path, c.Body)
