--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -88,7 +88,7 @@
 			continue
 		}
 		typ := h.Type
-		m := &slottable.Machine{Name: h.Name, Type: h.TypeName, Zone: h.Zone, Spot: h.Spot, Offer: typ.Offer, Until: protocol.Forever,
+		m := &slottable.Machine{Name: h.Name, Type: h.TypeName, Zone: h.Zone, Spot: h.Spot, Offer: typ.Offer,
 			Images: make(map[string]micros, len(h.Images)), Fetch: func(size int64) micros { return c.fetchTime(typ, size) }}
 		switch {
 		case c.usable(h):
@@ -136,7 +136,8 @@
 }
 
 // wanted lists the jobs that need places, in the order in which they are
-// tried: by rank, then those within their team's guarantee, then by submission.
+// tried: by rank, then those that can still be in time, then those within their
+// team's guarantee, then by their turn.
 func (c *Controller) wanted() []*wanted {
 	t := c.term
 	at := c.at.Steady
@@ -364,13 +365,6 @@
 	})
 }
 
-func end(from, span micros) micros {
-	if span >= protocol.Forever-from {
-		return protocol.Forever
-	}
-	return from + span
-}
-
 // preempt makes room for jobs of higher rank, where no place comes free soon:
 // of all hosts the one where the least work is lost.
 func (c *Controller) preempt(list []*wanted) {
@@ -387,7 +381,7 @@
 			within = protocol.Forever
 		}
 		hurry := within < 10*protocol.Second
-		due := end(w.job.Submitted, within)
+		due := protocol.End(w.job.Submitted, within)
 		// A place that is free but has to fetch the image first may be too late,
 		// where one with the image would not be.
 		cold := s.Tasks == 1 && len(w.result.Start) == 1 && at < due && w.result.Start[0].Ready > due
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -54,7 +54,7 @@
 			if bestOffer >= 0 {
 				o := offers[bestOffer]
 				m := &Machine{Name: "+" + o.Type, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Offer: o.Resources,
-					From: t.Now + o.Boot, Until: protocol.Forever, Images: map[string]micros{}, Fetch: o.Fetch}
+					From: t.Now + o.Boot, Images: map[string]micros{}, Fetch: o.Fetch}
 				t.Machines = append(t.Machines, m)
 				rent[bestOffer]++
 				total++
@@ -64,7 +64,7 @@
 				break
 			}
 			z.add(p.Machine.Zone)
-			t.mark(r, p, end(p.Ready, r.Length))
+			t.mark(r, p, protocol.End(p.Ready, r.Length))
 		}
 	}
 	return rent
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -30,7 +30,6 @@
 	Spot             bool
 	Offer            resources
 	From             micros            // nothing starts before
-	Until            micros            // nothing may end later; Forever: no bound
 	Images           map[string]micros // when each known image is ready
 	FetchDone        micros            // when the fetches under way end
 	Fetch            func(size int64) micros
@@ -54,18 +53,8 @@
 	return &c
 }
 
-func end(from, length micros) micros {
-	if length >= protocol.Forever-from {
-		return protocol.Forever
-	}
-	return from + length
-}
-
 // fits reports whether need is free during [from, to).
 func (m *Machine) fits(need resources, from, to micros) bool {
-	if to > m.Until {
-		return false
-	}
 	if !m.freeAt(need, from) {
 		return false
 	}
@@ -93,7 +82,7 @@
 		return 0, false
 	}
 	after = max(after, m.From)
-	if m.fits(need, after, end(after, length)) {
+	if m.fits(need, after, protocol.End(after, length)) {
 		return after, true
 	}
 	starts := make([]micros, 0, len(m.spans))
@@ -107,7 +96,7 @@
 		if i > 0 && t == starts[i-1] {
 			continue
 		}
-		if m.fits(need, t, end(t, length)) {
+		if m.fits(need, t, protocol.End(t, length)) {
 			return t, true
 		}
 	}
@@ -140,7 +129,6 @@
 	Spot      bool
 	Length    micros // run time without the fetch
 	Deadline  micros // latest end, 0: none
-	Hold      bool   // may be booked, may not start now
 	Avoid     func(machine string) bool
 	Prefer    string // machine on which room was made for it
 	Spare     bool   // room to keep, not work
@@ -239,10 +227,10 @@
 		if m.Blocked || !r.allows(m) || !z.allows(m.Zone) {
 			continue
 		}
-		length := end(m.fetch(t.Now, r.Image, r.ImageSize), r.Length)
+		length := protocol.End(m.fetch(t.Now, r.Image, r.ImageSize), r.Length)
 		var at micros
 		if onlyNow {
-			if m.From > t.Now || !m.Offer.Holds(r.Need) || !m.fits(r.Need, t.Now, end(t.Now, length)) {
+			if m.From > t.Now || !m.Offer.Holds(r.Need) || !m.fits(r.Need, t.Now, protocol.End(t.Now, length)) {
 				continue
 			}
 			at = t.Now
@@ -316,11 +304,11 @@
 		if !ok {
 			break
 		}
-		if p.Begin > t.Now || r.Hold {
+		if p.Begin > t.Now {
 			if !book {
 				// Only a place that is free now is of use to a job that may not
 				// be booked; image readiness still chose among all.
-				if r.Hold || onlyNow {
+				if onlyNow {
 					break
 				}
 				onlyNow = true
@@ -333,8 +321,8 @@
 		}
 		limit--
 		z.add(p.Machine.Zone)
-		t.mark(r, p, end(p.Ready, r.Length))
-		if r.Deadline > 0 && end(p.Ready, r.Length) > r.Deadline {
+		t.mark(r, p, protocol.End(p.Ready, r.Length))
+		if r.Deadline > 0 && protocol.End(p.Ready, r.Length) > r.Deadline {
 			res.Viable = false
 		}
 	}
@@ -359,7 +347,7 @@
 			if !ok {
 				return nil, 0
 			}
-			trial.mark(r, p, end(p.Ready, r.Length))
+			trial.mark(r, p, protocol.End(p.Ready, r.Length))
 			z.add(p.Machine.Zone)
 			start = max(start, p.Ready)
 			places = append(places, p)
@@ -389,7 +377,7 @@
 	if places == nil {
 		return res
 	}
-	now := !r.Hold
+	now := true
 	byName := make(map[string]*Machine, len(t.Machines))
 	for _, m := range t.Machines {
 		byName[m.Name] = m
@@ -401,7 +389,7 @@
 	if !now && !book {
 		return res
 	}
-	till := end(start, r.Length)
+	till := protocol.End(start, r.Length)
 	for _, p := range places {
 		t.mark(r, p, till)
 	}
--- a/internal/coordination/slottable/table_test.go
+++ b/internal/coordination/slottable/table_test.go
@@ -11,7 +11,7 @@
 func gpus(n int64) resources { return resources{CPU: n * 1000, GPU: n * 1000, Mem: n * 1000} }
 
 func row(name string, size int64, spans ...Span) *Machine {
-	m := &Machine{Name: name, Type: "t", Zone: "a", Offer: gpus(size), Until: protocol.Forever, Images: map[string]micros{},
+	m := &Machine{Name: name, Type: "t", Zone: "a", Offer: gpus(size), Images: map[string]micros{},
 		Fetch: func(size int64) micros { return micros(size) * sec / 1000 }}
 	for _, s := range spans {
 		m.Occupy(s)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -530,7 +530,14 @@
 // closeJobs lets go of jobs that are over and of which no attempt is left.
 func (c *Controller) closeJobs() {
 	t := c.term
-	for _, j := range t.jobs() {
+	var over []*bookkeeping.Job
+	for _, j := range t.book.Jobs {
+		if j.State == bookkeeping.JobDone || j.State == bookkeeping.JobClosed || j.State == bookkeeping.JobCancelled {
+			over = append(over, j)
+		}
+	}
+	sort.Slice(over, func(a, b int) bool { return over[a].Spec.Ref < over[b].Spec.Ref })
+	for _, j := range over {
 		ref := j.Spec.Ref
 		switch j.State {
 		case bookkeeping.JobDone, bookkeeping.JobClosed:
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -266,10 +266,8 @@
 		k := c.class(j.Spec.Class)
 		// Machines differ by a tenth, estimates by half: only a machine that is
 		// far off for several tasks in a row shows.
-		if length := k.length(j.Spec); length > 0 {
-			r := max(0.3, min(5, float64(took)/float64(length)))
-			a.Host.Slowness += (r - a.Host.Slowness) * 0.25
-		}
+		r := max(0.3, min(5, float64(took)/float64(k.length(j.Spec))))
+		a.Host.Slowness += (r - a.Host.Slowness) * 0.25
 		k.ran(j, took)
 	}
 	if j.Spec.Kind == protocol.Gang {
@@ -465,14 +463,7 @@
 			return
 		}
 		h.Calling = false
-		var report *protocol.Report
-		if r.Status == 200 || r.Status == 409 {
-			var err error
-			if report, err = protocol.ParseReport(r.Body); err != nil || report.Host != h.Name {
-				c.malformed("worker", err)
-				report = nil
-			}
-		}
+		report := c.answerOf(h, r)
 		if report == nil {
 			h.NoCalls = c.at.Steady + 8*protocol.Second
 			if !r.Unsent {
@@ -494,16 +485,36 @@
 			}
 			return
 		}
-		if report.Epoch > t.epoch {
-			c.deposed("a worker has seen a newer epoch")
-			return
-		}
-		if t.book.Hosts[h.Name] == h && report.Newer(h.Session, h.Tick) {
-			c.takeReport(h, report, true)
-		}
+		c.takeAnswer(h, report)
 	})
 }
 
+// answerOf reads the report with which a worker answers a call, or nil.
+func (c *Controller) answerOf(h *bookkeeping.Host, r CallDone) *protocol.Report {
+	if r.Status != 200 && r.Status != 409 {
+		return nil
+	}
+	report, err := protocol.ParseReport(r.Body)
+	if err != nil || report.Host != h.Name {
+		c.malformed("worker", err)
+		return nil
+	}
+	return report
+}
+
+// takeAnswer takes the report that answered a call, unless a newer one came
+// first. It tells whether this node still leads.
+func (c *Controller) takeAnswer(h *bookkeeping.Host, report *protocol.Report) bool {
+	if report.Epoch > c.term.epoch {
+		c.deposed("a worker has seen a newer epoch")
+		return false
+	}
+	if c.term.book.Hosts[h.Name] == h && (h.Session == 0 || report.Newer(h.Session, h.Tick)) {
+		c.takeReport(h, report, true)
+	}
+	return true
+}
+
 // probe asks a recorded host what is on it, rather than waiting until its
 // worker finds the new leader. Its session is not recorded, so its report is
 // read first; then an empty command shows it the new epoch. From there on
@@ -514,21 +525,13 @@
 	}
 	take := func(r CallDone) *protocol.Report {
 		h.ProbeFailed = r.Status == 0
-		if c.term != t || t.book.Hosts[h.Name] != h || (r.Status != 200 && r.Status != 409) {
+		if c.term != t || t.book.Hosts[h.Name] != h {
 			return nil
 		}
-		report, err := protocol.ParseReport(r.Body)
-		if err != nil || report.Host != h.Name {
-			c.malformed("worker", err)
+		report := c.answerOf(h, r)
+		if report == nil || !c.takeAnswer(h, report) {
 			return nil
 		}
-		if report.Epoch > t.epoch {
-			c.deposed("a worker has seen a newer epoch")
-			return nil
-		}
-		if h.Session == 0 || report.Newer(h.Session, h.Tick) {
-			c.takeReport(h, report, true)
-		}
 		return report
 	}
 	c.callAddr(ToWorker, "GET", h.Addr, "/status", nil, callTimeout, func(r CallDone) {
--- a/internal/protocol/units.go
+++ b/internal/protocol/units.go
@@ -40,6 +40,14 @@
 // Seconds turns microseconds into seconds for the wire.
 func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
 
+// End is when a span that begins at an instant is over, at most Forever.
+func End(from, span Micros) Micros {
+	if span >= Forever-from {
+		return Forever
+	}
+	return from + span
+}
+
 // Resources is an amount of what machines offer and tasks take, in
 // thousandths (of a processor, of a GPU, of a GB).
 type Resources struct {
