--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -33,8 +33,8 @@
 	seed := rand.Uint64()
 	d := &driver{log: log, platform: p, ctl: coordination.New(p, o, seed, log), started: time.Now(), in: make(chan any, queueLength),
 		meters: map[coordination.Target]*transport.Meter{
-			coordination.ToState: transport.NewMeter(p.StateRate, p.StateWriteRate, 1),
-			coordination.ToCloud: transport.NewMeter(p.CloudRate, 0, 2),
+			coordination.ToState: transport.NewMeter(p.StateRate, p.StateWriteRate, 1, p.TxnOps),
+			coordination.ToCloud: transport.NewMeter(p.CloudRate, 0, 2, 0),
 		},
 		addrs: map[coordination.Target]string{coordination.ToState: p.StateAddr, coordination.ToCloud: p.CloudAddr},
 	}
@@ -44,10 +44,13 @@
 		coordination.ToState:  {MaxOpen: outbound / 4, MaxPer: outbound / 4, KeepIdle: 20 * time.Second},
 		coordination.ToCloud:  {MaxOpen: outbound / 8, MaxPer: outbound / 8, KeepIdle: 20 * time.Second},
 		coordination.ToPeer:   {MaxOpen: outbound / 4, MaxPer: outbound / 8, KeepIdle: 20 * time.Second},
-		coordination.ToWorker: {MaxOpen: outbound / 4, MaxPer: 2, KeepIdle: 20 * time.Second},
+		coordination.ToWorker: {MaxOpen: outbound / 2, MaxPer: 2, KeepIdle: 20 * time.Second},
 	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute}
+	for _, m := range d.meters {
+		m.SetShare(coordination.FollowerShare(len(p.Siblings) + 1))
+	}
 	go d.server.Run(p.ClientListen, p.ClusterListen)
 	log.Info("started", "node", p.Node, "zone", p.Zone, "version", version)
 	d.loop()
@@ -68,26 +71,29 @@
 	return protocol.Now{Steady: protocol.Micros(t.Sub(d.started) / time.Microsecond), Wall: protocol.Micros(t.UnixMicro())}
 }
 
+// batch is how many events are handled before it is seen whether a tick is due:
+// however many wait, renewal and rounds get their turn.
+const batch = 64
+
 func (d *driver) loop() {
 	d.perform(d.ctl.Start(d.now()))
 	ticker := time.NewTicker(tickEvery)
+	var ticked protocol.Micros
 	for {
 		select {
 		case m := <-d.in:
 			d.handle(m)
 		case <-ticker.C:
-			d.perform(d.ctl.Step(d.now(), coordination.Tick{}))
 		}
-		for more := true; more; {
-			select {
-			case m := <-d.in:
-				d.handle(m)
-			default:
-				more = false
-			}
+		for n := 1; n < batch && len(d.in) > 0; n++ {
+			d.handle(<-d.in)
 		}
-		for _, m := range d.meters {
-			m.Run(d.now().Steady)
+		if now := d.now(); now.Steady-ticked >= protocol.Micros(tickEvery/time.Microsecond)*9/10 {
+			ticked = now.Steady
+			d.perform(d.ctl.Step(now, coordination.Tick{Backlog: len(d.in)}))
+			for _, m := range d.meters {
+				m.Run(ticked)
+			}
 		}
 	}
 }
@@ -152,18 +158,16 @@
 		case coordination.Call:
 			d.call(e)
 		case coordination.Share:
-			part := 0.15
+			nodes := len(d.platform.Siblings) + 1
+			part := coordination.FollowerShare(nodes)
 			if e.Leads {
-				part = 0.65
+				part = coordination.LeaderShare(nodes)
 			}
 			for _, m := range d.meters {
 				m.SetShare(part)
 			}
 		}
 	}
-	for _, m := range d.meters {
-		m.Run(d.now().Steady)
-	}
 }
 
 func (d *driver) reply(r coordination.Reply) {
@@ -191,6 +195,7 @@
 		Expire: func() {
 			go func() { d.in <- coordination.CallDone{ID: c.ID, Unsent: true} }()
 		}})
+	m.Run(d.now().Steady)
 }
 
 func (d *driver) send(c coordination.Call) {
@@ -220,7 +225,8 @@
 	})
 	if err != nil {
 		done.Status, done.Body = 0, nil
-		done.Unsent = err == transport.ErrSockets || err == transport.ErrRefused
+		done.Refused = err == transport.ErrRefused
+		done.Unsent = done.Refused || err == transport.ErrSockets
 	}
 	d.in <- done
 }
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -1,6 +1,7 @@
 package bookkeeping
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -27,17 +28,84 @@
 	}
 }
 
-func TestHostRecord(t *testing.T) {
+// Hosts share a record. What it says of them is read back, and a record of
+// another form is refused rather than taken for an empty one.
+func TestHostPage(t *testing.T) {
 	h := NewHost(0, "n-1", "g8", "a", true)
 	h.Addr, h.RecordedWall = "10.0.0.1:9000", 99
 	h.SawImage(5, "img-1", 2000)
-	got, err := DecodeHost(0, "n-1", EncodeHost(h))
-	if err != nil {
-		t.Fatal(err)
+	plain := NewHost(0, "n-2", "g4", "b", false)
+	plain.Addr = "10.0.0.2:9000"
+	for _, images := range []bool{true, false} {
+		got, err := DecodeHosts(0, EncodeHosts([]*Host{h, plain}, images))
+		if err != nil || len(got) != 2 {
+			t.Fatal(got, err)
+		}
+		g := got[0]
+		if g.Name != "n-1" || g.TypeName != "g8" || g.Zone != "a" || !g.Spot || g.Addr != h.Addr || g.RecordedWall != 99 || !g.Recorded || !g.FromRecord {
+			t.Errorf("%+v", g)
+		}
+		if im := g.Images["img-1"]; images != (im != nil) || images && im.Size != 2000 {
+			t.Errorf("images %v", g.Images)
+		}
+		if got[1].Name != "n-2" || got[1].Spot || len(got[1].Images) != 0 {
+			t.Errorf("%+v", got[1])
+		}
+	}
+	for _, bad := range []string{`{}`, `{"form":3,"hosts":[]}`, `{"form":2}`, `{"form":2,"hosts":[["n-1"]]}`, `{"form":2,"hosts":[["n-1","","g8","a",0,0,7]]}`, `[]`} {
+		if got, err := DecodeHosts(0, []byte(bad)); err == nil {
+			t.Errorf("%s: read as %v", bad, got)
+		}
+	}
+	old, err := DecodeHost(0, "n-1", []byte(`{"type":"g8","zone":"a","addr":"10.0.0.1:9000","at":99,"spot":true,"images":{"img-1":2000}}`))
+	if err != nil || old.TypeName != "g8" || !old.Spot || old.Images["img-1"] == nil {
+		t.Errorf("the form with a key for each host: %+v %v", old, err)
+	}
+}
+
+// Bookings and completions of many jobs share a record too.
+func TestSharedRecords(t *testing.T) {
+	at := map[string]micros{"req-000001": 5, "req-000002": 1 << 50}
+	got, err := DecodeBookings(EncodeBookings([]string{"req-000001", "req-000002"}, func(ref string) micros { return at[ref] }))
+	if d := cmp.Diff(at, got); d != "" || err != nil {
+		t.Error(d, err)
+	}
+	j := job(30)
+	j.Complete(3, false)
+	j.Complete(29, false)
+	bits, err := DecodeCompletions(EncodeCompletions([]*Job{j}))
+	again := job(30)
+	if err == nil {
+		err = ApplyChunk(again, 0, bits["req-000001"])
 	}
-	if got.TypeName != "g8" || got.Zone != "a" || !got.Spot || got.Addr != h.Addr || got.RecordedWall != 99 || got.Images["img-1"] == nil ||
-		got.Images["img-1"].Size != 2000 || !got.Recorded || !got.FromRecord {
-		t.Errorf("%+v", got)
+	if err != nil || again.Done != 2 || again.Tasks[3].State != TaskDone || !again.Tasks[29].Durable {
+		t.Errorf("%v %+v", err, again)
+	}
+	for _, bad := range []string{`{"form":3,"done":{}}`, `{"form":2,"done":{"req-000001":7}}`, `{"form":2,"at":{"req-000001":"x"}}`, `{"form":2}`, `7`} {
+		if _, err := DecodeCompletions([]byte(bad)); err == nil {
+			t.Errorf("%s: taken for completions", bad)
+		}
+		if _, err := DecodeBookings([]byte(bad)); err == nil {
+			t.Errorf("%s: taken for bookings", bad)
+		}
+	}
+}
+
+// An epoch of the form before is read; a controller of that form can't read
+// ours and so can't lead without seeing the hosts that share a record.
+func TestEpochRecord(t *testing.T) {
+	for text, want := range map[string]uint64{"7": 7, string(EncodeEpoch(8)): 8} {
+		if got, err := DecodeEpoch([]byte(text)); err != nil || got != want {
+			t.Errorf("%s: %d %v", text, got, err)
+		}
+	}
+	if _, err := strconv.ParseUint(string(EncodeEpoch(8)), 10, 64); err == nil {
+		t.Error("the form before would read it")
+	}
+	for _, bad := range []string{`{"form":3,"epoch":9}`, `{"form":2}`, `"7"`, `-1`, ``} {
+		if n, err := DecodeEpoch([]byte(bad)); err == nil {
+			t.Errorf("%s: read as %d", bad, n)
+		}
 	}
 }
 
@@ -88,7 +156,7 @@
 				t.Errorf("%v at %v: used %v, %d queued, %d attempts", path, s, b.Used["red"], j.Queued, j.Attempts)
 			}
 		}
-		if b.Used["red"] != (protocol.Resources{}) || j.Queued != 1 || j.Attempts != 0 || j.Running != 0 || j.Tasks[0].Live != 0 || len(h.Attempts) != 0 {
+		if b.Used["red"] != (protocol.Resources{}) || j.Queued != 1 || j.Attempts != 0 || j.Running != 0 || j.Tasks[0].Live != 0 || len(h.Attempts()) != 0 || !h.Empty() {
 			t.Errorf("%v: used %v, job %+v", path, b.Used["red"], j)
 		}
 	}
--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 
 	"mapleslip/internal/protocol"
 )
@@ -43,8 +45,8 @@
 	Zone         string
 	Spot         bool
 	State        HostState
-	Recorded     bool // in the state service; nothing is launched before
-	Recording    bool
+	Recorded     bool   // in the state service; nothing is launched before
+	OldRecord    bool   // its record is of form 1, to be moved
 	RecordedWall micros // time of day of its record
 	FromRecord   bool   // recorded under an earlier epoch: may hold tasks unseen
 	Proven       bool   // has reported under this epoch, or its tasks are gone
@@ -58,11 +60,17 @@
 	AbsentSince  micros
 	Noticed      bool
 	TakenAt      micros
-	Attempts     map[protocol.AttemptName]*Attempt
+	attempts     []*Attempt // in order; replaced, not changed, when one comes or goes
+	used         protocol.Resources
+	occupied     int    // attempts that may take room
+	Changed      bool   // since the planner looked at it
+	Reports      uint64 // taken so far
 	Images       map[string]*Image
 	ImagesNew    bool // the record does not have them all
 	IdleSince    micros
 	Calling      bool   // a direct command is on its way
+	CallQueued   bool   // commands wait for it
+	Probing      bool   // it is being asked, or will be
 	NoCalls      micros // no direct commands before
 	ProbeAt      micros // when a silent host is asked again
 	ProbeFailed  bool   // it did not answer the last time
@@ -76,7 +84,7 @@
 // NewHost makes a host.
 func NewHost(now micros, name, typeName, zone string, spot bool) *Host {
 	return &Host{Name: name, TypeName: typeName, Zone: zone, Spot: spot, Since: now, IdleSince: now, Slowness: 1,
-		Attempts: make(map[protocol.AttemptName]*Attempt), Images: make(map[string]*Image)}
+		Changed: true, Images: make(map[string]*Image)}
 }
 
 // To is the one place where a host changes its state.
@@ -86,34 +94,58 @@
 	}
 	for _, ok := range hostMoves[h.State] {
 		if ok == s {
-			h.State = s
+			h.State, h.Changed = s, true
 			return
 		}
 	}
 	panic(fmt.Sprintf("host %s: no way from %v to %v", h.Name, h.State, s))
 }
 
-// Used sums what the attempts take.
-func (h *Host) Used() protocol.Resources {
-	var r protocol.Resources
-	for _, a := range h.Attempts {
-		if a.State.Occupies() && a.Job != nil {
-			r = r.Add(a.Job.Spec.Need, 1)
+// Attempts lists the attempts on a host in their order. The list stays as it
+// is when attempts come and go.
+func (h *Host) Attempts() []*Attempt { return h.attempts }
+
+// Find finds an attempt on a host, or nil.
+func (h *Host) Find(name protocol.AttemptName) *Attempt {
+	for _, a := range h.attempts {
+		if a.Name == name {
+			return a
 		}
 	}
-	return r
+	return nil
 }
 
-// Empty reports whether no attempt may take room.
-func (h *Host) Empty() bool {
-	for _, a := range h.Attempts {
-		if a.State.Occupies() {
-			return false
+func (h *Host) attach(a *Attempt) {
+	i := 0
+	for i < len(h.attempts) && h.attempts[i].compare(a.Name) < 0 {
+		i++
+	}
+	list := make([]*Attempt, 0, len(h.attempts)+1)
+	list = append(append(list, h.attempts[:i]...), a)
+	h.attempts = append(list, h.attempts[i:]...)
+	h.Changed = true
+}
+
+func (h *Host) detach(a *Attempt) {
+	list := make([]*Attempt, 0, len(h.attempts))
+	for _, o := range h.attempts {
+		if o != a {
+			list = append(list, o)
 		}
 	}
-	return true
+	h.attempts = list
+	h.Changed = true
 }
 
+// Used is what the attempts take.
+func (h *Host) Used() protocol.Resources { return h.used }
+
+// Empty reports whether no attempt may take room.
+func (h *Host) Empty() bool { return h.occupied == 0 }
+
+// ImageNames lists the host's images in order.
+func (h *Host) ImageNames() []string { return slices.Sorted(maps.Keys(h.Images)) }
+
 // SawImage notes that the host has an image, and forgets the least recently
 // used ones that its cache cannot hold beside it.
 func (h *Host) SawImage(now micros, name string, size int64) {
@@ -121,7 +153,7 @@
 	if im == nil {
 		im = &Image{Size: size}
 		h.Images[name] = im
-		h.ImagesNew = true
+		h.ImagesNew, h.Changed = true, true
 	}
 	im.Used = now
 	if h.Type == nil {
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -3,7 +3,11 @@
 package bookkeeping
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
+	"sort"
+	"strings"
 
 	"mapleslip/internal/protocol"
 )
@@ -76,6 +80,28 @@
 	FirstStart    micros
 	RoomOn        string // host on which room was made for it
 	RoomUntil     micros
+	Places        []Booking // planned by the last pass
+	UnviableUntil micros    // no booking could meet its deadline, found lately
+	Lowest        int       // no task before it waits for a place
+	on            map[*Attempt]struct{}
+}
+
+// Booking is a place that a pass planned for later.
+type Booking struct {
+	Machine      string
+	Begin, Ready micros
+}
+
+// On lists the job's attempts that are not certainly gone, in their order.
+func (j *Job) On() []*Attempt {
+	list := make([]*Attempt, 0, len(j.on))
+	for a := range j.on {
+		list = append(list, a)
+	}
+	sort.Slice(list, func(x, y int) bool {
+		return list[x].Name.Index < list[y].Name.Index || list[x].Name.Index == list[y].Name.Index && list[x].Name.Number < list[y].Name.Number
+	})
+	return list
 }
 
 // NewJob makes a job from its specification.
@@ -139,6 +165,12 @@
 	ViaReport     bool // the launch left with the answer to a report
 	Adopted       bool
 	ExpectedReady micros
+	Seen          uint64 // the host's report that listed it last
+}
+
+// compare is the order in which a host's attempts are kept.
+func (a *Attempt) compare(name protocol.AttemptName) int {
+	return cmp.Or(cmp.Compare(a.Name.Index, name.Index), cmp.Compare(a.Name.Number, name.Number), strings.Compare(a.Name.Job, name.Job))
 }
 
 // Task is the attempt's task, or nil.
@@ -151,20 +183,85 @@
 
 // Book is all that a leader knows of jobs, hosts and teams.
 type Book struct {
-	Jobs  map[string]*Job
-	Hosts map[string]*Host
-	Used  map[string]protocol.Resources // by team, all that may be on hosts
+	Used    map[string]protocol.Resources // by team, all that may be on hosts
+	jobs    map[string]*Job
+	line    []*Job // by submission
+	hosts   map[string]*Host
+	order   []*Host               // by name
+	unknown map[string][]*Attempt // of jobs that are not known, by job
 }
 
 // NewBook makes an empty book.
 func NewBook() *Book {
-	return &Book{Jobs: make(map[string]*Job), Hosts: make(map[string]*Host), Used: make(map[string]protocol.Resources)}
+	return &Book{jobs: make(map[string]*Job), hosts: make(map[string]*Host), Used: make(map[string]protocol.Resources),
+		unknown: make(map[string][]*Attempt)}
+}
+
+// Job finds a job, or nil.
+func (b *Book) Job(ref string) *Job { return b.jobs[ref] }
+
+// Line lists the jobs in the order of their submission.
+func (b *Book) Line() []*Job { return b.line }
+
+// AddJob takes a job into the book.
+func (b *Book) AddJob(j *Job) {
+	b.jobs[j.Spec.Ref] = j
+	i := sort.Search(len(b.line), func(i int) bool {
+		o := b.line[i]
+		return o.Submitted > j.Submitted || o.Submitted == j.Submitted && o.Spec.Ref > j.Spec.Ref
+	})
+	b.line = slices.Insert(b.line, i, j)
+}
+
+// RemoveJobs lets go of jobs. What hosts still report of them is of no job.
+func (b *Book) RemoveJobs(list []*Job) {
+	if len(list) == 0 {
+		return
+	}
+	for _, j := range list {
+		delete(b.jobs, j.Spec.Ref)
+		for a := range j.on {
+			a.Job = nil
+			b.unknown[a.Name.Job] = append(b.unknown[a.Name.Job], a)
+		}
+		j.on = nil
+	}
+	b.line = slices.DeleteFunc(b.line, func(j *Job) bool { return b.jobs[j.Spec.Ref] != j })
+}
+
+// Host finds a host, or nil.
+func (b *Book) Host(name string) *Host { return b.hosts[name] }
+
+// Hosts lists the hosts in the order of their names.
+func (b *Book) Hosts() []*Host { return b.order }
+
+// AddHost takes a host into the book.
+func (b *Book) AddHost(h *Host) {
+	b.hosts[h.Name] = h
+	i := sort.Search(len(b.order), func(i int) bool { return b.order[i].Name >= h.Name })
+	b.order = slices.Insert(b.order, i, h)
+}
+
+// RemoveHost lets go of a host that is gone.
+func (b *Book) RemoveHost(h *Host) {
+	delete(b.hosts, h.Name)
+	if i := slices.Index(b.order, h); i >= 0 {
+		b.order = slices.Delete(b.order, i, i+1)
+	}
 }
 
 // Attach makes an attempt of a task on a host. The job may be unknown.
 func (b *Book) Attach(now micros, j *Job, h *Host, name protocol.AttemptName) *Attempt {
 	a := &Attempt{Name: name, Job: j, Host: h, Since: now, Placed: now}
-	h.Attempts[name] = a
+	h.attach(a)
+	if j == nil {
+		b.unknown[name.Job] = append(b.unknown[name.Job], a)
+		return a
+	}
+	if j.on == nil {
+		j.on = make(map[*Attempt]struct{})
+	}
+	j.on[a] = struct{}{}
 	if t := a.Task(); t != nil && t.State == TaskQueued && t.Current == nil {
 		t.Current = a
 		t.State = TaskPlaced
@@ -173,6 +270,28 @@
 	return a
 }
 
+// Rebind gives attempts that were seen before their job was known to it.
+func (b *Book) Rebind(now micros, j *Job) (bound []*Attempt) {
+	list := b.unknown[j.Spec.Ref]
+	delete(b.unknown, j.Spec.Ref)
+	for _, a := range list {
+		state := a.State
+		if state.Occupies() {
+			a.Host.occupied--
+		}
+		a.Host.detach(a)
+		a.State = AttemptGone
+		if state == AttemptExited || a.Name.Index >= len(j.Tasks) {
+			continue // comes again with the next report
+		}
+		n := b.Attach(now, j, a.Host, a.Name)
+		n.Adopted = true
+		b.Move(now, n, state)
+		bound = append(bound, n)
+	}
+	return bound
+}
+
 // Move is the one place where an attempt changes its state. It keeps the
 // counts of its task, job and team.
 func (b *Book) Move(now micros, a *Attempt, to AttemptState) {
@@ -184,13 +303,19 @@
 		panic(fmt.Sprintf("attempt %v: no way from %v to %v", a.Name, from, to))
 	}
 	a.State, a.Since = to, now
+	a.Host.Changed = true
+	d := int64(0)
+	if was, is := from.Occupies(), to.Occupies(); was != is {
+		d = -1
+		if is {
+			d = 1
+		}
+		a.Host.occupied += int(d)
+	}
 	if j := a.Job; j != nil {
-		if was, is := from.Occupies(), to.Occupies(); was != is {
-			d := int64(-1)
-			if is {
-				d = 1
-			}
+		if d != 0 {
 			b.Used[j.Spec.Team] = b.Used[j.Spec.Team].Add(j.Spec.Need, d)
+			a.Host.used = a.Host.used.Add(j.Spec.Need, d)
 			j.Attempts += int(d)
 		}
 		if t := a.Task(); t != nil {
@@ -206,6 +331,7 @@
 				if t.State == TaskPlaced {
 					t.State = TaskQueued
 					j.Queued++
+					j.Lowest = min(j.Lowest, a.Name.Index)
 				}
 			}
 		}
@@ -223,7 +349,16 @@
 		}
 	}
 	if to == AttemptGone {
-		delete(a.Host.Attempts, a.Name)
+		a.Host.detach(a)
+		if a.Job != nil {
+			delete(a.Job.on, a)
+		} else if list := b.unknown[a.Name.Job]; len(list) > 0 {
+			if list = slices.DeleteFunc(list, func(o *Attempt) bool { return o == a }); len(list) == 0 {
+				delete(b.unknown, a.Name.Job)
+			} else {
+				b.unknown[a.Name.Job] = list
+			}
+		}
 	}
 }
 
@@ -241,5 +376,16 @@
 	j.Done++
 }
 
+// Undurable lists the completed tasks of a range that no record has yet.
+func (j *Job) Undurable(from, to int) []int {
+	var list []int
+	for i := from; i < min(to, len(j.Tasks)); i++ {
+		if j.Tasks[i].State == TaskDone && !j.Tasks[i].Durable {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
 // Settled reports whether no attempt of the job can be on a host.
 func (j *Job) Settled() bool { return j.Attempts == 0 }
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -18,12 +18,64 @@
 	JobPrefix = "j/"
 	// Finished jobs leave the live prefix, so that a new leader reads only
 	// what it needs.
-	FinalPrefix   = "f/"
-	HostPrefix    = "m/"
-	BookingPrefix = "b/"
-	ChunkPrefix   = "d/"
+	FinalPrefix = "f/"
+	ChunkPrefix = "d/"
+	// Records that are small and many share keys: a change costs the same
+	// however much of the value it writes.
+	HostPages       = "hp/"
+	BookingPages    = "bp/"
+	CompletionPages = "dp/"
+	// Prefixes of form 1, which had a key for each host and each booking. They
+	// are read, moved and dropped.
+	OldHostPrefix    = "m/"
+	OldBookingPrefix = "b/"
 )
 
+// Form is the form of the records. A controller that knows only an earlier one
+// can't read the epoch's record, so it never leads without seeing what it
+// can't read.
+const Form = 2
+
+var errForm = errors.New("record of an unknown form")
+
+// open reads a record of this form.
+func open(value []byte) (*fastjson.Value, error) {
+	v, err := fastjson.ParseBytes(value)
+	if err != nil {
+		return nil, err
+	}
+	if v.Type() != fastjson.TypeObject || v.GetInt("form") != Form {
+		return nil, errForm
+	}
+	return v, nil
+}
+
+func begin(field string) []byte {
+	b := append(strconv.AppendInt([]byte(`{"form":`), Form, 10), `,"`...)
+	return append(append(b, field...), `":`...)
+}
+
+// EncodeEpoch writes the counter of epochs.
+func EncodeEpoch(n uint64) []byte {
+	return append(strconv.AppendUint(begin("epoch"), n, 10), '}')
+}
+
+// DecodeEpoch reads the counter of epochs, also that of form 1.
+func DecodeEpoch(value []byte) (uint64, error) {
+	if n, err := strconv.ParseUint(string(value), 10, 64); err == nil {
+		return n, nil
+	}
+	v, err := open(value)
+	if err != nil {
+		return 0, err
+	}
+	n, err := protocol.Member(v, "epoch").Uint64()
+	if err != nil {
+		return 0, errForm
+	}
+	return n, nil
+}
+
 // ChunkTasks is how many tasks of an array one record of completions holds.
 const ChunkTasks = 8192
 
@@ -46,7 +98,7 @@
 	if err != nil {
 		return nil, err
 	}
-	spec, err := protocol.ParseJob(v.Get("job").MarshalTo(nil))
+	spec, err := protocol.ParseJob(protocol.Member(v, "job").MarshalTo(nil))
 	if err != nil {
 		return nil, err
 	}
@@ -77,26 +129,152 @@
 	return p, v.GetInt("n"), nil
 }
 
-// EncodeHost writes a host's record.
-func EncodeHost(h *Host) []byte {
-	var a fastjson.Arena
-	o := a.NewObject()
-	o.Set("type", a.NewString(h.TypeName))
-	o.Set("zone", a.NewString(h.Zone))
-	o.Set("addr", a.NewString(h.Addr))
-	o.Set("at", a.NewNumberString(strconv.FormatInt(int64(h.RecordedWall), 10)))
-	if h.Spot {
-		o.Set("spot", a.NewTrue())
-	}
-	images := a.NewObject()
-	for name, im := range h.Images {
-		images.Set(name, a.NewNumberString(strconv.FormatInt(im.Size, 10)))
-	}
-	o.Set("images", images)
-	return o.MarshalTo(nil)
+// EncodeHosts writes the record that some hosts share: for each its name,
+// address, type, zone, whether it is a spot machine, when it was recorded, and
+// the numbers of its images in the list that the record ends with.
+func EncodeHosts(hosts []*Host, images bool) []byte {
+	b := append(begin("hosts"), '[')
+	numbers := make(map[string]int)
+	var list []byte
+	for i, h := range hosts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(b, '[')
+		for _, s := range []string{h.Name, h.Addr, h.TypeName, h.Zone} {
+			b = append(protocol.AppendQuoted(b, s), ',')
+		}
+		spot := int64(0)
+		if h.Spot {
+			spot = 1
+		}
+		b = append(strconv.AppendInt(b, spot, 10), ',')
+		b = strconv.AppendInt(b, int64(h.RecordedWall), 10)
+		if images {
+			for _, name := range h.ImageNames() {
+				n, ok := numbers[name]
+				if !ok {
+					n = len(numbers)
+					numbers[name] = n
+					if n > 0 {
+						list = append(list, ',')
+					}
+					list = append(protocol.AppendQuoted(list, name), ',')
+					list = strconv.AppendInt(list, h.Images[name].Size, 10)
+				}
+				b = strconv.AppendInt(append(b, ','), int64(n), 10)
+			}
+		}
+		b = append(b, ']')
+	}
+	b = append(b, `],"images":[`...)
+	return append(append(b, list...), "]}"...)
+}
+
+// DecodeHosts reads a record that hosts share.
+func DecodeHosts(now micros, value []byte) ([]*Host, error) {
+	v, err := open(value)
+	if err != nil {
+		return nil, err
+	}
+	rows, err := protocol.Member(v, "hosts").Array()
+	if err != nil {
+		return nil, errForm
+	}
+	images := v.GetArray("images")
+	var hosts []*Host
+	for _, row := range rows {
+		f := row.GetArray()
+		if len(f) < 6 {
+			return nil, errForm
+		}
+		h := NewHost(now, string(f[0].GetStringBytes()), string(f[2].GetStringBytes()), string(f[3].GetStringBytes()), f[4].GetInt() == 1)
+		h.Addr, h.RecordedWall = string(f[1].GetStringBytes()), micros(f[5].GetInt64())
+		if h.Name == "" {
+			return nil, errForm
+		}
+		for _, x := range f[6:] {
+			n, err := x.Int()
+			if err != nil || n < 0 || 2*n+1 >= len(images) {
+				return nil, errForm
+			}
+			h.Images[string(images[2*n].GetStringBytes())] = &Image{Size: images[2*n+1].GetInt64()}
+		}
+		h.Recorded, h.FromRecord = true, true
+		hosts = append(hosts, h)
+	}
+	return hosts, nil
+}
+
+// byRef writes a record that jobs share, with one member for each.
+func byRef(field string, refs []string, value func(b []byte, ref string) []byte) []byte {
+	b := append(begin(field), '{')
+	for i, ref := range refs {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = value(append(protocol.AppendQuoted(b, ref), ':'), ref)
+	}
+	return append(b, "}}"...)
+}
+
+// EncodeBookings writes the starts of bookings, in the time of day.
+func EncodeBookings(refs []string, at func(ref string) micros) []byte {
+	return byRef("at", refs, func(b []byte, ref string) []byte { return strconv.AppendInt(b, int64(at(ref)), 10) })
+}
+
+// DecodeBookings reads bookings.
+func DecodeBookings(value []byte) (map[string]micros, error) {
+	out := make(map[string]micros)
+	err := eachRef(value, "at", func(ref string, v *fastjson.Value) error {
+		at, err := v.Int64()
+		out[ref] = micros(at)
+		return err
+	})
+	return out, err
+}
+
+// EncodeCompletions writes which tasks of some arrays are done.
+func EncodeCompletions(jobs []*Job) []byte {
+	refs := make([]string, len(jobs))
+	byName := make(map[string]*Job, len(jobs))
+	for i, j := range jobs {
+		refs[i], byName[j.Spec.Ref] = j.Spec.Ref, j
+	}
+	return byRef("done", refs, func(b []byte, ref string) []byte { return append(b, EncodeChunk(byName[ref], 0)...) })
+}
+
+// DecodeCompletions reads completions; ApplyChunk takes what it gives.
+func DecodeCompletions(value []byte) (map[string][]byte, error) {
+	out := make(map[string][]byte)
+	err := eachRef(value, "done", func(ref string, v *fastjson.Value) error {
+		if v.Type() != fastjson.TypeString {
+			return errForm
+		}
+		out[ref] = v.MarshalTo(nil)
+		return nil
+	})
+	return out, err
+}
+
+func eachRef(value []byte, field string, take func(ref string, v *fastjson.Value) error) error {
+	v, err := open(value)
+	if err != nil {
+		return err
+	}
+	o, err := protocol.Member(v, field).Object()
+	if err != nil {
+		return errForm
+	}
+	o.Visit(func(key []byte, v *fastjson.Value) {
+		if err == nil {
+			err = take(string(key), v)
+		}
+	})
+	return err
 }
 
-// DecodeHost reads a host's record.
+// DecodeHost reads a host's record of form 1.
 func DecodeHost(now micros, name string, value []byte) (*Host, error) {
 	v, err := fastjson.ParseBytes(value)
 	if err != nil {
@@ -105,7 +283,7 @@
 	h := NewHost(now, name, string(v.GetStringBytes("type")), string(v.GetStringBytes("zone")), v.GetBool("spot"))
 	h.Addr = string(v.GetStringBytes("addr"))
 	h.RecordedWall = micros(v.GetInt64("at"))
-	if images, err := v.Get("images").Object(); err == nil {
+	if images, err := protocol.Member(v, "images").Object(); err == nil {
 		images.Visit(func(key []byte, v *fastjson.Value) {
 			if size, err := v.Int64(); err == nil {
 				h.Images[string(key)] = &Image{Size: size}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -4,9 +4,9 @@
 package coordination
 
 import (
+	"container/heap"
 	"log/slog"
 	"math/rand/v2"
-	"sort"
 	"strconv"
 
 	"mapleslip/internal/bookkeeping"
@@ -55,10 +55,15 @@
 	Status int
 	Body   []byte
 	Unsent bool // certainly not executed
+	// Refused: the other side could not be connected to. An unsent call that was
+	// not refused says nothing of the other side.
+	Refused bool
 }
 
-// Tick is the passing of time.
-type Tick struct{}
+// Tick is the passing of time. What is periodic is done with ticks.
+type Tick struct {
+	Backlog int // events that wait
+}
 
 func (UserCall) event()     {}
 func (WorkerReport) event() {}
@@ -107,6 +112,7 @@
 // Priorities of metered calls.
 const (
 	prioLeadership uint8 = iota
+	prioUser             // somebody waits for the answer
 	prioUrgent
 	prioNormal
 )
@@ -135,12 +141,16 @@
 	rng      *rand.Rand
 	log      *slog.Logger
 
-	at      now
-	effects []Effect
-	calls   map[uint64]func(CallDone)
-	callSeq uint64
-	callGen uint64 // raised when the role restarts, so that old answers are dropped
-	timers  []timer
+	at       now
+	effects  []Effect
+	calls    map[uint64]func(CallDone)
+	callSeq  uint64
+	callGen  uint64 // raised when the role restarts, so that old answers are dropped
+	timers   timers
+	timerSeq uint64
+	ticked   micros // when the last tick was handled
+	lagged   micros // when this node was last found to fall behind
+	lagLog   micros
 
 	role       Role
 	roleSince  micros
@@ -168,8 +178,9 @@
 }
 
 type timer struct {
-	at micros
-	fn func()
+	at  micros
+	seq uint64
+	fn  func()
 }
 
 // New makes a controller.
@@ -212,9 +223,10 @@
 			fn(e)
 		}
 	case Tick:
+		c.watchLag(e.Backlog)
 	}
 	c.watchLease()
-	if c.term != nil {
+	if _, tick := ev.(Tick); tick && c.term != nil {
 		c.pulse()
 	}
 	return c.flush()
@@ -253,24 +265,56 @@
 
 // after runs fn once the time has come, within the resolution of ticks.
 func (c *Controller) after(d micros, fn func()) {
-	c.timers = append(c.timers, timer{c.at.Steady + d, fn})
+	c.timerSeq++
+	heap.Push(&c.timers, timer{c.at.Steady + d, c.timerSeq, fn})
 }
 
 func (c *Controller) runTimers() {
-	var due []timer
-	rest := c.timers[:0]
-	for _, t := range c.timers {
-		if t.at <= c.at.Steady {
-			due = append(due, t)
-		} else {
-			rest = append(rest, t)
-		}
+	for last := c.timerSeq; len(c.timers) > 0 && c.timers[0].at <= c.at.Steady && c.timers[0].seq <= last; {
+		heap.Pop(&c.timers).(timer).fn()
 	}
-	c.timers = rest
-	sort.SliceStable(due, func(a, b int) bool { return due[a].at < due[b].at })
-	for _, t := range due {
-		t.fn()
+}
+
+// timers is a heap by time.
+type timers []timer
+
+func (h timers) Len() int { return len(h) }
+func (h timers) Less(a, b int) bool {
+	return h[a].at < h[b].at || h[a].at == h[b].at && h[a].seq < h[b].seq
+}
+func (h timers) Swap(a, b int) { h[a], h[b] = h[b], h[a] }
+func (h *timers) Push(x any)   { *h = append(*h, x.(timer)) }
+func (h *timers) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
+
+// What shows that a node falls behind: it was not run for that long, or that
+// many events wait.
+const (
+	lagGap     = 1 * protocol.Second
+	lagBacklog = 256
+)
+
+// watchLag notices that this node falls behind. What it has not heard then may
+// wait in its own queue, so for a while silence says nothing.
+func (c *Controller) watchLag(backlog int) {
+	at := c.at.Steady
+	if gap := at - c.ticked; c.ticked > 0 && gap > lagGap || backlog > lagBacklog {
+		c.lagged = at
+		if at-c.lagLog > 5*protocol.Second {
+			c.lagLog = at
+			c.log.Info("falling behind", "not_run_ms", int64(gap/protocol.Millisecond), "events_waiting", backlog)
+		}
 	}
+	c.ticked = at
+}
+
+// lagging reports whether this node fell behind within a span.
+func (c *Controller) lagging(within micros) bool {
+	return c.lagged > 0 && c.at.Steady-c.lagged < within
 }
 
 // malformed notes an answer that does not follow the protocol. It is treated
@@ -406,7 +450,8 @@
 				for _, e := range entries {
 					each(e)
 				}
-				next(max(rev, revision))
+				// Changes that come together are read together.
+				c.after(200*protocol.Millisecond, func() { next(max(rev, revision)) })
 			case 410:
 				lost()
 			default:
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -157,9 +157,11 @@
 		}
 		var last uint64
 		if found {
-			n, err := strconv.ParseUint(string(e.Value), 10, 64)
+			n, err := bookkeeping.DecodeEpoch(e.Value)
 			if err != nil {
-				c.malformed("state", err)
+				// Records of a form that this program does not know: it must
+				// not lead without seeing what they say.
+				c.log.Error("records can't be read: this node does not lead", "key", e.Key, "err", err)
 				c.retryFollow()
 				return
 			}
@@ -169,7 +171,7 @@
 		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
 		when := []protocol.Condition{{Key: bookkeeping.KeyLeader}, {Key: bookkeeping.KeyEpoch, Stamp: e.Stamp}}
 		then := []protocol.Change{
-			{Key: bookkeeping.KeyEpoch, Value: strconv.AppendUint(nil, epoch, 10)},
+			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch)},
 			{Key: bookkeeping.KeyLeader, Value: bookkeeping.EncodeLeader(lead), Lease: c.seat.lease},
 		}
 		pred := c.leader
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -32,7 +32,7 @@
 	open        map[kind]int // machines asked for and not answered yet
 	bootFactor  map[string]float64
 	fetchFactor map[string]float64
-	needed      map[string]bool // idle hosts that the last round counted on
+	needed      map[*slottable.Machine]bool // that the last plan counted on
 	next        micros
 	nextLog     micros
 	releasing   bool
@@ -43,7 +43,7 @@
 func (r *rental) init() {
 	*r = rental{refused: make(map[kind]micros), backoff: make(map[kind]micros), open: make(map[kind]int),
 		bootFactor: make(map[string]float64), fetchFactor: make(map[string]float64),
-		needed: make(map[string]bool)}
+		needed: make(map[*slottable.Machine]bool)}
 }
 
 func (r *rental) booted(h *bookkeeping.Host, at micros) {
@@ -84,8 +84,12 @@
 		c.typeByName[t.Name] = t
 	}
 	if c.term != nil {
-		for _, h := range c.term.book.Hosts {
-			h.Type = c.typeByName[h.TypeName]
+		for _, h := range c.term.book.Hosts() {
+			// Types stay what they are; only their prices move.
+			if typ := c.typeByName[h.TypeName]; typ != h.Type {
+				h.Type, h.Changed = typ, true
+				delete(c.term.rows, h)
+			}
 		}
 	}
 }
@@ -160,16 +164,16 @@
 	t := c.term
 	at := c.at.Steady
 	for name, l := range listed {
-		if t.gone[name] {
+		if _, gone := t.gone[name]; gone {
 			continue
 		}
-		h := t.book.Hosts[name]
+		h := t.book.Host(name)
 		if h == nil {
 			h = bookkeeping.NewHost(at, name, l.Type, l.Zone, l.Spot)
 			h.Since = at - l.Age
 			h.Type = c.typeByName[l.Type]
 			h.Addr = l.Addr
-			t.book.Hosts[name] = h
+			t.book.AddHost(h)
 			t.dirty = true
 		}
 		h.Listed, h.ListedState, h.AbsentSince = true, l.State, 0
@@ -177,15 +181,15 @@
 			h.Addr = l.Addr
 		}
 	}
-	for _, h := range t.hosts() {
+	for _, h := range t.book.Hosts() {
 		if h.Type == nil {
-			h.Type = c.typeByName[h.TypeName]
+			h.Type, h.Changed = c.typeByName[h.TypeName], true
 		}
 		_, here := listed[h.Name]
 		if !here && h.AbsentSince == 0 {
 			h.AbsentSince = at
 		}
-		silent := at-h.Heard > c.platform.ReportEvery+2*protocol.Second
+		silent := at-h.Heard > c.silence()+protocol.Second && !c.lagging(c.silence())
 		// A list is at most twice the lag old, so a machine that had reported
 		// before that and is not in it is gone.
 		known := h.RecordedWall > 0 && c.at.Wall-h.RecordedWall > 2*c.platform.ListLag+2*protocol.Second
@@ -210,7 +214,7 @@
 		return
 	}
 	c.log.Info("releasing machine", "host", h.Name, "type", h.TypeName, "why", why, "state", h.State.String())
-	for _, a := range sortedAttempts(h) {
+	for _, a := range h.Attempts() {
 		if a.State == bookkeeping.AttemptAssigned {
 			c.lost(a)
 		}
@@ -227,7 +231,7 @@
 		return
 	}
 	var names []string
-	for _, h := range t.hosts() {
+	for _, h := range t.book.Hosts() {
 		if h.State == bookkeeping.HostReleasing && len(names) < 100 {
 			names = append(names, h.Name)
 		}
@@ -245,50 +249,37 @@
 			t.rental.nextRelease = c.at.Steady + protocol.Second
 			return
 		}
-		var then []protocol.Change
 		for _, name := range names {
-			h := t.book.Hosts[name]
+			h := t.book.Host(name)
 			if h == nil {
 				continue
 			}
 			c.loseAll(h, "released: "+h.ReleaseWhy)
 			h.To(bookkeeping.HostGone)
 			h.Proven = true
-			t.gone[name] = true
-			delete(t.book.Hosts, name)
-			if h.Recorded || h.Recording {
-				then = append(then, protocol.Change{Key: bookkeeping.HostPrefix + name})
+			t.gone[name] = c.at.Steady
+			t.book.RemoveHost(h)
+			delete(t.rows, h)
+			// A record left over would only make a successor release the name
+			// once more, and wait for that.
+			t.hostPages.drop(name, c.at.Steady+protocol.Second)
+			if h.OldRecord {
+				t.orphans = append(t.orphans, bookkeeping.OldHostPrefix+name)
 			}
 		}
-		for len(then) > 0 {
-			n := min(len(then), c.platform.TxnOps)
-			c.dropRecords(t, then[:n])
-			then = then[n:]
-		}
 		t.dirty = true
 	})
 }
 
-// dropRecords removes the records of machines that are gone. A record left
-// over would only make a successor release the name once more.
-func (c *Controller) dropRecords(t *term, then []protocol.Change) {
-	c.lead(prioNormal, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
-		if o != txnApplied {
-			c.after(2*protocol.Second, func() {
-				if c.term == t {
-					c.dropRecords(t, then)
-				}
-			})
-		}
-	})
-}
-
 // maxBooting bounds how many machines boot at a time.
-const maxBooting = 100
+const maxBooting = 400
+
+// rentalWork bounds what a plan for rental looks at, in rows of the table.
+const rentalWork = 400_000
 
 // planRental finds what to rent so that waiting work starts sooner, with room
 // to spare for what arrives, and returns what is idle.
-func (c *Controller) planRental(table *slottable.Table, list []*wanted) {
+func (c *Controller) planRental(list []*wanted) {
 	t := c.term
 	at := c.at.Steady
 	r := &t.rental
@@ -298,7 +289,7 @@
 	r.next = at + protocol.Second
 	var requests []*slottable.Request
 	booting := 0
-	for _, h := range t.book.Hosts {
+	for _, h := range t.book.Hosts() {
 		if h.State == bookkeeping.HostBooting && !h.FromRecord {
 			booting++
 		}
@@ -307,7 +298,11 @@
 		booting += n
 	}
 	for _, w := range list {
+		if w.request == nil || w.job.State != bookkeeping.JobLive {
+			continue
+		}
 		left := *w.request
+		left.Kept = nil
 		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
 		if n := len(w.result.Booked); n > 0 {
 			// A booking far away is as good as none.
@@ -316,7 +311,7 @@
 				left.Tasks += n
 			}
 		}
-		left.Limit = min(left.Tasks, c.allowance(w.job, protocol.Resources{}))
+		left.Limit = min(left.Tasks, c.allowance(t.pass, w.job, protocol.Resources{}))
 		if left.Tasks > 0 && left.Limit > 0 {
 			requests = append(requests, &left)
 		}
@@ -336,35 +331,29 @@
 				}
 				tt := typ
 				offers = append(offers, &slottable.Offer{Type: typ.Name, Zone: zone, Spot: spot, Resources: typ.Offer, Price: price,
-					Boot: c.bootTime(typ) + protocol.Second, Fetch: func(size int64) micros { return c.fetchTime(tt, size) }, Most: 8})
+					Boot: c.bootTime(typ) + protocol.Second, Fetch: func(size int64) micros { return c.fetchTime(tt, size) }, Most: maxClaim})
 				kinds = append(kinds, k)
 			}
 		}
 	}
-	work := table.Clone()
-	for _, m := range work.Machines {
-		m.Taken = 0
-	}
 	most := max(0, maxBooting-booting)
-	rent := work.Rent(requests, offers, 3*protocol.Second, most)
-	r.needed = make(map[string]bool)
-	note := func(t *slottable.Table) {
-		for _, m := range t.Machines {
-			if m.Taken > 0 {
-				r.needed[m.Name] = true
-			}
+	clear(r.needed)
+	note := func(list []*slottable.Machine) {
+		for _, m := range list {
+			r.needed[m] = true
 		}
 	}
-	note(work)
+	rent, needed := t.table.Rent(requests, offers, 3*protocol.Second, most, rentalWork)
+	note(needed)
 	// Classes seldom burst together: each looks for its spare room by itself,
 	// so the same room may serve several.
 	spares := make(map[int]int)
 	for _, s := range c.spare() {
-		room := work.Clone()
-		for i, n := range room.Rent([]*slottable.Request{s}, offers, 3*protocol.Second, most) {
+		more, needed := t.table.Rent([]*slottable.Request{s}, offers, 3*protocol.Second, most, rentalWork)
+		for i, n := range more {
 			spares[i] = max(spares[i], n)
 		}
-		note(room)
+		note(needed)
 	}
 	for i := range offers {
 		if n := rent[i] + spares[i]; n > 0 {
@@ -378,12 +367,15 @@
 	}
 }
 
+// maxClaim is how many machines one request to the cloud may ask for.
+const maxClaim = 50
+
 // logFleet tells how the machines are used.
 func (c *Controller) logFleet(booting, waiting int) {
 	type sum struct{ hosts, empty, needed, gpus, used, yielding int64 }
 	byType := make(map[string]*sum)
 	var names []string
-	for _, h := range c.term.hosts() {
+	for _, h := range c.term.book.Hosts() {
 		if h.Type == nil || h.State != bookkeeping.HostReady {
 			continue
 		}
@@ -398,7 +390,7 @@
 			names = append(names, name)
 		}
 		anchored := false
-		for _, a := range h.Attempts {
+		for _, a := range h.Attempts() {
 			anchored = anchored || a.State.Occupies() && a.Job != nil && !c.yields(a.Job.Spec)
 		}
 		if !anchored && !h.Empty() {
@@ -409,7 +401,7 @@
 		k.used += h.Used().GPU / 1000
 		if h.Empty() {
 			k.empty++
-			if c.term.rental.needed[h.Name] {
+			if c.term.rental.needed[c.term.rows[h]] {
 				k.needed++
 			}
 		}
@@ -497,7 +489,7 @@
 func (c *Controller) rent(k kind, count int) {
 	t := c.term
 	t.claims++
-	cl := &claim{name: fmt.Sprintf("r-%d-%d", t.epoch, t.claims), kind: k, count: min(count, 50)}
+	cl := &claim{name: fmt.Sprintf("r-%d-%d", t.epoch, t.claims), kind: k, count: min(count, maxClaim)}
 	t.rental.open[k] += cl.count
 	c.sendClaim(t, cl)
 }
@@ -527,11 +519,11 @@
 				r.refused[k] = at + 10*protocol.Second
 			}
 			for _, name := range names {
-				if t.book.Hosts[name] == nil && !t.gone[name] {
+				if _, gone := t.gone[name]; t.book.Host(name) == nil && !gone {
 					h := bookkeeping.NewHost(asked, name, k.typ, k.zone, k.spot)
 					h.Type = c.typeByName[k.typ]
 					h.Heard = at
-					t.book.Hosts[name] = h
+					t.book.AddHost(h)
 				}
 			}
 			t.dirty = true
@@ -573,8 +565,8 @@
 		// can neither be used nor counted as gone.
 		return
 	}
-	for _, h := range t.hosts() {
-		if h.State != bookkeeping.HostReady || !h.Proven || !h.Empty() || t.rental.needed[h.Name] {
+	for _, h := range t.book.Hosts() {
+		if h.State != bookkeeping.HostReady || !h.Proven || !h.Empty() || t.rental.needed[t.rows[h]] {
 			continue
 		}
 		if at-h.IdleSince > c.operator.IdleReturn {
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"strconv"
 
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/coordination/slottable"
@@ -20,56 +19,189 @@
 	result  slottable.Result
 }
 
-// round plans once: it assigns what can start now, keeps bookings, makes room
-// by preemption, and finds what to rent.
+// stage is how far a pass has come.
+type stage uint8
+
+// Stages of a pass.
+const (
+	planning   stage = iota // jobs get places and bookings, in their order
+	preempting              // room is made for those of high rank
+	renting                 // what to rent is found
+)
+
+func (s stage) String() string { return [...]string{"planning", "preempting", "renting"}[s] }
+
+// pass is one pass over the queue. It may take several rounds: a round has a
+// bound on its work, so that renewal, workers and users never wait behind it,
+// and the next one carries on where it stopped, in the same order. What was
+// booked before the cut stays marked in the table, so backfilling after it
+// moves no booking.
+type pass struct {
+	stage    stage
+	list     []*wanted
+	next     int
+	held     map[string]protocol.Resources // by team, for jobs that come first
+	unproven protocol.Resources            // that tasks on hosts not heard of yet may use
+	unknown  bool                          // some of those hosts are of a type not known
+	yields   map[*bookkeeping.Host]protocol.Resources
+	rounds   int
+	work     int
+}
+
+// to is the one place where a pass changes its stage.
+func (p *pass) to(s stage) { p.stage, p.next = s, 0 }
+
+// roundWork bounds what one round looks at, in rows of the table. It is a few
+// milliseconds of a whole processor, more where the share is larger.
+func (c *Controller) roundWork() int {
+	return int(120_000 * max(0.1, min(1, c.platform.CPUShare)))
+}
+
+// round plans: it assigns what can start now, keeps bookings, makes room by
+// preemption, and finds what to rent.
 func (c *Controller) round() {
 	t := c.term
-	t.lastRound, t.dirty = c.at.Steady, false
+	t.lastRound = c.at.Steady
 	if !c.mayStart() || len(c.types) == 0 {
+		t.pass, t.dirty = nil, false
 		return
 	}
-	c.dropStale()
-	table := c.table()
-	list := c.wanted()
-	byTag := make(map[int]*wanted, len(list))
-	requests := make([]*slottable.Request, len(list))
-	for i, w := range list {
-		w.request.Tag = i
-		byTag[i], requests[i] = w, w.request
-	}
-	held := make(map[string]protocol.Resources) // by team, for jobs that come first
-	table.Plan(requests, func(r *slottable.Request) {
-		j := byTag[r.Tag].job
-		r.Limit = c.allowance(j, held[j.Spec.Team])
-		if r.Gang && r.Limit < r.Tasks && j.Spec.Rank <= protocol.High {
-			// Its team's limit leaves no room for all of its tasks at once.
-			// Without this, smaller jobs of the team would take what comes free,
-			// one task at a time, for as long as they last.
-			held[j.Spec.Team] = held[j.Spec.Team].Add(j.Spec.Need, int64(r.Tasks))
-		}
-	}, func(res slottable.Result) {
-		w := byTag[res.Request.Tag]
-		w.result = res
-		for i, p := range res.Start {
-			c.assign(w, w.tasks[i], p)
-		}
-		if len(res.Booked) > 0 {
-			c.book(w, res)
+	c.updateTable()
+	t.table.Work = 0
+	if t.pass == nil {
+		t.dirty = false
+		t.pass = c.newPass()
+		t.table.Begin()
+	} else {
+		t.table.Resume()
+	}
+	p := t.pass
+	p.rounds++
+	most := c.roundWork()
+	if p.stage == planning {
+		for ; p.next < len(p.list) && t.table.Work < most; p.next++ {
+			c.place(p, p.list[p.next])
 		}
-	})
-	c.preempt(list)
-	c.planRental(table, list)
+		if p.next == len(p.list) {
+			p.to(preempting)
+		}
+	}
+	if p.stage == preempting {
+		for ; p.next < len(p.list) && t.table.Work < most; p.next++ {
+			c.preempt(p, p.list[p.next])
+		}
+		if p.next == len(p.list) {
+			p.to(renting)
+		}
+	}
+	p.work += t.table.Work
+	if p.stage == renting && (t.table.Work < most/2 || p.rounds > 1) {
+		c.planRental(p.list)
+		t.pass = nil
+		return
+	}
+	if p.rounds > 1 {
+		c.log.Debug("plan cut short", "stage", p.stage.String(), "next", p.next, "of", len(p.list), "work", p.work)
+	}
 }
 
-// dropStale takes back assignments whose host can't be reached or is leaving.
-func (c *Controller) dropStale() {
-	for _, h := range c.term.hosts() {
-		for _, a := range sortedAttempts(h) {
-			if a.State == bookkeeping.AttemptAssigned && !c.usable(h) {
-				c.lost(a)
+// newPass orders the queue.
+func (c *Controller) newPass() *pass {
+	t := c.term
+	p := &pass{held: make(map[string]protocol.Resources), yields: make(map[*bookkeeping.Host]protocol.Resources)}
+	if !t.recovered {
+		for _, h := range t.book.Hosts() {
+			if h.FromRecord && !h.Proven {
+				if h.Type == nil {
+					p.unknown = true
+				} else {
+					p.unproven = p.unproven.Add(h.Type.Offer, 1)
+				}
 			}
 		}
 	}
+	p.list = c.wanted()
+	return p
+}
+
+// place gives a job what places it can have, in its turn.
+func (c *Controller) place(p *pass, w *wanted) {
+	j := w.job
+	if !c.request(w) {
+		return
+	}
+	r := w.request
+	r.Limit = c.allowance(p, j, p.held[j.Spec.Team])
+	if r.Gang && r.Limit < r.Tasks && j.Spec.Rank <= protocol.High {
+		// Its team's limit leaves no room for all of its tasks at once.
+		// Without this, smaller jobs of the team would take what comes free,
+		// one task at a time, for as long as they last.
+		p.held[j.Spec.Team] = p.held[j.Spec.Team].Add(j.Spec.Need, int64(r.Tasks))
+	}
+	res := c.term.table.Next(r)
+	w.result = res
+	j.Places = j.Places[:0]
+	for _, b := range res.Booked {
+		j.Places = append(j.Places, bookkeeping.Booking{Machine: b.Machine.Name, Begin: b.Begin, Ready: b.Ready})
+	}
+	if res.Late {
+		j.UnviableUntil = c.at.Steady + unviableFor
+	}
+	for i, pl := range res.Start {
+		c.assign(w, w.tasks[i], pl)
+	}
+	if len(res.Booked) > 0 {
+		c.book(w, res)
+	}
+}
+
+// unviableFor is how long it is not tried again to book a deadline job whose
+// booking would have come too late.
+const unviableFor = 2 * protocol.Second
+
+// updateTable brings the rows up to date whose machine changed, or whose
+// estimates ran out.
+func (c *Controller) updateTable() {
+	t := c.term
+	at := c.at.Steady
+	t.table.Now = at
+	rows := t.table.Machines()[:0]
+	for _, h := range t.book.Hosts() {
+		if h.Type == nil || h.State == bookkeeping.HostGone || h.State == bookkeeping.HostReleasing {
+			if t.rows[h] != nil {
+				c.dropStale(h)
+				delete(t.rows, h)
+			}
+			continue
+		}
+		m := t.rows[h]
+		usable := c.usable(h)
+		booting := h.State == bookkeeping.HostBooting && !h.FromRecord
+		if m == nil {
+			typ := h.Type
+			m = &slottable.Machine{Name: h.Name, Type: h.TypeName, Zone: h.Zone, Spot: h.Spot, Offer: typ.Offer,
+				Fetch: func(size int64) micros { return c.fetchTime(typ, size) }}
+			t.rows[h] = m
+			h.Changed = true
+		}
+		if !usable && !m.Blocked {
+			c.dropStale(h)
+		}
+		if h.Changed || booting || m.Blocked == usable || m.NextEnd() <= at {
+			c.fill(h, m, usable, booting)
+		}
+		rows = append(rows, m)
+	}
+	t.table.SetMachines(rows)
+}
+
+// dropStale takes back assignments whose host can't be reached or is leaving.
+func (c *Controller) dropStale(h *bookkeeping.Host) {
+	for _, a := range h.Attempts() {
+		if a.State == bookkeeping.AttemptAssigned {
+			c.lost(a)
+		}
+	}
 }
 
 // usable reports whether tasks may be put on a host.
@@ -79,60 +211,51 @@
 		at >= h.FaultUntil && at >= h.FullUntil && at-h.Heard < 2*c.platform.ReportEvery+protocol.Second
 }
 
-// table makes the slot table from what is known of the hosts.
-func (c *Controller) table() *slottable.Table {
+// fill makes a host's row from what is known of it.
+func (c *Controller) fill(h *bookkeeping.Host, m *slottable.Machine, usable, booting bool) {
 	at := c.at.Steady
-	table := &slottable.Table{Now: at}
-	for _, h := range c.term.hosts() {
-		if h.Type == nil || h.State == bookkeeping.HostGone || h.State == bookkeeping.HostReleasing {
+	table := &c.term.table
+	h.Changed = false
+	m.Reset()
+	m.From = at
+	switch {
+	case usable:
+	case booting:
+		m.From = c.bootedAt(h)
+	default:
+		m.Blocked = true
+	}
+	if h.Slowness > 1.8 {
+		m.Penalty = micros((h.Slowness - 1) * 10 * float64(protocol.Second))
+	}
+	for name := range h.Images {
+		table.AddImage(m, name, 0)
+	}
+	for _, a := range h.Attempts() {
+		if !a.State.Occupies() || a.Job == nil {
 			continue
 		}
-		typ := h.Type
-		m := &slottable.Machine{Name: h.Name, Type: h.TypeName, Zone: h.Zone, Spot: h.Spot, Offer: typ.Offer,
-			Images: make(map[string]micros, len(h.Images)), Fetch: func(size int64) micros { return c.fetchTime(typ, size) }}
+		s := a.Job.Spec
+		k := c.class(s.Class)
+		till := protocol.Forever
 		switch {
-		case c.usable(h):
-			m.From = at
-		case h.State == bookkeeping.HostBooting && !h.FromRecord:
-			m.From = c.bootedAt(h)
-		default:
-			m.Blocked = true
-		}
-		if h.Slowness > 1.8 {
-			m.Penalty = micros((h.Slowness - 1) * 10 * float64(protocol.Second))
-		}
-		for name := range h.Images {
-			m.Images[name] = 0
-		}
-		for _, a := range sortedAttempts(h) {
-			if !a.State.Occupies() || a.Job == nil {
-				continue
+		case a.Stop:
+			till = at + a.StopGrace/2 + protocol.Second
+		case a.State == bookkeeping.AttemptRunning:
+			if r := k.remaining(s, at-a.Started); r < protocol.Forever {
+				till = at + r
 			}
-			s := a.Job.Spec
-			k := c.class(s.Class)
-			till := protocol.Forever
-			switch {
-			case a.Stop:
-				till = at + a.StopGrace/2 + protocol.Second
-			case a.State == bookkeeping.AttemptRunning:
-				if r := k.remaining(s, at-a.Started); r < protocol.Forever {
-					till = at + r
-				}
-			case s.Kind != protocol.Service:
-				till = max(at, a.ExpectedReady) + k.length(s)
-			}
-			m.Occupy(slottable.Span{From: at, To: till, Need: s.Need})
-			if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching {
-				if _, ok := m.Images[s.Image]; !ok {
-					ready := max(a.ExpectedReady, at+protocol.Second)
-					m.Images[s.Image] = ready
-					m.FetchDone = max(m.FetchDone, ready)
-				}
+		case s.Kind != protocol.Service:
+			till = max(at, a.ExpectedReady) + k.length(s)
+		}
+		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need})
+		if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching {
+			if !table.HasImage(m, s.Image) {
+				table.AddImage(m, s.Image, max(a.ExpectedReady, at+protocol.Second))
 			}
 		}
-		table.Machines = append(table.Machines, m)
 	}
-	return table
+	table.Update(m)
 }
 
 // wanted lists the jobs that need places, in the order in which they are
@@ -141,11 +264,9 @@
 func (c *Controller) wanted() []*wanted {
 	t := c.term
 	at := c.at.Steady
-	jobs := t.jobs()
-	sort.SliceStable(jobs, func(a, b int) bool { return jobs[a].Submitted < jobs[b].Submitted })
 	sums := make(map[string]protocol.Resources)
 	var list []*wanted
-	for _, j := range jobs {
+	for _, j := range t.book.Line() {
 		if j.State != bookkeeping.JobLive {
 			continue
 		}
@@ -154,47 +275,10 @@
 		if j.Queued == 0 || at < j.Held {
 			continue
 		}
-		if s.Kind == protocol.Gang && (j.GangStarted || c.stopping(j)) {
-			continue // what is left of the attempt has to end first
-		}
 		if !t.recovered && j.Epoch != t.epoch {
 			continue // its tasks may be on hosts that have not reported yet
 		}
 		w := &wanted{job: j, within: holdsGuarantee(c.platform.Teams[s.Team].Guarantee, sums[s.Team])}
-		used := make(map[string]int)
-		for i := range j.Tasks {
-			task := &j.Tasks[i]
-			if task.Current != nil {
-				used[task.Current.Host.Zone]++
-			}
-			if task.State == bookkeeping.TaskQueued && task.Live == 0 && at >= task.NotBefore && len(w.tasks) < 256 {
-				w.tasks = append(w.tasks, i)
-			}
-		}
-		if len(w.tasks) == 0 || s.Kind == protocol.Gang && len(w.tasks) != j.Queued {
-			continue
-		}
-		r := &slottable.Request{Tasks: len(w.tasks), Need: s.Need, Gang: s.Kind == protocol.Gang, Image: s.Image, ImageSize: s.ImageSize,
-			Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s)}
-		if s.Spread {
-			r.ZoneCap = (s.Tasks + 1) / 2
-		}
-		if s.Deadline > 0 {
-			r.Deadline = j.Submitted + s.Deadline - c.operator.DeadlineMargin
-		}
-		if len(j.Failures) > 0 && len(j.Failures) < 3 {
-			failures := j.Failures
-			r.Avoid = func(name string) bool { return failures[name] > 0 }
-		}
-		if at < j.RoomUntil {
-			r.Prefer = j.RoomOn
-			// Until then it waits for that room rather than fetch elsewhere.
-			if h := t.book.Hosts[j.RoomOn]; h != nil && c.usable(h) && s.Tasks == 1 {
-				r.Avoid = func(name string) bool { return name != j.RoomOn }
-			}
-		}
-		w.request = r
-		r.Patient = c.patience(j)
 		w.missed = c.missed(j)
 		w.turn = j.Submitted
 		if s.Kind == protocol.Array {
@@ -220,6 +304,80 @@
 	return list
 }
 
+// request makes a job's request, in its turn. It reports whether there is
+// something to place.
+func (c *Controller) request(w *wanted) bool {
+	t := c.term
+	at := c.at.Steady
+	j := w.job
+	s := j.Spec
+	if j.State != bookkeeping.JobLive || j.Queued == 0 || at < j.Held {
+		return false
+	}
+	if s.Kind == protocol.Gang && (j.GangStarted || c.stopping(j)) {
+		return false // what is left of the attempt has to end first
+	}
+	var used map[string]int
+	if s.Spread || s.OneZone {
+		used = make(map[string]int)
+		for _, a := range j.On() {
+			if task := a.Task(); task != nil && task.Current == a {
+				used[a.Host.Zone]++
+			}
+		}
+	}
+	first := -1
+	for i := j.Lowest; i < len(j.Tasks) && len(w.tasks) < 256; i++ {
+		task := &j.Tasks[i]
+		if task.State != bookkeeping.TaskQueued {
+			continue
+		}
+		if first < 0 {
+			first = i
+		}
+		if task.Live == 0 && at >= task.NotBefore {
+			w.tasks = append(w.tasks, i)
+		}
+	}
+	if first >= 0 {
+		j.Lowest = first
+	}
+	if len(w.tasks) == 0 || s.Kind == protocol.Gang && len(w.tasks) != j.Queued {
+		return false
+	}
+	r := &slottable.Request{Tasks: len(w.tasks), Need: s.Need, Gang: s.Kind == protocol.Gang, Image: s.Image, ImageSize: s.ImageSize,
+		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s)}
+	if s.Spread {
+		r.ZoneCap = (s.Tasks + 1) / 2
+	}
+	if s.Deadline > 0 {
+		r.Deadline = j.Submitted + s.Deadline - c.operator.DeadlineMargin
+		r.NoBooking = at < j.UnviableUntil
+	}
+	if len(j.Failures) > 0 && len(j.Failures) < 3 {
+		failures := j.Failures
+		r.Avoid = func(name string) bool { return failures[name] > 0 }
+	}
+	if at < j.RoomUntil {
+		r.Prefer = j.RoomOn
+		// Until then it waits for that room rather than fetch elsewhere.
+		if h := t.book.Host(j.RoomOn); h != nil && c.usable(h) && s.Tasks == 1 {
+			r.Avoid = func(name string) bool { return name != j.RoomOn }
+		}
+	}
+	for _, b := range j.Places {
+		h := t.book.Host(b.Machine)
+		if h == nil || t.rows[h] == nil {
+			r.Kept = nil
+			break
+		}
+		r.Kept = append(r.Kept, slottable.Place{Machine: t.rows[h], Begin: b.Begin, Ready: b.Ready})
+	}
+	r.Patient = c.patience(j)
+	w.request = r
+	return true
+}
+
 // overdueFor is how long a job that is too late lets others pass.
 const overdueFor = 600 * protocol.Second
 
@@ -246,8 +404,8 @@
 
 // stopping reports whether an attempt of a job is being stopped.
 func (c *Controller) stopping(j *bookkeeping.Job) bool {
-	for i := range j.Tasks {
-		if a := j.Tasks[i].Current; a != nil && a.Stop {
+	for _, a := range j.On() {
+		if task := a.Task(); a.Stop && task != nil && task.Current == a {
 			return true
 		}
 	}
@@ -260,19 +418,15 @@
 
 // allowance is how many more tasks of a job its team's limit allows, with all
 // that may still be on hosts counted, and what is held for others of the team.
-func (c *Controller) allowance(j *bookkeeping.Job, held protocol.Resources) int {
+func (c *Controller) allowance(p *pass, j *bookkeeping.Job, held protocol.Resources) int {
 	t := c.term
 	limit := c.platform.Teams[j.Spec.Team].Limit
 	used := t.book.Used[j.Spec.Team].Add(held, 1)
 	if !t.recovered && limit != (protocol.Resources{}) {
-		for _, h := range t.book.Hosts {
-			if h.FromRecord && !h.Proven {
-				if h.Type == nil {
-					return 0
-				}
-				used = used.Add(h.Type.Offer, 1)
-			}
+		if p.unknown {
+			return 0
 		}
+		used = used.Add(p.unproven, 1)
 	}
 	n := int64(protocol.MaxTasks)
 	if limit.CPU > 0 && j.Spec.Need.CPU > 0 {
@@ -289,7 +443,7 @@
 func (c *Controller) assign(w *wanted, index int, p slottable.Place) {
 	t := c.term
 	j := w.job
-	h := t.book.Hosts[p.Machine.Name]
+	h := t.book.Host(p.Machine.Name)
 	if h == nil || !c.usable(h) {
 		return
 	}
@@ -303,13 +457,14 @@
 		number = t.nextAttempt()
 	}
 	name := protocol.AttemptName{TaskName: protocol.TaskName{Job: j.Spec.Ref, Index: index}, Number: number}
-	if h.Attempts[name] != nil {
+	if h.Find(name) != nil {
 		return // the host still knows this attempt: it would ignore the launch
 	}
 	a := t.book.Attach(c.at.Steady, j, h, name)
 	a.ExpectedReady = p.Ready
 	t.book.Move(c.at.Steady, a, bookkeeping.AttemptAssigned)
 	c.touchIdle(h)
+	c.wantCall(h)
 	c.log.Debug("assigned", "task", name.TaskName.String(), "try", number, "host", h.Name, "ready_in_ms", int64((p.Ready-c.at.Steady)/protocol.Millisecond))
 }
 
@@ -319,137 +474,136 @@
 	return t.epoch<<24 | t.attempts
 }
 
+// bookingsEvery is how long new bookings are let come together in a record.
+const bookingsEvery = protocol.Second
+
 // book keeps a deadline job's booking.
 func (c *Controller) book(w *wanted, res slottable.Result) {
 	j := w.job
 	j.Booked = res.Booked[0].Begin
 	if j.Spec.Deadline > 0 && res.Viable && !j.BookingKept {
-		c.term.booked = append(c.term.booked, j.Spec.Ref)
 		j.BookingKept = true
+		c.term.bookingPages.put(j.Spec.Ref, bookingBytes(j.Spec.Ref), c.room(), c.at.Steady+bookingsEvery, false)
 	}
 }
 
-// writeBookings records new bookings, one write each.
-func (c *Controller) writeBookings() {
+// mostVictims bounds the hosts on which a job looks for work to stop, among
+// those that have its image and among the others.
+const mostVictims = 24
+
+// preempt makes room for a job of higher rank, where no place comes free soon:
+// of the hosts that could give it the one where the least work is lost.
+func (c *Controller) preempt(p *pass, w *wanted) {
 	t := c.term
-	if len(t.booked) == 0 {
+	at := c.at.Steady
+	j := w.job
+	s := j.Spec
+	if s.Rank > protocol.High || w.request == nil || w.request.Limit < 1 || j.State != bookkeeping.JobLive {
 		return
 	}
-	var then []protocol.Change
-	var when []protocol.Condition
-	var refs []string
-	for len(t.booked) > 0 && len(then) < c.platform.TxnOps {
-		ref := t.booked[0]
-		t.booked = t.booked[1:]
-		j := t.book.Jobs[ref]
-		if j == nil || j.State != bookkeeping.JobLive {
-			continue
-		}
-		refs = append(refs, ref)
-		when = append(when, protocol.Condition{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp})
-		then = append(then, protocol.Change{Key: bookkeeping.BookingPrefix + ref,
-			Value: strconv.AppendInt(nil, int64(j.Booked-c.at.Steady+c.at.Wall), 10)})
+	// A class that has to start at once can't wait for others to save.
+	within := c.startWithin(s.Class)
+	if within == 0 {
+		within = protocol.Forever
 	}
-	if len(then) == 0 {
+	hurry := within < 10*protocol.Second
+	due := protocol.End(j.Submitted, within)
+	// A place that is free but has to fetch the image first may be too late,
+	// where one with the image would not be.
+	cold := s.Tasks == 1 && len(w.result.Start) == 1 && at < due && w.result.Start[0].Ready > due
+	if len(w.result.Start) == len(w.tasks) && !cold || !cold && at < j.Submitted+min(2*protocol.Second, within/16) {
 		return
 	}
-	c.lead(prioNormal, when, then, func(o txnOutcome, _ protocol.TxnResult) {
-		if o == txnApplied || o == txnUnknown {
-			return // where it is unknown, the job's last record drops the key
-		}
-		for _, ref := range refs {
-			if j := t.book.Jobs[ref]; j != nil && j.State == bookkeeping.JobLive {
-				j.BookingKept = false
-			}
-		}
-	})
-}
-
-// preempt makes room for jobs of higher rank, where no place comes free soon:
-// of all hosts the one where the least work is lost.
-func (c *Controller) preempt(list []*wanted) {
-	t := c.term
-	at := c.at.Steady
-	for _, w := range list {
-		s := w.job.Spec
-		if s.Rank > protocol.High || w.request.Limit < 1 {
+	if s.Kind == protocol.Gang && len(w.tasks) > 1 {
+		return
+	}
+	soonest := at + 10*protocol.Second + c.class(s.Class).length(s)
+	if n := len(w.result.Booked); n > 0 {
+		soonest = w.result.Booked[n-1].Ready
+	}
+	if cold {
+		soonest = w.result.Start[0].Ready
+	}
+	if at < j.RoomUntil {
+		return
+	}
+	var best []*bookkeeping.Attempt
+	var bestLoss float64
+	looked := [2]int{}
+	t.table.Work += len(t.book.Hosts())
+	for _, h := range t.book.Hosts() {
+		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || !s.AllowsType(h.TypeName) {
 			continue
 		}
-		// A class that has to start at once can't wait for others to save.
-		within := c.startWithin(s.Class)
-		if within == 0 {
-			within = protocol.Forever
-		}
-		hurry := within < 10*protocol.Second
-		due := protocol.End(w.job.Submitted, within)
-		// A place that is free but has to fetch the image first may be too late,
-		// where one with the image would not be.
-		cold := s.Tasks == 1 && len(w.result.Start) == 1 && at < due && w.result.Start[0].Ready > due
-		if len(w.result.Start) == len(w.tasks) && !cold || !cold && at < w.job.Submitted+min(2*protocol.Second, within/16) {
+		if s.Spread && w.request.ZoneUsed[h.Zone] >= w.request.ZoneCap {
 			continue
 		}
-		if s.Kind == protocol.Gang && len(w.tasks) > 1 {
+		if !h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Holds(s.Need) {
 			continue
 		}
-		soonest := at + 10*protocol.Second + c.class(s.Class).length(s)
-		if n := len(w.result.Booked); n > 0 {
-			soonest = w.result.Booked[n-1].Ready
+		ready := at + protocol.Second
+		kind := 0
+		if _, ok := h.Images[s.Image]; !ok {
+			ready += c.fetchTime(h.Type, s.ImageSize)
+			kind = 1
 		}
-		if cold {
-			soonest = w.result.Start[0].Ready
-		}
-		if at < w.job.RoomUntil {
+		// Stopping work for a place that is ready hardly sooner than the
+		// one the job has anyway only loses work.
+		if ready+min(5*protocol.Second, within/4) > soonest || cold && ready > due || looked[kind] >= mostVictims {
 			continue
 		}
-		var best []*bookkeeping.Attempt
-		var bestLoss float64
-		for _, h := range t.hosts() {
-			if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !s.AllowsType(h.TypeName) || !h.Type.Offer.Holds(s.Need) {
-				continue
-			}
-			if s.Spread && w.request.ZoneUsed[h.Zone] >= w.request.ZoneCap {
-				continue
-			}
-			victims, loss := c.victims(h, w.job)
-			ready := at + protocol.Second
-			for _, a := range victims {
-				if a.Job.Spec.Checkpoints() && !hurry {
-					ready = max(ready, at+a.Job.Spec.Saves+protocol.Second)
-				}
-			}
-			if _, ok := h.Images[s.Image]; !ok {
-				ready += c.fetchTime(h.Type, s.ImageSize)
-			}
-			// Stopping work for a place that is ready hardly sooner than the
-			// one the job has anyway only loses work.
-			if ready+min(5*protocol.Second, within/4) > soonest || cold && ready > due {
-				continue
-			}
-			loss += (ready - at).Seconds()
-			if victims != nil && (best == nil || loss < bestLoss) {
-				best, bestLoss = victims, loss
+		looked[kind]++
+		t.table.Work += 16
+		victims, loss := c.victims(h, j)
+		saved := ready
+		for _, a := range victims {
+			if a.Job.Spec.Checkpoints() && !hurry {
+				saved = max(saved, ready+a.Job.Spec.Saves)
 			}
 		}
-		if best == nil {
+		if saved+min(5*protocol.Second, within/4) > soonest || cold && saved > due {
 			continue
 		}
-		if cold {
-			a := w.job.Tasks[w.tasks[0]].Current
-			if a == nil || a.State != bookkeeping.AttemptAssigned {
-				continue
-			}
-			c.lost(a) // no launch has left yet
+		loss += (saved - at).Seconds()
+		if victims != nil && (best == nil || loss < bestLoss) {
+			best, bestLoss = victims, loss
 		}
-		w.job.RoomOn, w.job.RoomUntil = best[0].Host.Name, at+10*protocol.Second
-		for _, a := range best {
-			grace := micros(0)
-			if a.Job.Spec.Checkpoints() && !hurry {
-				grace = a.Job.Spec.Saves + protocol.Second
+	}
+	if best == nil {
+		return
+	}
+	if cold {
+		a := j.Tasks[w.tasks[0]].Current
+		if a == nil || a.State != bookkeeping.AttemptAssigned {
+			return
+		}
+		c.lost(a) // no launch has left yet
+	}
+	delete(p.yields, best[0].Host)
+	j.RoomOn, j.RoomUntil = best[0].Host.Name, at+10*protocol.Second
+	for _, a := range best {
+		grace := micros(0)
+		if a.Job.Spec.Checkpoints() && !hurry {
+			grace = a.Job.Spec.Saves + protocol.Second
+		}
+		c.log.Debug("preempted", "task", a.Name.TaskName.String(), "host", a.Host.Name, "for", s.Ref)
+		c.stop(a, grace)
+	}
+}
+
+// yielding is what a host's work of lower rank takes, and what is being
+// stopped.
+func (c *Controller) yielding(p *pass, h *bookkeeping.Host) protocol.Resources {
+	sum, ok := p.yields[h]
+	if !ok {
+		for _, a := range h.Attempts() {
+			if a.State.Occupies() && a.Job != nil && (a.Stop || c.yields(a.Job.Spec)) {
+				sum = sum.Add(a.Job.Spec.Need, 1)
 			}
-			c.log.Info("preempted", "task", a.Name.TaskName.String(), "host", a.Host.Name, "for", s.Ref)
-			c.stop(a, grace)
 		}
+		p.yields[h] = sum
 	}
+	return sum
 }
 
 // yields reports whether a job's tasks may be stopped for one of the two upper
@@ -468,7 +622,7 @@
 		loss float64
 	}
 	var list []cost
-	for _, a := range sortedAttempts(h) {
+	for _, a := range h.Attempts() {
 		if !a.State.Occupies() || a.Job == nil {
 			continue
 		}
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -1,14 +1,18 @@
 // Package slottable plans: machines by time, from estimates of run times. It
-// is pure; what it is given it does not keep.
+// decides nothing about commands and does no I/O.
 //
 // It follows Haizea's slot table (Sotomayor, Keahey, Foster, HPDC 2008, section
 // 3.2): a task's start on a machine is the later of image readiness and free
 // room, a job takes the machines with the earliest such starts, and later jobs
 // start only where no booking moves.
+//
+// The table lives as long as a leader's term. Rows are brought up to date when
+// something changed on their machine, and a pass over the queue only marks what
+// it plans; Work counts what the pass has looked at, so that it can be bounded.
 package slottable
 
 import (
-	"sort"
+	"container/heap"
 
 	"mapleslip/internal/protocol"
 )
@@ -24,33 +28,75 @@
 	Need     resources
 }
 
+// mark is a span that a pass planned.
+type mark struct {
+	Span
+	start bool // it began at once: the machine's own spans have it from the next update on
+	image int32
+	ready micros
+}
+
+// cached is an image that a machine has, or will have.
+type cached struct {
+	image int32
+	ready micros
+}
+
 // Machine is one row of the table.
 type Machine struct {
 	Name, Type, Zone string
 	Spot             bool
 	Offer            resources
-	From             micros            // nothing starts before
-	Images           map[string]micros // when each known image is ready
-	FetchDone        micros            // when the fetches under way end
-	Fetch            func(size int64) micros
-	Penalty          micros // how much later another machine may be and still be preferred
-	Blocked          bool   // no task may start, but what runs takes room
-	spans            []Span
-	Taken            int // spans added by plans of this round
+	From             micros                  // nothing starts before
+	FetchDone        micros                  // when the fetches under way end
+	Fetch            func(size int64) micros // of an image at the usual rate
+	Penalty          micros                  // how much later another machine may be and still be preferred
+	Blocked          bool                    // no task may start, but what runs takes room
+	images           []cached                // known to be there, or on their way
+	spans            []Span                  // what is on the machine
+	marks            []mark                  // what passes planned for it
+	free             resources               // now, beside spans and marks that have begun
+	next             micros                  // when a span ends by its estimate
+	touched          bool                    // is in the table's list of marked rows
+	order            int                     // in the table
 }
 
-// Occupy marks a span.
+// Reset empties a row, to be filled again.
+func (m *Machine) Reset() {
+	m.spans, m.images, m.FetchDone, m.Penalty, m.Blocked = m.spans[:0], m.images[:0], 0, 0, false
+	// What began in an earlier pass is among the machine's own spans by now.
+	rest := m.marks[:0]
+	for _, k := range m.marks {
+		if !k.start {
+			rest = append(rest, k)
+		}
+	}
+	m.marks = rest
+}
+
+// Occupy marks a span of what is on the machine.
 func (m *Machine) Occupy(s Span) { m.spans = append(m.spans, s) }
 
-// clone copies the row, so that a later pass may mark it freely.
-func (m *Machine) clone() *Machine {
-	c := *m
-	c.spans = append([]Span(nil), m.spans...)
-	c.Images = make(map[string]micros, len(m.Images))
-	for k, v := range m.Images {
-		c.Images[k] = v
+// NextEnd is when the first of the spans ends by its estimate.
+func (m *Machine) NextEnd() micros { return m.next }
+
+// settle computes what is derived from the spans.
+func (m *Machine) settle(now micros) {
+	m.free, m.next = m.Offer, protocol.Forever
+	for i := range m.spans {
+		s := &m.spans[i]
+		if s.From <= now && now < s.To {
+			m.free = m.free.Add(s.Need, -1)
+		}
+		if s.To > now {
+			m.next = min(m.next, s.To)
+		}
+	}
+	for i := range m.marks {
+		if k := &m.marks[i]; k.From <= now && now < k.To {
+			m.free = m.free.Add(k.Need, -1)
+		}
 	}
-	return &c
 }
 
 // fits reports whether need is free during [from, to).
@@ -63,6 +109,11 @@
 			return false
 		}
 	}
+	for i := range m.marks {
+		if s := m.marks[i].From; s > from && s < to && !m.freeAt(need, s) {
+			return false
+		}
+	}
 	return true
 }
 
@@ -73,6 +124,11 @@
 			used = used.Add(s.Need, 1)
 		}
 	}
+	for i := range m.marks {
+		if s := &m.marks[i]; s.From <= at && at < s.To {
+			used = used.Add(s.Need, 1)
+		}
+	}
 	return m.Offer.Holds(used)
 }
 
@@ -85,19 +141,39 @@
 	if m.fits(need, after, protocol.End(after, length)) {
 		return after, true
 	}
-	starts := make([]micros, 0, len(m.spans))
-	for i := range m.spans {
-		if t := m.spans[i].To; t > after && t < protocol.Forever {
-			starts = append(starts, t)
+	// Room only ever comes with the end of a span: they are tried in order.
+	for at := after; ; {
+		next := protocol.Forever
+		for i := range m.spans {
+			if t := m.spans[i].To; t > at && t < next {
+				next = t
+			}
+		}
+		for i := range m.marks {
+			if t := m.marks[i].To; t > at && t < next {
+				next = t
+			}
 		}
+		if next == protocol.Forever {
+			return 0, false
+		}
+		if m.fits(need, next, protocol.End(next, length)) {
+			return next, true
+		}
+		at = next
 	}
-	sort.Slice(starts, func(a, b int) bool { return starts[a] < starts[b] })
-	for i, t := range starts {
-		if i > 0 && t == starts[i-1] {
-			continue
+}
+
+// readyAt tells when an image that the machine has or fetches is ready.
+func (m *Machine) readyAt(image int32) (micros, bool) {
+	for i := range m.images {
+		if m.images[i].image == image {
+			return m.images[i].ready, true
 		}
-		if m.fits(need, t, protocol.End(t, length)) {
-			return t, true
+	}
+	for i := range m.marks {
+		if k := &m.marks[i]; k.image == image {
+			return k.ready, true
 		}
 	}
 	return 0, false
@@ -105,16 +181,21 @@
 
 // fetch is how long the image takes to be ready if a task is put on the
 // machine at the given time. A machine shares its rate among its fetches.
-func (m *Machine) fetch(at micros, image string, size int64) micros {
-	if ready, ok := m.Images[image]; ok {
+func (m *Machine) fetch(at micros, r *Request) micros {
+	if ready, ok := m.readyAt(r.image); ok {
 		return max(0, ready-at)
 	}
-	return max(0, m.FetchDone-at)/2 + m.Fetch(size)
+	done := m.FetchDone
+	for i := range m.marks {
+		if k := &m.marks[i]; k.image >= 0 && k.ready > done {
+			done = k.ready
+		}
+	}
+	return max(0, done-at)/2 + m.Fetch(r.ImageSize)
 }
 
 // Request is a job, as far as it still needs places.
 type Request struct {
-	Tag       int
 	Tasks     int // that need a place
 	Limit     int // how many its team's limit lets start
 	Need      resources
@@ -130,9 +211,13 @@
 	Length    micros // run time without the fetch
 	Deadline  micros // latest end, 0: none
 	Avoid     func(machine string) bool
-	Prefer    string // machine on which room was made for it
-	Spare     bool   // room to keep, not work
-	Patient   micros // no machine is rented for what is ready by then
+	Prefer    string  // machine on which room was made for it
+	Spare     bool    // room to keep, not work
+	Patient   micros  // no machine is rented for what is ready by then
+	Kept      []Place // its booking of the pass before
+	NoBooking bool    // it was found lately that a booking can't meet the deadline
+
+	image int32
 }
 
 func (r *Request) allows(m *Machine) bool {
@@ -142,16 +227,19 @@
 	if r.Zone != "" && r.Zone != m.Zone {
 		return false
 	}
-	if r.Types != nil {
-		ok := false
-		for _, t := range r.Types {
-			ok = ok || t == m.Type
-		}
-		if !ok {
-			return false
+	return allowsType(r.Types, m.Type) && (r.Avoid == nil || !r.Avoid(m.Name))
+}
+
+func allowsType(types []string, name string) bool {
+	if types == nil {
+		return true
+	}
+	for _, t := range types {
+		if t == name {
+			return true
 		}
 	}
-	return r.Avoid == nil || !r.Avoid(m.Name)
+	return false
 }
 
 // Place is where and when one task goes.
@@ -167,21 +255,114 @@
 	Start   []Place // begin now
 	Booked  []Place // begin later
 	Viable  bool    // a deadline can be met by the booking
+	Late    bool    // it was found that a booking can't meet the deadline
 }
 
-// Table is the slot table of one round.
+// Table is the slot table.
 type Table struct {
 	Now      micros
-	Machines []*Machine
+	Work     int // what was looked at since the caller last set it to 0
+	machines []*Machine
+	rented   []*Machine // that a plan for rental would rent
+	open     []*Machine // rows with room now, of this pass
+	touched  []*Machine // rows with marks
+	ids      map[string]int32
+	undo     []*Machine // rows marked since a trial began, a row for each mark
+	trying   bool
+	now, any candidates
+	blocked  bool // this pass has its first job that can't start
 }
 
-// Clone copies the table.
-func (t *Table) Clone() *Table {
-	c := &Table{Now: t.Now}
-	for _, m := range t.Machines {
-		c.Machines = append(c.Machines, m.clone())
+// What it costs to look at a row for a start now, and to search it for room.
+const (
+	workLook = 1
+	workRoom = 8
+)
+
+// Machines are the rows, in the order of their names.
+func (t *Table) Machines() []*Machine { return t.machines }
+
+// SetMachines says which rows there are.
+func (t *Table) SetMachines(list []*Machine) {
+	t.machines = list
+	for i, m := range list {
+		m.order = i
 	}
-	return c
+}
+
+// Image gives an image its number.
+func (t *Table) Image(name string) int32 {
+	id, ok := t.ids[name]
+	if !ok {
+		if t.ids == nil {
+			t.ids = make(map[string]int32)
+		}
+		id = int32(len(t.ids))
+		t.ids[name] = id
+	}
+	return id
+}
+
+// AddImage notes an image that a machine has, or will have.
+func (t *Table) AddImage(m *Machine, name string, ready micros) {
+	m.images = append(m.images, cached{t.Image(name), ready})
+	m.FetchDone = max(m.FetchDone, ready)
+}
+
+// HasImage reports whether the row knows of an image.
+func (t *Table) HasImage(m *Machine, name string) bool {
+	_, ok := m.readyAt(t.Image(name))
+	return ok
+}
+
+// Update computes what follows from a row's spans. It is called after the row
+// was filled, and for every row whose estimate ran out.
+func (t *Table) Update(m *Machine) { m.settle(t.Now) }
+
+// Begin starts a pass over the whole queue: bookings of the last one are
+// planned anew, in their turn.
+func (t *Table) Begin() {
+	for _, m := range t.touched {
+		m.marks, m.touched = m.marks[:0], false
+		m.settle(t.Now)
+	}
+	t.touched = t.touched[:0]
+	t.blocked = false
+	t.Resume()
+}
+
+// Resume goes on with a pass that was cut short, after rows were updated.
+func (t *Table) Resume() {
+	t.open = t.open[:0]
+	for _, m := range t.machines {
+		if !m.Blocked && m.From <= t.Now && (m.free.GPU > 0 || m.Offer.GPU == 0) && m.free.CPU > 0 {
+			t.open = append(t.open, m)
+		}
+	}
+}
+
+// candidate is a place that one more task of the request could have.
+type candidate struct {
+	place Place
+	cost  micros
+}
+
+type candidates []candidate
+
+func (c candidates) Len() int { return len(c) }
+func (c candidates) Less(a, b int) bool {
+	if c[a].cost != c[b].cost {
+		return c[a].cost < c[b].cost
+	}
+	return c[a].place.Machine.order < c[b].place.Machine.order
+}
+func (c candidates) Swap(a, b int) { c[a], c[b] = c[b], c[a] }
+func (c *candidates) Push(x any)   { *c = append(*c, x.(candidate)) }
+func (c *candidates) Pop() any {
+	old := *c
+	x := old[len(old)-1]
+	*c = old[:len(old)-1]
+	return x
 }
 
 // zones counts a request's tasks by zone while places are chosen.
@@ -192,11 +373,11 @@
 }
 
 func newZones(r *Request) *zones {
-	z := &zones{r: r, count: make(map[string]int, len(r.ZoneUsed))}
+	z := &zones{r: r}
 	for name, n := range r.ZoneUsed {
-		z.count[name] = n
 		if n > 0 {
-			z.one = name
+			z.add(name)
+			z.count[name] = n
 		}
 	}
 	return z
@@ -210,6 +391,9 @@
 }
 
 func (z *zones) add(name string) {
+	if z.count == nil {
+		z.count = make(map[string]int)
+	}
 	z.count[name]++
 	z.one = name
 }
@@ -218,56 +402,41 @@
 // waits for it rather than starting its fetch on a free one at once.
 const patience = 2 * protocol.Second
 
-// best finds the place with the earliest readiness for one task.
-func (t *Table) best(r *Request, z *zones, onlyNow bool) (Place, bool) {
-	var found, now Place
-	var ok, okNow bool
-	var cost, costNow micros
-	for _, m := range t.Machines {
-		if m.Blocked || !r.allows(m) || !z.allows(m.Zone) {
-			continue
-		}
-		length := protocol.End(m.fetch(t.Now, r.Image, r.ImageSize), r.Length)
-		var at micros
-		if onlyNow {
-			if m.From > t.Now || !m.Offer.Holds(r.Need) || !m.fits(r.Need, t.Now, protocol.End(t.Now, length)) {
-				continue
-			}
-			at = t.Now
-		} else {
-			var free bool
-			if at, free = m.room(r.Need, t.Now, length); !free {
-				continue
-			}
-		}
-		p := Place{m, at, at + m.fetch(at, r.Image, r.ImageSize)}
-		c := p.Ready + m.Penalty + t.waste(r, m)
-		if !ok || c < cost {
-			found, cost, ok = p, c, true
-		}
-		if at == t.Now && r.Prefer == m.Name {
-			return p, true
-		}
-		if at == t.Now && (!okNow || c < costNow) {
-			now, costNow, okNow = p, c, true
-		}
+// nowOn is the place that a machine has for a task at once.
+func (t *Table) nowOn(r *Request, m *Machine) (candidate, bool) {
+	if !m.free.Holds(r.Need) || m.Blocked || m.From > t.Now {
+		return candidate{}, false
 	}
-	if okNow && now.Ready <= found.Ready+patience {
-		return now, true
+	fetch := m.fetch(t.Now, r)
+	if len(m.marks) > 0 && !m.fits(r.Need, t.Now, protocol.End(t.Now+fetch, r.Length)) {
+		return candidate{}, false
 	}
-	return found, ok
+	p := Place{m, t.Now, t.Now + fetch}
+	return candidate{p, t.cost(r, p)}, true
+}
+
+// laterOn is the earliest place that a machine has for a task.
+func (t *Table) laterOn(r *Request, m *Machine) (candidate, bool) {
+	length := protocol.End(m.fetch(t.Now, r), r.Length)
+	at, ok := m.room(r.Need, t.Now, length)
+	if !ok {
+		return candidate{}, false
+	}
+	p := Place{m, at, at + m.fetch(at, r)}
+	return candidate{p, t.cost(r, p)}, true
+}
+
+func (t *Table) cost(r *Request, p Place) micros {
+	if p.Begin == t.Now && r.Prefer == p.Machine.Name && r.Prefer != "" {
+		return -1
+	}
+	return p.Ready + p.Machine.Penalty + t.waste(r, p.Machine)
 }
 
 // waste makes a task prefer the machine that it leaves least broken up: a
 // larger machine, or a free one, is kept for what needs it.
 func (t *Table) waste(r *Request, m *Machine) micros {
-	left := m.Offer
-	for i := range m.spans {
-		if s := &m.spans[i]; s.From <= t.Now && t.Now < s.To {
-			left = left.Add(s.Need, -1)
-		}
-	}
-	w := micros(left.Times(r.Need)) * 300 * protocol.Millisecond
+	w := micros(m.free.Times(r.Need)) * 300 * protocol.Millisecond
 	w = min(w, 5*protocol.Second)
 	if r.Spot && !m.Spot {
 		// Spot machines are of use to few; the others are kept for the rest.
@@ -276,53 +445,179 @@
 	return w
 }
 
+// gather collects the places that tasks of a request could have at once, in
+// one zone or in all.
+func (t *Table) gather(r *Request, z *zones, zone string) {
+	t.now = t.now[:0]
+	t.Work += workLook * len(t.open)
+	for i := 0; i < len(t.open); i++ {
+		m := t.open[i]
+		if !m.free.Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
+			continue
+		}
+		if c, ok := t.nowOn(r, m); ok {
+			t.now = append(t.now, c)
+		}
+	}
+	heap.Init(&t.now)
+}
+
+// gatherLater collects the earliest places, at whatever time. With image it
+// looks only at machines that have the image or fetch it.
+func (t *Table) gatherLater(r *Request, z *zones, zone string, image bool) {
+	t.any = t.any[:0]
+	for i := range len(t.machines) + len(t.rented) {
+		var m *Machine
+		if i < len(t.machines) {
+			m = t.machines[i]
+		} else {
+			m = t.rented[i-len(t.machines)]
+		}
+		if m.Blocked || !m.Offer.Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
+			continue
+		}
+		if image {
+			t.Work += workLook
+			if _, ok := m.readyAt(r.image); !ok {
+				continue
+			}
+		}
+		t.Work += workRoom
+		if c, ok := t.laterOn(r, m); ok {
+			t.any = append(t.any, c)
+		}
+	}
+	heap.Init(&t.any)
+}
+
+// top is the best candidate whose zone still allows a task.
+func (c *candidates) top(z *zones) (candidate, bool) {
+	for len(*c) > 0 {
+		if z.allows((*c)[0].place.Machine.Zone) {
+			return (*c)[0], true
+		}
+		heap.Pop(c)
+	}
+	return candidate{}, false
+}
+
+// again brings the candidates up to date after a mark on a machine, which is
+// at the top of one of them.
+func (t *Table) again(list *candidates, r *Request, m *Machine, on func(*Request, *Machine) (candidate, bool)) {
+	for i := range *list {
+		if (*list)[i].place.Machine != m {
+			continue
+		}
+		if c, ok := on(r, m); ok {
+			(*list)[i] = c
+			heap.Fix(list, i)
+		} else {
+			heap.Remove(list, i)
+		}
+		return
+	}
+}
+
 func (t *Table) mark(r *Request, p Place, till micros) {
-	p.Machine.Occupy(Span{p.Begin, till, r.Need})
-	p.Machine.Taken++
-	if _, ok := p.Machine.Images[r.Image]; !ok {
-		p.Machine.Images[r.Image] = p.Ready
-		p.Machine.FetchDone = max(p.Machine.FetchDone, p.Ready)
+	m := p.Machine
+	k := mark{Span: Span{p.Begin, till, r.Need}, start: p.Begin <= t.Now, image: -1}
+	if _, ok := m.readyAt(r.image); !ok {
+		k.image, k.ready = r.image, p.Ready
+	}
+	m.marks = append(m.marks, k)
+	if k.start {
+		m.free = m.free.Add(r.Need, -1)
+	}
+	if !m.touched {
+		m.touched = true
+		t.touched = append(t.touched, m)
+	}
+	if t.trying {
+		t.undo = append(t.undo, m)
 	}
 }
 
+// try marks what plan does, and takes it back unless plan says to keep it.
+// Trials may be nested.
+func (t *Table) try(plan func() bool) bool {
+	outer, from := t.trying, len(t.undo)
+	t.trying = true
+	keep := plan()
+	if !keep {
+		for i := len(t.undo) - 1; i >= from; i-- {
+			m := t.undo[i]
+			k := m.marks[len(m.marks)-1]
+			m.marks = m.marks[:len(m.marks)-1]
+			if k.start {
+				m.free = m.free.Add(k.Need, 1)
+			}
+		}
+		t.undo = t.undo[:from]
+	}
+	if t.trying = outer; !outer {
+		t.undo = t.undo[:0]
+	}
+	return keep
+}
+
 // Try starts what it can of a request now, and books the rest if asked to.
 // For a gang it is all or none.
-func (t *Table) Try(r *Request, book bool, most int) Result {
+func (t *Table) Try(r *Request, book bool) Result {
+	r.image = t.Image(r.Image)
 	if r.Gang {
 		return t.tryGang(r, book)
 	}
 	res := Result{Request: r, Viable: true}
 	z := newZones(r)
-	n := min(r.Tasks, most)
-	limit := r.Limit
-	onlyNow := false
+	n := min(r.Tasks, r.Limit, maxStarted)
+	t.gather(r, z, "")
+	t.any = t.any[:0]
+	searched, searchedImage := false, false
+	kept := r.Kept
 	for i := 0; i < n; i++ {
-		if limit <= 0 {
-			break
-		}
-		p, ok := t.best(r, z, onlyNow)
-		if !ok {
-			break
+		now, okNow := t.now.top(z)
+		switch {
+		case !book || i >= maxBooked || searched || len(kept) > 0:
+		case !okNow:
+			t.gatherLater(r, z, "", false)
+			searched = true
+		case now.place.Ready > t.Now+patience && !searchedImage:
+			// Where a machine is free, a busy one is worth waiting for only if
+			// it has the image.
+			t.gatherLater(r, z, "", true)
+			searchedImage = true
 		}
-		if p.Begin > t.Now {
-			if !book {
-				// Only a place that is free now is of use to a job that may not
-				// be booked; image readiness still chose among all.
-				if onlyNow {
-					break
-				}
-				onlyNow = true
+		var p Place
+		later, okLater := t.any.top(z)
+		switch {
+		case okNow && (!okLater || now.place.Ready <= later.place.Ready+patience):
+			p = now.place
+		case okLater && book && i < maxBooked:
+			p = later.place
+		case !okNow && len(kept) > 0:
+			// The booking of the pass before holds if its room is still free.
+			p = kept[0]
+			kept = kept[1:]
+			if p.Begin <= t.Now || p.Machine.Blocked || !z.allows(p.Machine.Zone) || !r.allows(p.Machine) ||
+				!p.Machine.fits(r.Need, p.Begin, protocol.End(p.Ready, r.Length)) {
+				kept = nil
 				i--
 				continue
 			}
+		default:
+			return res
+		}
+		if p.Begin > t.Now {
 			res.Booked = append(res.Booked, p)
 		} else {
 			res.Start = append(res.Start, p)
 		}
-		limit--
 		z.add(p.Machine.Zone)
-		t.mark(r, p, protocol.End(p.Ready, r.Length))
-		if r.Deadline > 0 && protocol.End(p.Ready, r.Length) > r.Deadline {
+		till := protocol.End(p.Ready, r.Length)
+		t.mark(r, p, till)
+		t.again(&t.now, r, p.Machine, t.nowOn)
+		t.again(&t.any, r, p.Machine, t.laterOn)
+		if r.Deadline > 0 && till > r.Deadline {
 			res.Viable = false
 		}
 	}
@@ -334,100 +629,187 @@
 	if r.Limit < r.Tasks {
 		return res
 	}
-	choose := func(zone string) ([]Place, micros) {
-		trial := t.Clone()
-		z := newZones(r)
-		if zone != "" {
-			z.one = zone
-		}
+	var best []Place
+	var bestStart micros
+	choose := func(zone string, list *candidates, on func(*Request, *Machine) (candidate, bool)) {
 		var places []Place
 		var start micros
-		for i := 0; i < r.Tasks; i++ {
-			p, ok := trial.best(r, z, false)
-			if !ok {
-				return nil, 0
+		t.try(func() bool {
+			z := newZones(r)
+			if zone != "" {
+				z.one = zone
+			}
+			for i := 0; i < r.Tasks; i++ {
+				c, ok := list.top(z)
+				if !ok {
+					return false
+				}
+				p := c.place
+				t.mark(r, p, protocol.End(p.Ready, r.Length))
+				z.add(p.Machine.Zone)
+				start = max(start, p.Ready)
+				places = append(places, p)
+				if i+1 < r.Tasks {
+					t.again(list, r, p.Machine, on)
+				}
 			}
-			trial.mark(r, p, protocol.End(p.Ready, r.Length))
-			z.add(p.Machine.Zone)
-			start = max(start, p.Ready)
-			places = append(places, p)
+			return false
+		})
+		if len(places) == r.Tasks && (best == nil || start < bestStart) {
+			best, bestStart = places, start
 		}
-		return places, start
 	}
-	var places []Place
-	var start micros
-	if r.OneZone && r.Tasks > 1 && newZones(r).one == "" {
-		seen := map[string]bool{}
-		for _, m := range t.Machines {
-			if seen[m.Zone] {
-				continue
-			}
-			seen[m.Zone] = true
-			if ps, s := choose(m.Zone); ps != nil && (places == nil || s < start) {
-				places, start = ps, s
+	each := func(do func(zone string)) {
+		if one := newZones(r).one; !r.OneZone || r.Tasks == 1 {
+			do("")
+		} else if one != "" {
+			do(one)
+		} else if r.Zone != "" {
+			do(r.Zone)
+		} else {
+			for _, zone := range t.zoneNames() {
+				do(zone)
 			}
 		}
-	} else if r.Tasks == 1 {
-		if p, ok := t.best(r, newZones(r), false); ok {
-			places, start = []Place{p}, p.Ready
-		}
-	} else {
-		places, start = choose("")
 	}
-	if places == nil {
-		return res
-	}
-	now := true
-	byName := make(map[string]*Machine, len(t.Machines))
-	for _, m := range t.Machines {
-		byName[m.Name] = m
+	each(func(zone string) {
+		t.gather(r, newZones(r), zone)
+		if len(t.now) > 0 {
+			choose(zone, &t.now, t.nowOn)
+		}
+	})
+	if best != nil && r.Tasks == 1 && bestStart > t.Now+patience {
+		// It has to fetch: a machine that is busy but has the image may be
+		// ready sooner.
+		now, nowStart := best, bestStart
+		best = nil
+		t.gatherLater(r, newZones(r), "", true)
+		choose("", &t.any, t.laterOn)
+		if best == nil || nowStart <= bestStart+patience {
+			best, bestStart = now, nowStart
+		} else if !book {
+			return res
+		}
 	}
-	for i := range places {
-		places[i].Machine = byName[places[i].Machine.Name]
-		now = now && places[i].Begin <= t.Now
+	if best == nil && book {
+		if t.holds(r, r.Kept) {
+			best = r.Kept
+			for _, p := range best {
+				bestStart = max(bestStart, p.Ready)
+			}
+		} else {
+			each(func(zone string) {
+				t.gatherLater(r, newZones(r), zone, false)
+				choose(zone, &t.any, t.laterOn)
+			})
+		}
 	}
-	if !now && !book {
+	if best == nil {
 		return res
 	}
-	till := protocol.End(start, r.Length)
-	for _, p := range places {
-		t.mark(r, p, till)
+	now := true
+	for _, p := range best {
+		now = now && p.Begin <= t.Now
 	}
+	till := protocol.End(bestStart, r.Length)
 	if r.Deadline > 0 && till > r.Deadline {
 		res.Viable = false
 	}
+	for _, p := range best {
+		if !now && p.Begin <= t.Now {
+			// It waits for the others: until then nothing of it is there.
+			p.Begin = t.Now + 1
+		}
+		t.mark(r, p, till)
+	}
 	if now {
-		res.Start = places
+		res.Start = best
 	} else {
-		res.Booked = places
+		res.Booked = best
 	}
 	return res
 }
 
-// Plan tries the requests in order. A deadline job whose end fits is booked,
-// as is the first job that cannot start now; the others start only where they
-// fit without moving a booking (aggressive backfilling). before is called ahead
-// of each request, so that its limit counts what the ones before it took.
-func (t *Table) Plan(requests []*Request, before func(*Request), after func(Result)) {
-	blocked := false
-	for _, r := range requests {
-		before(r)
-		if r.Limit <= 0 {
-			// A team at its limit gets no booking this round.
-			after(Result{Request: r})
+// holds reports whether a gang's booking of the pass before can be kept.
+func (t *Table) holds(r *Request, kept []Place) bool {
+	if len(kept) != r.Tasks || len(kept) == 0 {
+		return false
+	}
+	later := false
+	for _, p := range kept {
+		later = later || p.Begin > t.Now
+	}
+	if !later {
+		return false
+	}
+	var start micros
+	for _, p := range kept {
+		start = max(start, p.Ready)
+	}
+	ok := true
+	t.try(func() bool {
+		for _, p := range kept {
+			ok = ok && !p.Machine.Blocked && r.allows(p.Machine) && p.Machine.fits(r.Need, max(p.Begin, t.Now), protocol.End(start, r.Length))
+			t.mark(r, p, protocol.End(start, r.Length))
+		}
+		return false
+	})
+	return ok
+}
+
+func (t *Table) zoneNames() []string {
+	var names []string
+	last := ""
+	for _, m := range t.machines {
+		if m.Zone == last {
 			continue
 		}
-		book := !blocked
-		if r.Deadline > 0 && !book {
-			book = t.Clone().Try(r, true, maxBooked).Viable
+		last = m.Zone
+		known := false
+		for _, n := range names {
+			known = known || n == m.Zone
 		}
-		res := t.Try(r, book, maxBooked)
-		if len(res.Booked) > 0 && (r.Deadline == 0 || !res.Viable) {
-			blocked = true
+		if !known {
+			names = append(names, m.Zone)
 		}
-		after(res)
 	}
+	return names
 }
 
-// maxBooked bounds the tasks of one job that a round looks at.
-const maxBooked = 64
+// Next tries one request in its turn. A deadline job whose end fits is booked,
+// as is the first job that cannot start now; the others start only where they
+// fit without moving a booking (aggressive backfilling).
+func (t *Table) Next(r *Request) Result {
+	if r.Limit <= 0 {
+		// A team at its limit gets no booking this round.
+		return Result{Request: r}
+	}
+	var res Result
+	late := false
+	if r.Deadline > 0 && t.blocked {
+		if r.NoBooking {
+			late = true
+		} else {
+			late = !t.try(func() bool {
+				res = t.Try(r, true)
+				return res.Viable
+			})
+		}
+		if late {
+			res = t.Try(r, false)
+			res.Late = !r.NoBooking
+		}
+	} else {
+		res = t.Try(r, !t.blocked)
+	}
+	if len(res.Booked) > 0 && (r.Deadline == 0 || !res.Viable) {
+		t.blocked = true
+	}
+	return res
+}
+
+// Most tasks of one job that a pass starts, and that it books.
+const (
+	maxStarted = 256
+	maxBooked  = 64
+)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -1,11 +1,13 @@
 package coordination
 
 import (
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/coordination/slottable"
 	"mapleslip/internal/protocol"
 )
 
@@ -17,21 +19,33 @@
 	recovered bool // every recorded host has reported or is proven empty
 	dirty     bool // something changed that a round should look at
 	lastRound micros
+	lastSweep micros
 	attempts  uint64 // counter for attempt numbers
 	claims    uint64 // counter for claim names
 
 	submits map[string][]Address // submissions whose record is on its way
 	cancels map[string][]Address
-	gone    map[string]bool // machines that are certainly gone
+	gone    map[string]micros // machines that are certainly gone, and since when
 	rental  rental
 	cutSeen map[string]micros // when a zone last looked cut off
-	chunks  chunkWriter
 	classes map[string]*class
-	booked  []string // bookings to be recorded
 
-	orphans []string // keys of jobs that are over
+	table slottable.Table
+	rows  map[*bookkeeping.Host]*slottable.Machine
+	pass  *pass // over the queue, cut short or not
+
+	hostPages    *pages // records of hosts, bookings and completions
+	bookingPages *pages
+	donePages    *pages
+	chunks       chunkWriter
+
+	toCall  []*bookkeeping.Host // hosts that commands wait for
+	calling int                 // direct commands on their way
+	probes  prober
+
+	orphans  []string // keys to be dropped
+	dropping bool
 
-	nextRecord micros
 	nextImages micros
 }
 
@@ -40,12 +54,27 @@
 	c.become(Loading)
 	c.seat.nextRenew = c.at.Steady
 	t := &term{book: bookkeeping.NewBook(), epoch: c.seat.epoch, started: c.at.Steady,
-		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]bool),
-		classes: make(map[string]*class), cutSeen: make(map[string]micros)}
+		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]micros),
+		classes: make(map[string]*class), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
 	t.rental.init()
+	t.probes.init()
+	t.hostPages = c.newPages(bookkeeping.HostPages, c.hostRecord)
+	t.bookingPages = c.newPages(bookkeeping.BookingPages, c.bookingRecord)
+	t.donePages = c.newPages(bookkeeping.CompletionPages, c.doneRecord)
 	c.term = t
 	bookings := make(map[string]micros)
+	done := make(map[string][]byte)
 	chunks := make(map[string][]protocol.Entry)
+	host := func(h *bookkeeping.Host) {
+		h.Answered = c.seat.predAnswers
+		h.Heard = c.at.Steady
+		if t.book.Host(h.Name) == nil {
+			t.book.AddHost(h)
+		}
+	}
+	// A record that can't be read is named, and never taken for an empty one.
+	damaged := func(e protocol.Entry, err error) { c.log.Error("damaged record", "key", e.Key, "err", err) }
+	refused := false
 	steps := []struct {
 		prefix string
 		each   func(protocol.Entry)
@@ -55,24 +84,64 @@
 				c.tookTypes(e.Value)
 			}
 		}},
-		{bookkeeping.HostPrefix, func(e protocol.Entry) {
-			name := strings.TrimPrefix(e.Key, bookkeeping.HostPrefix)
-			h, err := bookkeeping.DecodeHost(c.at.Steady, name, e.Value)
+		{bookkeeping.HostPages, func(e protocol.Entry) {
+			hosts, err := bookkeeping.DecodeHosts(c.at.Steady, e.Value)
 			if err != nil {
-				c.malformed("state", err)
+				// Tasks may be on its hosts, which nobody else names.
+				damaged(e, err)
+				refused = true
 				return
 			}
-			h.Answered = c.seat.predAnswers
-			h.Heard = c.at.Steady
-			t.book.Hosts[name] = h
+			g := t.hostPages.load(e)
+			for _, h := range hosts {
+				host(h)
+				t.hostPages.enter(g, h.Name, hostBytes(h))
+			}
 		}},
-		{bookkeeping.BookingPrefix, func(e protocol.Entry) {
+		{bookkeeping.OldHostPrefix, func(e protocol.Entry) {
+			h, err := bookkeeping.DecodeHost(c.at.Steady, strings.TrimPrefix(e.Key, bookkeeping.OldHostPrefix), e.Value)
+			if err != nil {
+				damaged(e, err)
+				refused = true
+				return
+			}
+			h.OldRecord = true
+			host(h)
+		}},
+		{bookkeeping.BookingPages, func(e protocol.Entry) {
+			g := t.bookingPages.load(e)
+			at, err := bookkeeping.DecodeBookings(e.Value)
+			if err != nil {
+				damaged(e, err) // a booking is found again by planning
+				g.due = c.at.Steady
+				return
+			}
+			for ref, at := range at {
+				t.bookingPages.enter(g, ref, bookingBytes(ref))
+				bookings[ref] = at
+			}
+		}},
+		{bookkeeping.OldBookingPrefix, func(e protocol.Entry) {
+			t.orphans = append(t.orphans, e.Key)
 			at, err := strconv.ParseInt(string(e.Value), 10, 64)
 			if err != nil {
-				c.malformed("state", err)
+				damaged(e, err)
+				return
+			}
+			bookings[strings.TrimPrefix(e.Key, bookkeeping.OldBookingPrefix)] = micros(at)
+		}},
+		{bookkeeping.CompletionPages, func(e protocol.Entry) {
+			g := t.donePages.load(e)
+			list, err := bookkeeping.DecodeCompletions(e.Value)
+			if err != nil {
+				damaged(e, err) // its tasks run again
+				g.due = c.at.Steady
 				return
 			}
-			bookings[strings.TrimPrefix(e.Key, bookkeeping.BookingPrefix)] = micros(at)
+			for ref, bits := range list {
+				t.donePages.enter(g, ref, len(ref)+len(bits)+8)
+				done[ref] = bits
+			}
 		}},
 		{bookkeeping.ChunkPrefix, func(e protocol.Entry) {
 			ref, _, _ := strings.Cut(strings.TrimPrefix(e.Key, bookkeeping.ChunkPrefix), "/")
@@ -87,6 +156,12 @@
 			if c.term != t {
 				return
 			}
+			if refused {
+				// Placing without knowing where tasks may be would run them twice.
+				c.log.Error("records of hosts can't be read: this node does not lead")
+				c.follow()
+				return
+			}
 			if !ok {
 				c.after(300*protocol.Millisecond, func() {
 					if c.term == t {
@@ -100,14 +175,23 @@
 				return
 			}
 			for ref, at := range bookings {
-				if j := t.book.Jobs[ref]; j != nil {
+				if j := t.book.Job(ref); j != nil {
 					j.Booked, j.BookingKept = c.steadyOf(at), true
+					t.bookingPages.put(ref, bookingBytes(ref), c.room(), protocol.Forever, false)
 				} else {
-					t.orphans = append(t.orphans, bookkeeping.BookingPrefix+ref)
+					t.bookingPages.drop(ref, protocol.Forever)
+				}
+			}
+			for ref, bits := range done {
+				j := t.book.Job(ref)
+				if j == nil {
+					t.donePages.drop(ref, protocol.Forever)
+				} else if err := bookkeeping.ApplyChunk(j, 0, bits); err != nil {
+					c.log.Error("damaged record", "key", t.donePages.of[ref].key, "job", ref, "err", err)
 				}
 			}
 			for ref, list := range chunks {
-				j := t.book.Jobs[ref]
+				j := t.book.Job(ref)
 				for _, e := range list {
 					if j == nil {
 						t.orphans = append(t.orphans, e.Key)
@@ -121,7 +205,7 @@
 						err = bookkeeping.ApplyChunk(j, k, e.Value)
 					}
 					if err != nil {
-						c.malformed("state", err)
+						damaged(e, err)
 					}
 				}
 			}
@@ -137,35 +221,50 @@
 func (c *Controller) loaded(rev uint64) {
 	t := c.term
 	c.become(Leading)
-	for _, h := range t.book.Hosts {
+	for _, h := range t.book.Hosts() {
 		h.Heard = c.at.Steady
 		h.Type = c.typeByName[h.TypeName]
+		if h.OldRecord {
+			t.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, true)
+		}
 	}
-	for _, j := range t.jobs() {
+	for _, j := range slices.Clone(t.book.Line()) {
 		c.checkFinished(j)
 	}
-	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Jobs), "hosts", len(t.book.Hosts), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
+	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Line()), "hosts", len(t.book.Hosts()), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
 	c.followJobs(t, rev)
-	for _, h := range t.hosts() {
+	for _, h := range t.book.Hosts() {
 		c.probe(t, h)
 	}
-	// What belongs to jobs that are over: the transaction that ends a job has
-	// room for some of its records only.
 	sort.Strings(t.orphans)
-	for len(t.orphans) > 0 {
-		n := min(len(t.orphans), c.platform.TxnOps)
-		var then []protocol.Change
-		for _, key := range t.orphans[:n] {
-			then = append(then, protocol.Change{Key: key})
-		}
-		t.orphans = t.orphans[n:]
-		c.dropRecords(t, then)
-	}
 	c.pollTypes(t)
 	c.pollMachines(t)
 	t.dirty = true
 }
 
+// dropOrphans removes records that belong to nothing, a transaction at a time.
+// One that is left over only costs its reader a look.
+func (c *Controller) dropOrphans() {
+	t := c.term
+	if t.dropping || len(t.orphans) == 0 {
+		return
+	}
+	n := min(len(t.orphans), c.platform.TxnOps)
+	var then []protocol.Change
+	for _, key := range t.orphans[:n] {
+		then = append(then, protocol.Change{Key: key})
+	}
+	t.dropping = true
+	c.lead(prioNormal, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
+		if o == txnApplied {
+			t.orphans = t.orphans[n:]
+			t.dropping = false
+			return
+		}
+		c.after(2*protocol.Second, func() { t.dropping = false })
+	})
+}
+
 // followJobs notices the jobs that other nodes took while this one could not
 // be reached. After changes were missed it reads them all again.
 func (c *Controller) followJobs(t *term, rev uint64) {
@@ -197,7 +296,7 @@
 func (c *Controller) learnJob(e protocol.Entry) *bookkeeping.Job {
 	t := c.term
 	ref := strings.TrimPrefix(e.Key, bookkeeping.JobPrefix)
-	if j := t.book.Jobs[ref]; j != nil {
+	if j := t.book.Job(ref); j != nil {
 		return j
 	}
 	if _, over := c.finals[ref]; over {
@@ -205,7 +304,7 @@
 	}
 	j, err := bookkeeping.DecodeJob(e.Value)
 	if err != nil || j.Spec.Ref != ref {
-		c.malformed("state", err)
+		c.log.Error("damaged record", "key", e.Key, "err", err)
 		return nil
 	}
 	j.Stamp = e.Stamp
@@ -217,68 +316,44 @@
 func (c *Controller) enter(j *bookkeeping.Job) {
 	t := c.term
 	j.Submitted = min(c.at.Steady, c.steadyOf(j.SubmittedWall))
-	t.book.Jobs[j.Spec.Ref] = j
+	t.book.AddJob(j)
 	// An attempt of a job that was not known yet may have been reported.
-	for _, h := range t.book.Hosts {
-		for _, a := range h.Attempts {
-			if a.Job == nil && a.Name.Job == j.Spec.Ref {
-				c.rebind(a, j)
-			}
-		}
-	}
+	t.book.Rebind(c.at.Steady, j)
 	c.class(j.Spec.Class).arrived(c.at.Steady, j)
 	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
 }
 
-// rebind gives an attempt seen earlier to its job.
-func (c *Controller) rebind(a *bookkeeping.Attempt, j *bookkeeping.Job) {
-	t := c.term
-	state := a.State
-	h := a.Host
-	delete(h.Attempts, a.Name)
-	if state == bookkeeping.AttemptExited || a.Name.Index >= len(j.Tasks) {
-		return // comes again with the next report
-	}
-	n := t.book.Attach(c.at.Steady, j, h, a.Name)
-	n.Adopted = true
-	t.book.Move(c.at.Steady, n, state)
-}
-
-func (t *term) jobs() []*bookkeeping.Job {
-	list := make([]*bookkeeping.Job, 0, len(t.book.Jobs))
-	for _, j := range t.book.Jobs {
-		list = append(list, j)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Spec.Ref < list[b].Spec.Ref })
-	return list
-}
-
-func (t *term) hosts() []*bookkeeping.Host {
-	list := make([]*bookkeeping.Host, 0, len(t.book.Hosts))
-	for _, h := range t.book.Hosts {
-		list = append(list, h)
-	}
-	sort.Slice(list, func(a, b int) bool { return list[a].Name < list[b].Name })
-	return list
-}
+// sweepEvery is how often everything is looked at that only time changes.
+const sweepEvery = 200 * protocol.Millisecond
 
-// pulse does what is due while this node leads.
+// pulse does what is due while this node leads. It comes with ticks only, so
+// that an event costs what it is about and nothing else.
 func (c *Controller) pulse() {
 	t := c.term
 	if c.role != Leading && c.role != Doubtful {
 		return
 	}
-	c.watchHosts()
+	sweep := c.at.Steady-t.lastSweep >= sweepEvery
+	if sweep {
+		t.lastSweep = c.at.Steady
+		c.watchHosts()
+	}
+	c.runProbes()
 	if c.role != Leading {
 		return
 	}
-	c.recordHosts()
+	if sweep {
+		c.recordImages()
+		c.closeJobs()
+		c.dropOrphans()
+	}
+	c.writePages(t.hostPages)
+	c.writePages(t.donePages)
 	c.writeChunks()
-	c.writeBookings()
-	c.closeJobs()
+	c.writePages(t.bookingPages)
 	since := c.at.Steady - t.lastRound
-	if since >= c.operator.RoundEvery || (t.dirty && since >= c.operator.RoundGap) {
+	if t.pass != nil || since >= c.operator.RoundEvery || (t.dirty && since >= c.operator.RoundGap) {
 		c.round()
 	}
 	if c.term == t && c.mayStart() {
@@ -287,59 +362,105 @@
 	}
 }
 
-// recordHosts writes the records of hosts that have none. Nothing is launched
-// on a host before: a successor must know where tasks may be.
-func (c *Controller) recordHosts() {
-	t := c.term
-	if c.at.Steady < t.nextRecord {
-		return
+// Bytes that entries may take in the records they share.
+func hostBytes(h *bookkeeping.Host) int {
+	return len(h.Name) + len(h.Addr) + len(h.TypeName) + len(h.Zone) + 40
+}
+func bookingBytes(ref string) int { return len(ref) + 24 }
+
+// room is how much of a record entries may take; in a host's some is left for
+// images, which are written as far as they fit.
+func (c *Controller) room() int     { return c.platform.ValueBytes - 200 }
+func (c *Controller) hostRoom() int { return c.platform.ValueBytes * 6 / 10 }
+
+// record asks for a host's record. Nothing is launched on a host before: a
+// successor must know where tasks may be.
+func (c *Controller) record(h *bookkeeping.Host) {
+	if !h.Recorded {
+		c.term.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, true)
 	}
-	var batch []*bookkeeping.Host
-	for _, h := range t.hosts() {
-		// Only once it reports: a successor waits for every recorded host, and
-		// one that still boots has nothing to tell.
-		if !h.Recorded && !h.Recording && h.State == bookkeeping.HostReady {
-			batch = append(batch, h)
-			if len(batch) == c.platform.TxnOps {
-				break
+}
+
+// hostRecord makes the record that some hosts share.
+func (c *Controller) hostRecord(names []string) ([]byte, func()) {
+	t := c.term
+	var hosts []*bookkeeping.Host
+	for _, name := range names {
+		if h := t.book.Host(name); h != nil {
+			if h.RecordedWall == 0 {
+				h.RecordedWall = c.at.Wall
 			}
+			h.ImagesNew = false
+			hosts = append(hosts, h)
 		}
 	}
-	if c.at.Steady >= t.nextImages {
-		// Which images a host has is worth knowing after a take-over, but it
-		// need not be recorded at once.
-		t.nextImages = c.at.Steady + 3*protocol.Second
-		for _, h := range t.hosts() {
-			if len(batch) < c.platform.TxnOps && h.Recorded && !h.Recording && h.ImagesNew && h.State == bookkeeping.HostReady {
-				batch = append(batch, h)
+	value := bookkeeping.EncodeHosts(hosts, true)
+	if len(value) > c.platform.ValueBytes {
+		value = bookkeeping.EncodeHosts(hosts, false)
+	}
+	return value, func() {
+		for _, h := range hosts {
+			if !h.Recorded {
+				h.Recorded = true
+				t.dirty = true
+				c.wantCall(h)
+			}
+			if h.OldRecord {
+				h.OldRecord = false
+				t.orphans = append(t.orphans, bookkeeping.OldHostPrefix+h.Name)
 			}
 		}
 	}
-	if len(batch) == 0 {
+}
+
+// imagesEvery is how often the images of hosts are recorded anew. Which ones a
+// host has is worth knowing after a take-over, but nothing depends on it.
+const imagesEvery = 10 * protocol.Second
+
+func (c *Controller) recordImages() {
+	t := c.term
+	if c.at.Steady < t.nextImages {
 		return
 	}
-	var then []protocol.Change
-	for _, h := range batch {
-		if !h.Recorded {
-			h.RecordedWall = c.at.Wall
+	t.nextImages = c.at.Steady + imagesEvery
+	for _, h := range t.book.Hosts() {
+		if h.Recorded && h.ImagesNew && h.State == bookkeeping.HostReady {
+			t.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, false)
 		}
-		h.Recording, h.ImagesNew = true, false
-		then = append(then, protocol.Change{Key: bookkeeping.HostPrefix + h.Name, Value: bookkeeping.EncodeHost(h)})
 	}
-	c.lead(prioUrgent, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
-		for _, h := range batch {
-			h.Recording = false
-			if o == txnApplied {
-				h.Recorded = true
-				t.dirty = true
-			} else {
-				h.ImagesNew = true
-			}
+}
+
+// bookingRecord makes the record that some bookings share.
+func (c *Controller) bookingRecord(refs []string) ([]byte, func()) {
+	t := c.term
+	return bookkeeping.EncodeBookings(refs, func(ref string) micros {
+		if j := t.book.Job(ref); j != nil {
+			return j.Booked - c.at.Steady + c.at.Wall
+		}
+		return 0
+	}), nil
+}
+
+// doneRecord makes the record of completions that some arrays share.
+func (c *Controller) doneRecord(refs []string) ([]byte, func()) {
+	t := c.term
+	var jobs []*bookkeeping.Job
+	var tasks [][]int
+	for _, ref := range refs {
+		j := t.book.Job(ref)
+		if j == nil || j.State != bookkeeping.JobLive {
+			t.donePages.drop(ref, protocol.Forever) // its final record covers it
+			continue
 		}
-		if o != txnApplied {
-			t.nextRecord = c.at.Steady + 300*protocol.Millisecond
+		jobs, tasks = append(jobs, j), append(tasks, j.Undurable(0, len(j.Tasks)))
+	}
+	return bookkeeping.EncodeCompletions(jobs), func() {
+		for i, j := range jobs {
+			for _, k := range tasks[i] {
+				j.Tasks[k].Durable = true
+			}
 		}
-	})
+	}
 }
 
 // chunkWriter batches the records of arrays' completed tasks.
@@ -354,7 +475,19 @@
 	chunk int
 }
 
+// Completions of arrays up to this size share records; larger ones have some
+// for themselves. They are let come together for a while.
+const (
+	sharedTasks = 2048
+	doneEvery   = 700 * protocol.Millisecond
+)
+
 func (c *Controller) markChunk(j *bookkeeping.Job, index int) {
+	if len(j.Tasks) <= sharedTasks {
+		size := len(j.Spec.Ref) + 8 + (len(j.Tasks)+23)/24*4 + 2
+		c.term.donePages.put(j.Spec.Ref, size, c.room(), c.at.Steady+doneEvery, true)
+		return
+	}
 	w := &c.term.chunks
 	if w.dirty == nil {
 		w.dirty = make(map[chunkKey]bool)
@@ -387,7 +520,7 @@
 	}
 	var batch []covered
 	for _, k := range keys {
-		j := t.book.Jobs[k.ref]
+		j := t.book.Job(k.ref)
 		if j == nil || j.State != bookkeeping.JobLive {
 			delete(w.dirty, k) // its final record covers it
 			continue
@@ -395,12 +528,7 @@
 		if len(then) == c.platform.TxnOps {
 			break
 		}
-		cv := covered{j: j, chunk: k.chunk}
-		for i := k.chunk * bookkeeping.ChunkTasks; i < min(len(j.Tasks), (k.chunk+1)*bookkeeping.ChunkTasks); i++ {
-			if j.Tasks[i].State == bookkeeping.TaskDone && !j.Tasks[i].Durable {
-				cv.tasks = append(cv.tasks, i)
-			}
-		}
+		cv := covered{j: j, chunk: k.chunk, tasks: j.Undurable(k.chunk*bookkeeping.ChunkTasks, (k.chunk+1)*bookkeeping.ChunkTasks)}
 		delete(w.dirty, k)
 		batch = append(batch, cv)
 		when = append(when, protocol.Condition{Key: bookkeeping.JobPrefix + k.ref, Stamp: j.Stamp})
@@ -449,9 +577,7 @@
 	}
 	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref},
 		{Key: bookkeeping.FinalPrefix + ref, Value: bookkeeping.EncodeFinal(phase, len(j.Tasks))}}
-	if j.BookingKept {
-		then = append(then, protocol.Change{Key: bookkeeping.BookingPrefix + ref})
-	}
+	t.bookingPages.drop(ref, protocol.Forever)
 	chunks := make([]int, 0, len(j.Chunks))
 	for k := range j.Chunks {
 		chunks = append(chunks, k)
@@ -531,31 +657,18 @@
 func (c *Controller) closeJobs() {
 	t := c.term
 	var over []*bookkeeping.Job
-	for _, j := range t.book.Jobs {
-		if j.State == bookkeeping.JobDone || j.State == bookkeeping.JobClosed || j.State == bookkeeping.JobCancelled {
-			over = append(over, j)
-		}
-	}
-	sort.Slice(over, func(a, b int) bool { return over[a].Spec.Ref < over[b].Spec.Ref })
-	for _, j := range over {
-		ref := j.Spec.Ref
+	for _, j := range t.book.Line() {
 		switch j.State {
 		case bookkeeping.JobDone, bookkeeping.JobClosed:
 			if j.Settled() {
-				delete(t.book.Jobs, ref)
-				for _, h := range t.book.Hosts {
-					for _, a := range h.Attempts {
-						if a.Job == j {
-							a.Job = nil
-						}
-					}
-				}
+				over = append(over, j)
 			}
 		case bookkeeping.JobCancelled:
-			if j.Settled() && t.recovered && j.Held == 0 && len(t.cancels[ref]) == 0 {
+			if j.Settled() && t.recovered && j.Held == 0 && len(t.cancels[j.Spec.Ref]) == 0 {
 				j.Held = protocol.Forever // its record is being moved
 				c.finish(j)
 			}
 		}
 	}
+	t.book.RemoveJobs(over)
 }
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -127,7 +127,7 @@
 
 // find looks for a job in the state service.
 func (c *Controller) find(ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
-	c.get(prioUrgent, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+	c.get(prioUser, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 		if !ok {
 			done(nil, final{}, false, false)
 			return
@@ -148,7 +148,7 @@
 			done(j, final{}, true, true)
 			return
 		}
-		c.get(prioUrgent, bookkeeping.FinalPrefix+ref, func(e protocol.Entry, found, ok bool) {
+		c.get(prioUser, bookkeeping.FinalPrefix+ref, func(e protocol.Entry, found, ok bool) {
 			if !ok || !found {
 				done(nil, final{}, false, ok)
 				return
@@ -169,7 +169,7 @@
 // directSubmit creates a job's record without the leader, which notices it.
 func (c *Controller) directSubmit(to Address, spec *protocol.JobSpec) {
 	if len(c.types) == 0 {
-		c.get(prioUrgent, bookkeeping.KeyTypes, func(e protocol.Entry, found, ok bool) {
+		c.get(prioUser, bookkeeping.KeyTypes, func(e protocol.Entry, found, ok bool) {
 			if found {
 				c.tookTypes(e.Value)
 			}
@@ -188,7 +188,7 @@
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall = c.at.Wall
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
-		c.txn(prioUrgent, when, then, done)
+		c.txn(prioUser, when, then, done)
 	})
 }
 
@@ -231,7 +231,7 @@
 		switch o {
 		case txnApplied:
 			j.Stamp = r.Stamp
-			if c.mayStart() && c.term.book.Jobs[ref] == nil {
+			if c.mayStart() && c.term.book.Job(ref) == nil {
 				c.enter(j)
 			}
 			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
@@ -286,11 +286,27 @@
 	return (limit.CPU == 0 || amount.CPU <= limit.CPU) && (limit.GPU == 0 || amount.GPU <= limit.GPU)
 }
 
+// submitWait is how long a submission may wait for the state service's rate.
+const submitWait = protocol.Second
+
+// writeRate is how many changes a second the leader may make.
+func (c *Controller) writeRate() float64 {
+	return max(1, c.platform.StateWriteRate*LeaderShare(len(c.platform.Siblings)+1))
+}
+
+// LeaderShare is the part of the metered services' rates that the leader takes;
+// FollowerShare is what each of the others may take.
+func LeaderShare(nodes int) float64 { return 1 - float64(nodes-1)*FollowerShare(nodes) }
+
+// FollowerShare is little: a node that does not lead only watches, and serves
+// users for a short while when the leader can't be reached.
+func FollowerShare(nodes int) float64 { return 0.25 / float64(max(1, nodes-1)) }
+
 // submit accepts a job as the leader.
 func (c *Controller) submit(to Address, spec *protocol.JobSpec) {
 	t := c.term
 	ref := spec.Ref
-	if j := t.book.Jobs[ref]; j != nil {
+	if j := t.book.Job(ref); j != nil {
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
@@ -306,12 +322,18 @@
 		t.submits[ref] = append(waiting, to)
 		return
 	}
+	// What would have to wait for its record for longer than users should is
+	// refused at once: they are told when its turn would come.
+	if wait := protocol.FromSeconds(float64(len(t.submits)) / c.writeRate()); wait > submitWait {
+		c.reply(to, 503, protocol.ErrorBody("too many submissions"), wait)
+		return
+	}
 	t.submits[ref] = nil
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall, j.Epoch = c.at.Wall, t.epoch
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
 		when = append([]protocol.Condition{{Key: bookkeeping.KeyLeader, Stamp: c.seat.stamp}}, when...)
-		c.txn(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		c.txn(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
 			others := t.submits[ref]
 			delete(t.submits, ref)
 			if o == txnRefused {
@@ -326,7 +348,7 @@
 			}
 			done(o, r)
 			for _, a := range others {
-				if j := t.book.Jobs[ref]; j != nil && c.term == t {
+				if j := t.book.Job(ref); j != nil && c.term == t {
 					c.reply(a, 200, c.jobAnswer(j), 0)
 				} else {
 					c.unavailable(a, "the state service can't be reached")
@@ -354,7 +376,7 @@
 }
 
 func (c *Controller) query(to Address, ref string) {
-	if j := c.term.book.Jobs[ref]; j != nil {
+	if j := c.term.book.Job(ref); j != nil {
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
@@ -365,7 +387,7 @@
 // stopped until none is left.
 func (c *Controller) cancel(to Address, ref string) {
 	t := c.term
-	j := t.book.Jobs[ref]
+	j := t.book.Job(ref)
 	if j == nil {
 		c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 			switch {
@@ -375,7 +397,7 @@
 				c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
 			case j == nil:
 				c.replyFinal(to, ref, f)
-			case c.term != nil && c.mayStart() && c.term.book.Jobs[ref] != nil:
+			case c.term != nil && c.mayStart() && c.term.book.Job(ref) != nil:
 				c.cancel(to, ref)
 			default:
 				c.unavailable(to, "no leader can be reached")
@@ -413,13 +435,13 @@
 	ref := j.Spec.Ref
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
 	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j, true)}}
-	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+	c.lead(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
 			c.cancelled(j, r.Stamp)
 		case txnRefused:
 			// An earlier try may have been applied late.
-			c.get(prioUrgent, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+			c.get(prioUser, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 				if c.term != t {
 					return
 				}
@@ -454,13 +476,8 @@
 
 // stopJob stops all attempts of a job that nobody has any use for.
 func (c *Controller) stopJob(j *bookkeeping.Job) {
-	t := c.term
-	for _, h := range t.hosts() {
-		for _, a := range h.Attempts {
-			if a.Job == j {
-				c.stop(a, 0)
-			}
-		}
+	for _, a := range j.On() {
+		c.stop(a, 0)
 	}
-	t.dirty = true
+	c.term.dirty = true
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -1,8 +1,6 @@
 package coordination
 
 import (
-	"sort"
-
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
 )
@@ -42,15 +40,15 @@
 		c.reply(e.Reply, 421, protocol.LeaderBody(""), 0)
 		return
 	}
-	if t.gone[r.Host] {
+	if _, gone := t.gone[r.Host]; gone {
 		c.unavailable(e.Reply, "the machine is gone")
 		return
 	}
-	h := t.book.Hosts[r.Host]
+	h := t.book.Host(r.Host)
 	if h == nil {
 		h = bookkeeping.NewHost(c.at.Steady, r.Host, r.Type, r.Zone, r.Spot)
 		h.Type = c.typeByName[r.Type]
-		t.book.Hosts[r.Host] = h
+		t.book.AddHost(h)
 		c.log.Debug("machine reports that was not rented in this term", "host", r.Host)
 	}
 	if h.Session > 0 && !r.Newer(h.Session, h.Tick) {
@@ -79,13 +77,14 @@
 	h.Session, h.Tick, h.Heard, h.ProbeFailed = r.Session, r.Tick, at, false
 	h.Addr = r.Addr
 	if h.Type == nil {
-		h.Type = c.typeByName[r.Type]
+		h.Type, h.Changed = c.typeByName[r.Type], true
 	}
 	if h.State == bookkeeping.HostBooting || h.State == bookkeeping.HostSilent {
 		if h.State == bookkeeping.HostBooting && !h.FromRecord {
 			t.rental.booted(h, at)
 		}
 		h.To(bookkeeping.HostReady)
+		c.record(h)
 		t.dirty = true
 	}
 	if r.Noticed != h.Noticed || r.Noticed {
@@ -100,17 +99,18 @@
 		h.Proven = true
 		t.dirty = true
 	}
-	seen := make(map[protocol.AttemptName]bool, len(r.Tasks))
-	for _, task := range r.Tasks {
-		seen[task.AttemptName] = true
-		a := h.Attempts[task.AttemptName]
+	h.Reports++
+	for i := range r.Tasks {
+		task := &r.Tasks[i]
+		a := h.Find(task.AttemptName)
 		if a == nil {
-			a = c.adopt(h, task)
+			a = c.adopt(h, *task)
 		}
-		c.observe(a, task)
+		a.Seen = h.Reports
+		c.observe(a, *task)
 	}
-	for _, a := range sortedAttempts(h) {
-		if seen[a.Name] || a.State == bookkeeping.AttemptAssigned {
+	for _, a := range h.Attempts() {
+		if a.Seen == h.Reports || a.State == bookkeeping.AttemptAssigned {
 			continue
 		}
 		if a.State == bookkeeping.AttemptExited {
@@ -149,25 +149,10 @@
 	}
 }
 
-func sortedAttempts(h *bookkeeping.Host) []*bookkeeping.Attempt {
-	list := make([]*bookkeeping.Attempt, 0, len(h.Attempts))
-	for _, a := range h.Attempts {
-		list = append(list, a)
-	}
-	sort.Slice(list, func(i, j int) bool {
-		x, y := list[i].Name, list[j].Name
-		if x.Job != y.Job {
-			return x.Job < y.Job
-		}
-		return x.Index < y.Index || x.Index == y.Index && x.Number < y.Number
-	})
-	return list
-}
-
 // adopt takes an attempt that an earlier leader started into the book.
 func (c *Controller) adopt(h *bookkeeping.Host, task protocol.TaskReport) *bookkeeping.Attempt {
 	t := c.term
-	j := t.book.Jobs[task.Job]
+	j := t.book.Job(task.Job)
 	if j != nil && task.Index >= len(j.Tasks) {
 		j = nil
 	}
@@ -181,6 +166,7 @@
 	}
 	if j == nil || j.State != bookkeeping.JobLive || a.Task().Current != a {
 		a.Stop = true
+		c.wantCall(h)
 	}
 	return a
 }
@@ -301,7 +287,7 @@
 		h.FaultUntil = at + min(micros(h.Faults)*30*protocol.Second, 300*protocol.Second)
 	} else {
 		for name := range j.Failures {
-			if other := c.term.book.Hosts[name]; other != nil && other.Faults > 0 && j.Failures[name] > 0 {
+			if other := c.term.book.Host(name); other != nil && other.Faults > 0 && j.Failures[name] > 0 {
 				other.Faults--
 				if other.Faults == 0 {
 					other.FaultUntil = 0
@@ -334,7 +320,7 @@
 // loseAll notes that nothing is on a host any more.
 func (c *Controller) loseAll(h *bookkeeping.Host, why string) {
 	n := 0
-	for _, a := range sortedAttempts(h) {
+	for _, a := range h.Attempts() {
 		if a.State.MayRun() {
 			n++
 		}
@@ -355,6 +341,8 @@
 			grace = min(grace, a.StopGrace)
 		}
 		a.Stop, a.StopGrace = true, grace
+		a.Host.Changed = true
+		c.wantCall(a.Host)
 	}
 }
 
@@ -368,7 +356,7 @@
 	}
 	at := c.at.Steady
 	var cmds []protocol.Command
-	for _, a := range sortedAttempts(h) {
+	for _, a := range h.Attempts() {
 		if len(cmds) >= protocol.MaxCommands {
 			break
 		}
@@ -417,17 +405,39 @@
 // callTimeout is how long a worker has to answer a direct command.
 const callTimeout = 2 * protocol.Second
 
+// maxCalling bounds the direct commands on their way: each takes a socket, and
+// what does not get its turn goes with the answer to a report.
+const maxCalling = 64
+
+// wantCall notes that commands wait for a host.
+func (c *Controller) wantCall(h *bookkeeping.Host) {
+	if !h.CallQueued {
+		h.CallQueued = true
+		c.term.toCall = append(c.term.toCall, h)
+	}
+}
+
 // callHosts sends commands that should not wait for the next report.
 func (c *Controller) callHosts() {
 	t := c.term
 	at := c.at.Steady
-	for _, h := range t.hosts() {
-		if h.Calling || at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed || !h.Recorded || len(h.Attempts) == 0 {
+	waiting := t.toCall[:0]
+	for i, h := range t.toCall {
+		if t.calling >= maxCalling {
+			waiting = append(waiting, t.toCall[i:]...)
+			break
+		}
+		if h.Calling || !h.Recorded && h.State == bookkeeping.HostReady {
+			waiting = append(waiting, h)
 			continue
 		}
+		h.CallQueued = false
+		if at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed || h.State != bookkeeping.HostReady || !h.Proven {
+			continue // they go with the answer to its next report
+		}
 		var cmds []protocol.Command
 		var launched []*bookkeeping.Attempt
-		for _, a := range sortedAttempts(h) {
+		for _, a := range h.Attempts() {
 			switch {
 			case a.State == bookkeeping.AttemptAssigned && a.Job.State == bookkeeping.JobLive:
 				launched = append(launched, a)
@@ -440,10 +450,11 @@
 				break
 			}
 		}
-		if len(cmds) > 0 && h.State == bookkeeping.HostReady && h.Proven {
+		if len(cmds) > 0 {
 			c.callHost(h, cmds, launched)
 		}
 	}
+	t.toCall = waiting
 }
 
 // callHost sends a direct command. Until it is answered its launches are in
@@ -452,6 +463,7 @@
 func (c *Controller) callHost(h *bookkeeping.Host, cmds []protocol.Command, launched []*bookkeeping.Attempt) {
 	t := c.term
 	h.Calling = true
+	t.calling++
 	for _, a := range launched {
 		a.Doubt, a.ViaReport = true, false
 		a.SentSession, a.SentTick = h.Session, h.Tick
@@ -463,6 +475,7 @@
 			return
 		}
 		h.Calling = false
+		t.calling--
 		report := c.answerOf(h, r)
 		if report == nil {
 			h.NoCalls = c.at.Steady + 8*protocol.Second
@@ -509,75 +522,154 @@
 		c.deposed("a worker has seen a newer epoch")
 		return false
 	}
-	if c.term.book.Hosts[h.Name] == h && (h.Session == 0 || report.Newer(h.Session, h.Tick)) {
+	if c.term.book.Host(h.Name) == h && (h.Session == 0 || report.Newer(h.Session, h.Tick)) {
 		c.takeReport(h, report, true)
 	}
 	return true
 }
 
-// probe asks a recorded host what is on it, rather than waiting until its
-// worker finds the new leader. Its session is not recorded, so its report is
-// read first; then an empty command shows it the new epoch. From there on
-// commands of earlier epochs have no effect, and its report is proof.
+// prober asks hosts what is on them, a bounded number at a time: at a take-over
+// or behind a cut there are hundreds, and those that don't answer must not keep
+// the others waiting.
+type prober struct {
+	queue []*bookkeeping.Host
+	busy  int
+	zones map[string]int // calls on their way, by zone
+}
+
+func (p *prober) init() { p.zones = make(map[string]int) }
+
+// Most probes on their way, in all and to one zone.
+const (
+	maxProbes     = 48
+	maxZoneProbes = 20
+)
+
+// probe asks a host what is on it, rather than waiting until its worker finds
+// this leader.
 func (c *Controller) probe(t *term, h *bookkeeping.Host) {
-	if h.Addr == "" {
-		return
+	if h.Addr != "" && !h.Probing {
+		h.Probing = true
+		t.probes.queue = append(t.probes.queue, h)
 	}
-	take := func(r CallDone) *protocol.Report {
-		h.ProbeFailed = r.Status == 0
-		if c.term != t || t.book.Hosts[h.Name] != h {
-			return nil
+}
+
+// runProbes sends the probes that have their turn.
+func (c *Controller) runProbes() {
+	t := c.term
+	p := &t.probes
+	at := c.at.Steady
+	rest := p.queue[:0]
+	for i, h := range p.queue {
+		if p.busy >= maxProbes {
+			rest = append(rest, p.queue[i:]...)
+			break
 		}
-		report := c.answerOf(h, r)
-		if report == nil || !c.takeAnswer(h, report) {
-			return nil
+		if p.zones[h.Zone] >= maxZoneProbes {
+			rest = append(rest, h)
+			continue
 		}
-		return report
+		if t.book.Host(h.Name) != h || h.Proven && at-h.Heard < c.platform.ReportEvery {
+			h.Probing = false // it has reported meanwhile
+			continue
+		}
+		c.sendProbe(t, h, max(1, h.Session), 2)
 	}
-	c.callAddr(ToWorker, "GET", h.Addr, "/status", nil, callTimeout, func(r CallDone) {
-		report := take(r)
-		if report == nil || h.Proven {
+	p.queue = rest
+}
+
+// sendProbe asks with an empty command. If that names the host's session it
+// also shows the new epoch: from there on commands of earlier epochs have no
+// effect, and the report in the answer is proof. Otherwise the answer says
+// which session it is.
+func (c *Controller) sendProbe(t *term, h *bookkeeping.Host, session uint64, tries int) {
+	p := &t.probes
+	p.busy++
+	p.zones[h.Zone]++
+	body := protocol.AppendCommands(nil, t.epoch, session, nil)
+	asked := c.at.Steady
+	c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) {
+		if c.term != t {
+			return
+		}
+		p.busy--
+		p.zones[h.Zone]--
+		h.Probing = false
+		// Only a call that was made and got no answer says something, and only
+		// if this node was awake to hear it.
+		if r.Status == 0 && !(r.Unsent && !r.Refused) && !c.lagging(c.at.Steady-asked+protocol.Second) {
+			h.ProbeFailed = true
+		}
+		if t.book.Host(h.Name) != h {
 			return
 		}
-		body := protocol.AppendCommands(nil, t.epoch, report.Session, nil)
-		c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) { take(r) })
+		report := c.answerOf(h, r)
+		if report == nil || !c.takeAnswer(h, report) {
+			return
+		}
+		if tries > 1 && !h.Proven && report.Session != session {
+			h.Probing = true
+			c.sendProbe(t, h, report.Session, tries-1)
+		}
 	})
 }
 
+// zoneCount counts the hosts of a zone.
+type zoneCount struct{ silent, all int }
+
+// silence is after how long without a report a host counts as silent: its
+// report is overdue by half of the time between two.
+func (c *Controller) silence() micros { return c.platform.ReportEvery * 3 / 2 }
+
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
 func (c *Controller) watchHosts() {
 	t := c.term
 	at := c.at.Steady
 	silent, reporting := 0, 0
-	zones := make(map[string][2]int) // silent and all hosts of a zone
-	for _, h := range t.book.Hosts {
+	zones := make(map[string]*zoneCount, len(c.platform.Zones))
+	release := max(c.operator.SilentRelease, c.silence()+callTimeout)
+	for _, h := range t.book.Hosts() {
 		if h.State == bookkeeping.HostReady || h.FromRecord && !h.Proven {
 			z := zones[h.Zone]
+			if z == nil {
+				z = &zoneCount{}
+				zones[h.Zone] = z
+			}
 			reporting++
-			z[1]++
-			if at-h.Heard > c.platform.ReportEvery*3/2 {
-				z[0]++
+			z.all++
+			if at-h.Heard > c.silence() {
+				z.silent++
 			}
-			if at-h.Heard > c.operator.SilentRelease {
+			if at-h.Heard > release {
 				silent++
 			}
-			zones[h.Zone] = z
 		}
 	}
-	limit := c.operator.SilentRelease
+	limit := release
 	if silent > 2 && silent*3 > reporting {
 		// So many at once are rather cut off than dead.
 		limit = 2 * limit
 	}
+	for name, z := range zones {
+		if z.silent >= 3 && 2*z.silent >= z.all {
+			t.cutSeen[name] = at
+		}
+	}
 	unproven := 0
-	for _, h := range t.hosts() {
-		lease := c.platform.WorkerLease
-		limit := limit
-		if z := zones[h.Zone]; z[0] >= 3 && 2*z[0] >= z[1] {
-			t.cutSeen[h.Zone] = at
+	lease := c.platform.WorkerLease
+	mayRelease := c.mayStart() && !c.lagging(release)
+	for _, h := range t.book.Hosts() {
+		if h.FromRecord && !h.Proven {
+			unproven++
+		} else if h.State == bookkeeping.HostReady && at-h.Heard <= c.silence() {
+			if h.Noticed {
+				c.drainNoticed(h)
+			}
+			continue
 		}
-		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < 10*protocol.Second {
+		limit := limit
+		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < 2*c.platform.ReportEvery+4*protocol.Second {
 			// The zone is cut off: its tasks go on within their leases, and a
 			// release would end them all. When the cut ends, its hosts do not
 			// all come back at the same instant.
@@ -593,15 +685,15 @@
 				c.loseAll(h, "silent for longer than its lease")
 				h.To(bookkeeping.HostSilent)
 				h.Proven = true
-			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-h.Heard > limit+limit/2) && c.mayStart() {
+			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-h.Heard > limit+limit/2) && mayRelease {
 				// It neither reports nor answers.
 				c.release(h, "silent")
-			} else if at-h.Heard > c.platform.ReportEvery*3/2 && at >= h.ProbeAt && c.mayStart() {
+			} else if at-h.Heard > c.silence() && at >= h.ProbeAt && c.mayStart() {
 				h.ProbeAt = at + callTimeout
 				c.probe(t, h)
 			}
 		case bookkeeping.HostSilent:
-			if at-h.Heard > limit+lease && c.mayStart() {
+			if at-h.Heard > limit+lease && mayRelease {
 				c.release(h, "silent")
 			}
 		case bookkeeping.HostReleasing:
@@ -612,25 +704,21 @@
 				c.loseAll(h, "silent for longer than its lease")
 			}
 		}
-		if h.FromRecord && !h.Proven {
-			unproven++
-		}
-		if !h.Noticed || h.State != bookkeeping.HostReady {
-			continue
+		if h.Noticed && h.State == bookkeeping.HostReady {
+			c.drainNoticed(h)
 		}
-		c.drainNoticed(h)
 	}
 	if unproven == 0 && !t.recovered {
 		t.recovered = true
 		t.dirty = true
-		c.log.Info("all hosts accounted for", "epoch", t.epoch, "took_ms", int64((at-t.started)/protocol.Millisecond), "hosts", len(t.book.Hosts))
+		c.log.Info("all hosts accounted for", "epoch", t.epoch, "took_ms", int64((at-t.started)/protocol.Millisecond), "hosts", len(t.book.Hosts()))
 	}
 }
 
 // drainNoticed saves what it can from a machine that is about to be taken.
 func (c *Controller) drainNoticed(h *bookkeeping.Host) {
 	left := h.TakenAt - c.at.Steady
-	for _, a := range sortedAttempts(h) {
+	for _, a := range h.Attempts() {
 		j := a.Job
 		if j == nil || a.Stop || !a.State.Occupies() {
 			continue
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list, err := v.Get("flavors").Array()
+	list, err := Member(v, "flavors").Array()
 	if err != nil {
 		return nil, errors.New("flavors: invalid")
 	}
@@ -83,7 +83,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	list, err := v.Get("hosts").Array()
+	list, err := Member(v, "hosts").Array()
 	if err != nil {
 		return nil, false, errors.New("hosts: invalid")
 	}
@@ -114,9 +114,9 @@
 
 // AppendRental writes a rental request.
 func AppendRental(b []byte, claim, typ, zone string, spot bool, count int) []byte {
-	b = appendQuoted(append(b, `{"claim":`...), claim)
-	b = appendQuoted(append(b, `,"flavor":`...), typ)
-	b = appendQuoted(append(b, `,"region":`...), zone)
+	b = AppendQuoted(append(b, `{"claim":`...), claim)
+	b = AppendQuoted(append(b, `,"flavor":`...), typ)
+	b = AppendQuoted(append(b, `,"region":`...), zone)
 	b = strconv.AppendBool(append(b, `,"reclaimable":`...), spot)
 	b = strconv.AppendInt(append(b, `,"count":`...), int64(count), 10)
 	return append(b, '}')
@@ -129,7 +129,7 @@
 		if i > 0 {
 			b = append(b, ',')
 		}
-		b = appendQuoted(b, h)
+		b = AppendQuoted(b, h)
 	}
 	return append(b, "]}"...)
 }
@@ -140,7 +140,7 @@
 	if err != nil {
 		return nil, err
 	}
-	list, err := v.Get("hosts").Array()
+	list, err := Member(v, "hosts").Array()
 	if err != nil {
 		return nil, errors.New("hosts: invalid")
 	}
@@ -161,7 +161,7 @@
 		if i > 0 {
 			b = append(b, ',')
 		}
-		b = appendQuoted(append(b, `{"label":`...), t.Name)
+		b = AppendQuoted(append(b, `{"label":`...), t.Name)
 		b = appendThousandths(append(b, `,"cores":`...), t.Offer.CPU)
 		b = appendThousandths(append(b, `,"gpus":`...), t.Offer.GPU)
 		b = appendThousandths(append(b, `,"memoryGb":`...), t.Offer.Mem)
@@ -175,7 +175,7 @@
 			if j > 0 {
 				b = append(b, ',')
 			}
-			b = appendQuoted(b, z)
+			b = AppendQuoted(b, z)
 		}
 		b = append(b, "]}"...)
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -200,3 +200,20 @@
 		}
 	})
 }
+
+// An answer that lacks its list is malformed; it must not end the process.
+func TestAnswersWithoutTheirList(t *testing.T) {
+	for name, parse := range map[string]func([]byte) error{
+		"page":   func(b []byte) error { _, err := ParsePage(b); return err },
+		"follow": func(b []byte) error { _, _, err := ParseFollow(b); return err },
+		"types":  func(b []byte) error { _, err := ParseTypes(b); return err },
+		"hosts":  func(b []byte) error { _, _, err := ParseHosts(b); return err },
+		"names":  func(b []byte) error { _, err := ParseNames(b); return err },
+	} {
+		for _, body := range []string{`{}`, `{"generation":1}`, `{"generation":1,"entries":1,"news":1,"flavors":1,"hosts":1}`} {
+			if parse([]byte(body)) == nil {
+				t.Errorf("%s: %s was taken", name, body)
+			}
+		}
+	}
+}
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -34,7 +34,7 @@
 		if i > 0 {
 			b = append(b, ',')
 		}
-		b = appendQuoted(append(b, `{"path":`...), c.Key)
+		b = AppendQuoted(append(b, `{"path":`...), c.Key)
 		b = strconv.AppendUint(append(b, `,"stamp":`...), c.Stamp, 10)
 		b = append(b, '}')
 	}
@@ -44,9 +44,9 @@
 			b = append(b, ',')
 		}
 		if c.Value == nil {
-			b = appendQuoted(append(b, `{"drop":`...), c.Key)
+			b = AppendQuoted(append(b, `{"drop":`...), c.Key)
 		} else {
-			b = appendQuoted(append(b, `{"set":`...), c.Key)
+			b = AppendQuoted(append(b, `{"set":`...), c.Key)
 			b = append(append(b, `,"data":`...), c.Value...)
 			if c.Lease > 0 {
 				b = strconv.AppendUint(append(b, `,"hold":`...), c.Lease, 10)
@@ -115,7 +115,7 @@
 	f := &fields{obj: v}
 	p.Revision = f.count("generation")
 	p.More = v.GetBool("truncated")
-	list, err := v.Get("entries").Array()
+	list, err := Member(v, "entries").Array()
 	if err != nil {
 		return p, errors.New("entries: invalid")
 	}
@@ -137,7 +137,7 @@
 	}
 	f := &fields{obj: v}
 	revision = f.count("generation")
-	list, err := v.Get("news").Array()
+	list, err := Member(v, "news").Array()
 	if err != nil {
 		return nil, 0, errors.New("news: invalid")
 	}
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -181,6 +181,17 @@
 	return n
 }
 
+var null = fastjson.MustParse("null")
+
+// Member returns a member of an object, or a null where it is missing: reading
+// what is not there is an error then, and no fault of the program.
+func Member(v *fastjson.Value, name string) *fastjson.Value {
+	if m := v.Get(name); m != nil {
+		return m
+	}
+	return null
+}
+
 func parseObject(body []byte) (*fastjson.Value, error) {
 	if err := fastjson.ValidateBytes(body); err != nil {
 		return nil, errors.New("not JSON")
@@ -257,7 +268,7 @@
 		b = append(b, '"')
 		b = append(b, name...)
 		b = append(b, `":`...)
-		b = appendQuoted(b, v)
+		b = AppendQuoted(b, v)
 		b = append(b, ',')
 	}
 	amount := func(name string, v int64) {
@@ -301,7 +312,7 @@
 			if i > 0 {
 				b = append(b, ',')
 			}
-			b = appendQuoted(b, t)
+			b = AppendQuoted(b, t)
 		}
 		b = append(b, "],"...)
 	}
@@ -321,7 +332,8 @@
 	return append(b, '}')
 }
 
-func appendQuoted(b []byte, s string) []byte {
+// AppendQuoted writes a JSON string.
+func AppendQuoted(b []byte, s string) []byte {
 	var a fastjson.Arena
 	return a.NewString(s).MarshalTo(b)
 }
@@ -339,7 +351,7 @@
 
 // JobAnswer is the body that says how a job stands.
 func JobAnswer(ref string, p Phase, done, running int) []byte {
-	b := append([]byte(`{"ref":`), appendQuoted(nil, ref)...)
+	b := append([]byte(`{"ref":`), AppendQuoted(nil, ref)...)
 	b = append(b, `,"phase":"`...)
 	b = append(b, p...)
 	b = append(b, `","done":`...)
@@ -351,7 +363,7 @@
 
 // ErrorBody is the body of an answer that reports a problem.
 func ErrorBody(text string) []byte {
-	return append(appendQuoted([]byte(`{"error":`), text), '}')
+	return append(AppendQuoted([]byte(`{"error":`), text), '}')
 }
 
 // LeaderBody is the body of a 421.
@@ -359,5 +371,5 @@
 	if leader == "" {
 		return []byte(`{}`)
 	}
-	return append(appendQuoted([]byte(`{"leader":`), leader), '}')
+	return append(AppendQuoted([]byte(`{"leader":`), leader), '}')
 }
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -149,7 +149,7 @@
 			b = append(b, ',')
 		}
 		b = append(b, [...]string{`{"verb":"launch","shard":`, `{"verb":"stop","shard":`, `{"verb":"forget","shard":`}[c.Verb]...)
-		b = appendQuoted(b, c.Name.TaskName.String())
+		b = AppendQuoted(b, c.Name.TaskName.String())
 		b = append(b, `,"try":`...)
 		b = strconv.AppendUint(b, c.Name.Number, 10)
 		if c.Verb == Stop {
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -8,6 +8,7 @@
 // Leadership comes first: without it nothing else may be done.
 const (
 	Leadership Priority = iota
+	User
 	Urgent
 	Normal
 	priorities
@@ -41,13 +42,15 @@
 	calls, changes bucket
 	rate, writes   float64
 	burst          float64
+	largest        float64 // changes of the largest call
 	queues         [priorities][]Metered
 }
 
-// NewMeter makes a meter; burst is how many seconds' worth may come at once.
-func NewMeter(rate, writes, burst float64) *Meter {
-	m := &Meter{rate: rate, writes: writes, burst: burst}
-	m.SetShare(0.15)
+// NewMeter makes a meter; burst is how many seconds' worth may come at once,
+// largest how many changes one call may carry.
+func NewMeter(rate, writes, burst float64, largest int) *Meter {
+	m := &Meter{rate: rate, writes: writes, burst: burst, largest: float64(largest)}
+	m.SetShare(1)
 	m.calls.level, m.changes.level = m.calls.burst, m.changes.burst
 	return m
 }
@@ -55,36 +58,37 @@
 // SetShare sets the part of the published rates that this process may use.
 func (m *Meter) SetShare(part float64) {
 	m.calls.rate, m.calls.burst = m.rate*part, max(1, m.rate*part*m.burst)
-	m.changes.rate, m.changes.burst = m.writes*part, max(12, m.writes*part*m.burst)
+	m.changes.rate, m.changes.burst = m.writes*part, max(m.largest, m.writes*part*m.burst)
 }
 
 // Add queues a call.
 func (m *Meter) Add(c Metered) { m.queues[c.Priority] = append(m.queues[c.Priority], c) }
 
-// Run sends what the rates allow and reports whether calls still wait.
+// Run sends what the rates allow and reports whether calls still wait. A call
+// that only reads does not wait for the rate of changes.
 func (m *Meter) Run(now protocol.Micros) (waiting bool) {
 	m.calls.fill(now)
 	m.changes.fill(now)
-	blocked := false
+	noChanges := false
 	for p := range m.queues {
 		q := m.queues[p]
-		i := 0
-		for ; i < len(q); i++ {
-			c := q[i]
-			if now >= c.Expires {
+		rest := q[:0]
+		for _, c := range q {
+			noChanges = noChanges || c.Changes > 0 && m.changes.level < float64(c.Changes)
+			switch {
+			case now >= c.Expires:
 				c.Expire()
-				continue
+			case m.calls.level < 1 || c.Changes > 0 && noChanges:
+				rest = append(rest, c)
+			default:
+				m.calls.level--
+				m.changes.level -= float64(c.Changes)
+				c.Send()
 			}
-			if blocked || m.calls.level < 1 || (c.Changes > 0 && m.changes.level < float64(c.Changes)) {
-				blocked = true
-				break
-			}
-			m.calls.level--
-			m.changes.level -= float64(c.Changes)
-			c.Send()
 		}
-		m.queues[p] = append(q[:0], q[i:]...)
-		waiting = waiting || len(m.queues[p]) > 0
+		clear(q[len(rest):])
+		m.queues[p] = rest
+		waiting = waiting || len(rest) > 0
 	}
 	return waiting
 }
--- a/internal/transport/bucket_test.go
+++ b/internal/transport/bucket_test.go
@@ -9,7 +9,7 @@
 // Calls beyond the rate wait, leadership passes the others, and what waits too
 // long is told so.
 func TestMeter(t *testing.T) {
-	m := NewMeter(100, 20, 1)
+	m := NewMeter(100, 20, 1, 12)
 	m.SetShare(0.05) // five calls a second, bursts of five
 	var sent []string
 	expired := 0
@@ -32,3 +32,30 @@
 		t.Fatalf("sent %v, %d expired", sent, expired)
 	}
 }
+
+// While the rate of changes is used up, reads go on, and what is urgent gets
+// the next change before what is not.
+func TestMeterChanges(t *testing.T) {
+	m := NewMeter(1000, 10, 1, 4)
+	var sent []string
+	add := func(name string, p Priority, changes int) {
+		m.Add(Metered{Priority: p, Changes: changes, Expires: 100 * protocol.Second, Send: func() { sent = append(sent, name) }, Expire: func() {}})
+	}
+	m.changes.level = 0
+	add("images", Normal, 1)
+	add("record", Urgent, 4)
+	add("submission", User, 1)
+	add("read", Normal, 0)
+	if m.Run(0); len(sent) != 1 || sent[0] != "read" {
+		t.Fatalf("sent %v without a change to spend", sent)
+	}
+	if m.Run(protocol.Second / 10); len(sent) != 2 || sent[1] != "submission" {
+		t.Fatalf("sent %v", sent)
+	}
+	if m.Run(protocol.Second / 2); len(sent) != 3 || sent[2] != "record" {
+		t.Fatalf("sent %v: a small change must not starve a large one of more urgency", sent)
+	}
+	if waiting := m.Run(protocol.Second); waiting || len(sent) != 4 {
+		t.Fatalf("sent %v", sent)
+	}
+}
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -48,6 +48,9 @@
 		d.drop(addr, c.conn)
 	}
 	d.sweep()
+	if d.open >= d.MaxOpen {
+		d.evict()
+	}
 	if d.open >= d.MaxOpen || d.per[addr] >= d.MaxPer {
 		return nil, false, ErrSockets
 	}
@@ -76,6 +79,19 @@
 	}
 }
 
+// evict closes a connection that is idle: one that is only kept in case of
+// another call must not bar a call that is to be made now.
+func (d *Dialer) evict() {
+	for addr, list := range d.idle {
+		if len(list) > 0 {
+			c := list[0]
+			d.idle[addr] = list[1:]
+			d.drop(addr, c.conn)
+			return
+		}
+	}
+}
+
 func (d *Dialer) drop(addr string, c net.Conn) {
 	if c != nil {
 		c.Close()
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -58,8 +58,16 @@
 	if d.open != 1 || len(d.idle[a]) != 1 {
 		t.Fatalf("%d open, %d idle", d.open, len(d.idle[a]))
 	}
+	d.MaxPer = 0
 	if _, err := ask(d, b); err != ErrSockets {
-		t.Fatalf("a second connection of one: %v", err)
+		t.Fatalf("more connections to one address than allowed: %v", err)
+	}
+	d.MaxPer = 1
+	if status, err := ask(d, b); status != 200 || err != nil || d.open != 1 || len(d.idle[a]) != 0 {
+		t.Fatalf("a call gives way to a connection that is only kept: status %d, %v, %d open", status, err, d.open)
+	}
+	if status, err := ask(d, a); status != 200 || err != nil {
+		t.Fatalf("status %d, %v", status, err)
 	}
 	d.KeepIdle, d.swept = 0, time.Time{}
 	if status, err := ask(d, b); status != 200 || err != nil {
