Room is made for gangs of several tasks and for every replica of a service

A service of several replicas had room made for one of them at a time, every 10 s, and none of them where its places were only cold: an image of 5 GB takes 12.5 s, the aim is 12 s.

Now a gang has room made in the zone where least is lost, and what comes free is booked for it until it starts; replicas are looked at one by one. Jobs that room was made for are tried first in their rank.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -78,9 +78,10 @@
 	Held          micros // not placed before, after failures
 	Chunks        map[int]bool
 	FirstStart    micros
-	RoomOn        string // host on which room was made for it
-	RoomUntil     micros
+	Rooms         []Room    // hosts on which room was made for it
+	RoomUntil     micros    // some of it is kept for the job until then
 	Places        []Booking // planned by the last pass
+	NoRoomUntil   micros    // no room could be made for it, found lately
 	UnviableUntil micros    // no booking could meet its deadline, found lately
 	Lowest        int       // no task before it waits for a place
 	on            map[*Attempt]struct{}
@@ -92,6 +93,13 @@
 	Begin, Ready micros
 }
 
+// Room is a host on which room was made for one task, and until when the task
+// waits for it.
+type Room struct {
+	Host  *Host
+	Until micros
+}
+
 // On lists the job's attempts that are not certainly gone, in their order.
 func (j *Job) On() []*Attempt {
 	list := make([]*Attempt, 0, len(j.on))
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -1,6 +1,9 @@
 package coordination
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sort"
 
 	"mapleslip/internal/bookkeeping"
@@ -15,6 +18,7 @@
 	tasks   []int
 	within  bool // its team's jobs up to this one fit into the guarantee
 	missed  bool // too late for its deadline and every aim on finishing
+	room    bool // room was made for it
 	turn    micros
 	result  slottable.Result
 }
@@ -279,7 +283,7 @@
 			continue // its tasks may be on hosts that have not reported yet
 		}
 		w := &wanted{job: j, within: holdsGuarantee(c.platform.Teams[s.Team].Guarantee, sums[s.Team])}
-		w.missed = c.missed(j)
+		w.missed, w.room = c.missed(j), at < j.RoomUntil
 		w.turn = j.Submitted
 		if s.Kind == protocol.Array {
 			// Jobs count alike, so a large one lets small ones pass that come a
@@ -293,6 +297,9 @@
 		if x.job.Spec.Rank != y.job.Spec.Rank {
 			return x.job.Spec.Rank < y.job.Spec.Rank
 		}
+		if x.room != y.room {
+			return x.room
+		}
 		if x.missed != y.missed {
 			return y.missed
 		}
@@ -347,6 +354,7 @@
 	}
 	r := &slottable.Request{Tasks: len(w.tasks), Need: s.Need, Gang: s.Kind == protocol.Gang, Image: s.Image, ImageSize: s.ImageSize,
 		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s)}
+	w.request = r
 	if s.Spread {
 		r.ZoneCap = (s.Tasks + 1) / 2
 	}
@@ -358,12 +366,8 @@
 		failures := j.Failures
 		r.Avoid = func(name string) bool { return failures[name] > 0 }
 	}
-	if at < j.RoomUntil {
-		r.Prefer = j.RoomOn
-		// Until then it waits for that room rather than fetch elsewhere.
-		if h := t.book.Host(j.RoomOn); h != nil && c.usable(h) && s.Tasks == 1 {
-			r.Avoid = func(name string) bool { return name != j.RoomOn }
-		}
+	if len(j.Rooms) > 0 && !c.takeRooms(w) {
+		return false
 	}
 	for _, b := range j.Places {
 		h := t.book.Host(b.Machine)
@@ -371,13 +375,41 @@
 			r.Kept = nil
 			break
 		}
-		r.Kept = append(r.Kept, slottable.Place{Machine: t.rows[h], Begin: b.Begin, Ready: b.Ready})
+		begin := b.Begin
+		if at < j.RoomUntil && len(j.Rooms) == 0 {
+			// What was stopped for it may take a little longer to end.
+			r.Hold = true
+			begin = max(begin, at+2*protocol.Second)
+		}
+		r.Kept = append(r.Kept, slottable.Place{Machine: t.rows[h], Begin: begin, Ready: max(b.Ready, begin)})
 	}
 	r.Patient = c.patience(j)
-	w.request = r
 	return true
 }
 
+// takeRooms lets tasks wait for the room that was made for them, rather than
+// fetch elsewhere, and prefer it once it is free. It reports whether there are
+// others, or room.
+func (c *Controller) takeRooms(w *wanted) bool {
+	t := c.term
+	j, r := w.job, w.request
+	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool {
+		return c.at.Steady >= m.Until || t.rows[m.Host] == nil || !c.usable(m.Host)
+	})
+	names := make(map[string]bool, len(j.Rooms))
+	waiting := 0
+	for _, m := range j.Rooms {
+		names[m.Host.Name] = true
+		if !t.rows[m.Host].Free().Holds(r.Need) {
+			waiting++
+		}
+	}
+	r.Prefer = func(name string) bool { return names[name] }
+	w.tasks = w.tasks[:max(0, len(w.tasks)-waiting)]
+	r.Tasks = len(w.tasks)
+	return r.Tasks > 0
+}
+
 // overdueFor is how long a job that is too late lets others pass.
 const overdueFor = 600 * protocol.Second
 
@@ -462,6 +494,7 @@
 	}
 	a := t.book.Attach(c.at.Steady, j, h, name)
 	a.ExpectedReady = p.Ready
+	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool { return m.Host == h })
 	t.book.Move(c.at.Steady, a, bookkeeping.AttemptAssigned)
 	c.touchIdle(h)
 	c.wantCall(h)
@@ -492,50 +525,132 @@
 const mostVictims = 24
 
 // preempt makes room for a job of higher rank, where no place comes free soon:
-// of the hosts that could give it the one where the least work is lost.
+// of the hosts that could give it those where the least work is lost.
 func (c *Controller) preempt(p *pass, w *wanted) {
-	t := c.term
 	at := c.at.Steady
 	j := w.job
 	s := j.Spec
-	if s.Rank > protocol.High || w.request == nil || w.request.Limit < 1 || j.State != bookkeeping.JobLive {
+	if s.Rank > protocol.High || w.request == nil || w.request.Limit < 1 || j.State != bookkeeping.JobLive || at < j.NoRoomUntil {
 		return
 	}
-	// A class that has to start at once can't wait for others to save.
-	within := c.startWithin(s.Class)
-	if within == 0 {
-		within = protocol.Forever
+	need := makeRoom{within: c.startWithin(s.Class), taken: make(map[*bookkeeping.Host]bool)}
+	if need.within == 0 {
+		need.within = protocol.Forever
 	}
-	hurry := within < 10*protocol.Second
-	due := protocol.End(j.Submitted, within)
+	// A class that has to start at once can't wait for others to save.
+	need.hurry = need.within < 10*protocol.Second
+	due := protocol.End(j.Submitted, need.within)
 	// A place that is free but has to fetch the image first may be too late,
 	// where one with the image would not be.
-	cold := s.Tasks == 1 && len(w.result.Start) == 1 && at < due && w.result.Start[0].Ready > due
-	if len(w.result.Start) == len(w.tasks) && !cold || !cold && at < j.Submitted+min(2*protocol.Second, within/16) {
-		return
+	var cold []int
+	for i, pl := range w.result.Start {
+		if at < due && pl.Ready > due {
+			cold = append(cold, i)
+		}
+	}
+	missing := min(len(w.tasks), w.request.Limit) - len(w.result.Start)
+	if at < j.Submitted+min(2*protocol.Second, need.within/16) {
+		missing = 0
+	}
+	need.soonest = at + 10*protocol.Second + c.class(s.Class).length(s)
+	if n := len(w.result.Booked); n > 0 {
+		need.soonest = w.result.Booked[n-1].Ready
 	}
 	if s.Kind == protocol.Gang && len(w.tasks) > 1 {
+		switch {
+		case at < j.RoomUntil || w.request.Limit < len(w.tasks):
+		case missing > 0:
+			c.preemptForGang(p, w, need)
+		case len(cold) > 0 && c.recallable(w):
+			need.soonest = due
+			if c.preemptForGang(p, w, need) {
+				for i := range w.result.Start {
+					c.lost(j.Tasks[w.tasks[i]].Current)
+				}
+			}
+		}
 		return
 	}
-	soonest := at + 10*protocol.Second + c.class(s.Class).length(s)
-	if n := len(w.result.Booked); n > 0 {
-		soonest = w.result.Booked[n-1].Ready
+	zones := newZoneCount(w)
+	for _, m := range j.Rooms {
+		need.taken[m.Host] = true
+		zones[m.Host.Zone]++
+	}
+	for ; missing > 0; missing-- {
+		if !c.preemptOne(p, w, &need, zones) {
+			j.NoRoomUntil = at + roomAgain
+			break
+		}
 	}
-	if cold {
-		soonest = w.result.Start[0].Ready
+	need.due = due
+	for _, i := range cold {
+		a := j.Tasks[w.tasks[i]].Current
+		if a == nil || a.State != bookkeeping.AttemptAssigned {
+			continue
+		}
+		need.soonest = w.result.Start[i].Ready
+		zones[a.Host.Zone]--
+		if !c.preemptOne(p, w, &need, zones) {
+			j.NoRoomUntil = at + roomAgain
+			break
+		}
+		c.lost(a) // no launch has left yet
 	}
-	if at < j.RoomUntil {
-		return
+}
+
+// makeRoom is what room has to be like.
+type makeRoom struct {
+	within  micros // time that the class has to start
+	soonest micros // what the job has without it
+	due     micros // latest time of use, 0: any
+	hurry   bool
+	taken   map[*bookkeeping.Host]bool
+}
+
+// roomAgain is how long a job for which no room could be made is left alone.
+const roomAgain = 500 * protocol.Millisecond
+
+// gain is how much sooner room has to be ready: stopping work for a place that
+// is ready hardly sooner than the one the job has anyway only loses work.
+func (m *makeRoom) gain() micros { return min(5*protocol.Second, m.within/4) }
+
+// newZoneCount counts a job's tasks by zone, with those that this pass placed.
+func newZoneCount(w *wanted) map[string]int {
+	zones := make(map[string]int)
+	for name, n := range w.request.ZoneUsed {
+		zones[name] = n
+	}
+	for _, pl := range w.result.Start {
+		zones[pl.Machine.Zone]++
+	}
+	return zones
+}
+
+// recallable reports whether no launch of what a pass placed has left yet.
+func (c *Controller) recallable(w *wanted) bool {
+	for i := range w.result.Start {
+		if a := w.job.Tasks[w.tasks[i]].Current; a == nil || a.State != bookkeeping.AttemptAssigned {
+			return false
+		}
 	}
+	return true
+}
+
+// preemptOne makes room for one task. It reports whether there was some.
+func (c *Controller) preemptOne(p *pass, w *wanted, need *makeRoom, zones map[string]int) bool {
+	t := c.term
+	at := c.at.Steady
+	j := w.job
+	s := j.Spec
 	var best []*bookkeeping.Attempt
 	var bestLoss float64
 	looked := [2]int{}
 	t.table.Work += len(t.book.Hosts())
 	for _, h := range t.book.Hosts() {
-		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || !s.AllowsType(h.TypeName) {
+		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || need.taken[h] || !s.AllowsType(h.TypeName) {
 			continue
 		}
-		if s.Spread && w.request.ZoneUsed[h.Zone] >= w.request.ZoneCap {
+		if s.Spread && zones[h.Zone] >= w.request.ZoneCap || s.OneZone && len(w.request.ZoneUsed) > 0 && w.request.ZoneUsed[h.Zone] == 0 {
 			continue
 		}
 		if !h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Holds(s.Need) {
@@ -547,21 +662,19 @@
 			ready += c.fetchTime(h.Type, s.ImageSize)
 			kind = 1
 		}
-		// Stopping work for a place that is ready hardly sooner than the
-		// one the job has anyway only loses work.
-		if ready+min(5*protocol.Second, within/4) > soonest || cold && ready > due || looked[kind] >= mostVictims {
+		if ready+need.gain() > need.soonest || need.due > 0 && ready > need.due || looked[kind] >= mostVictims {
 			continue
 		}
 		looked[kind]++
 		t.table.Work += 16
-		victims, loss := c.victims(h, j)
+		victims, loss := c.victims(h, j, 1)
 		saved := ready
 		for _, a := range victims {
-			if a.Job.Spec.Checkpoints() && !hurry {
+			if a.Job.Spec.Checkpoints() && !need.hurry {
 				saved = max(saved, ready+a.Job.Spec.Saves)
 			}
 		}
-		if saved+min(5*protocol.Second, within/4) > soonest || cold && saved > due {
+		if saved+need.gain() > need.soonest || need.due > 0 && saved > need.due {
 			continue
 		}
 		loss += (saved - at).Seconds()
@@ -570,27 +683,123 @@
 		}
 	}
 	if best == nil {
-		return
-	}
-	if cold {
-		a := j.Tasks[w.tasks[0]].Current
-		if a == nil || a.State != bookkeeping.AttemptAssigned {
-			return
-		}
-		c.lost(a) // no launch has left yet
+		return false
 	}
-	delete(p.yields, best[0].Host)
-	j.RoomOn, j.RoomUntil = best[0].Host.Name, at+10*protocol.Second
-	for _, a := range best {
+	h := best[0].Host
+	delete(p.yields, h)
+	need.taken[h] = true
+	zones[h.Zone]++
+	j.RoomUntil = at + roomFor
+	j.Rooms = append(j.Rooms, bookkeeping.Room{Host: h, Until: j.RoomUntil})
+	c.stopFor(j, best, need.hurry)
+	return true
+}
+
+// stopFor stops the work of others for a job.
+func (c *Controller) stopFor(j *bookkeeping.Job, victims []*bookkeeping.Attempt, hurry bool) {
+	for _, a := range victims {
 		grace := micros(0)
 		if a.Job.Spec.Checkpoints() && !hurry {
 			grace = a.Job.Spec.Saves + protocol.Second
 		}
-		c.log.Debug("preempted", "task", a.Name.TaskName.String(), "host", a.Host.Name, "for", s.Ref)
+		c.log.Debug("preempted", "task", a.Name.TaskName.String(), "host", a.Host.Name, "for", j.Spec.Ref)
 		c.stop(a, grace)
 	}
 }
 
+// roomFor is how long room that was made is kept for a job.
+const roomFor = 10 * protocol.Second
+
+// preemptForGang makes room for all tasks of a gang, in the zone where the
+// least work is lost. What comes free is booked for it until it has started;
+// otherwise smaller jobs would take it, one machine at a time.
+// It reports whether it could.
+func (c *Controller) preemptForGang(p *pass, w *wanted, need makeRoom) bool {
+	t := c.term
+	at := c.at.Steady
+	j := w.job
+	s := j.Spec
+	type room struct {
+		h       *bookkeeping.Host
+		tasks   int
+		victims []*bookkeeping.Attempt
+		ready   micros
+		cost    float64 // for each task
+	}
+	zones := make(map[string][]room)
+	have := make(map[string]int)
+	for _, h := range t.book.Hosts() {
+		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || !s.AllowsType(h.TypeName) {
+			continue
+		}
+		n := h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Times(s.Need)
+		if n < 1 {
+			continue
+		}
+		t.table.Work += 8
+		r := room{h: h, tasks: min(int(n), len(w.tasks)), ready: at + protocol.Second}
+		if _, ok := h.Images[s.Image]; !ok {
+			r.ready += c.fetchTime(h.Type, s.ImageSize)
+		}
+		var loss float64
+		r.victims, loss = c.victims(h, j, r.tasks)
+		saves := micros(0)
+		for _, a := range r.victims {
+			if a.Job.Spec.Checkpoints() && !need.hurry {
+				saves = max(saves, a.Job.Spec.Saves)
+			}
+		}
+		r.ready += saves
+		if r.ready+need.gain() > need.soonest {
+			continue
+		}
+		r.cost = (loss + (r.ready - at).Seconds()) / float64(r.tasks)
+		zone := h.Zone
+		if !s.OneZone {
+			zone = ""
+		}
+		zones[zone] = append(zones[zone], r)
+		have[zone] += r.tasks
+	}
+	var best []room
+	var bestCost float64
+	for _, zone := range slices.Sorted(maps.Keys(zones)) {
+		if have[zone] < len(w.tasks) || s.OneZone && w.request.ZoneUsed != nil && len(w.request.ZoneUsed) > 0 && w.request.ZoneUsed[zone] == 0 {
+			continue
+		}
+		list := zones[zone]
+		slices.SortStableFunc(list, func(a, b room) int { return cmp.Compare(a.cost, b.cost) })
+		n, cost := 0, 0.0
+		for i := range list {
+			n += list[i].tasks
+			cost += list[i].cost * float64(list[i].tasks)
+			if n >= len(w.tasks) {
+				list = list[:i+1]
+				break
+			}
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = list, cost
+		}
+	}
+	if best == nil {
+		j.NoRoomUntil = at + unviableFor // nothing to be had, for a while
+		return false
+	}
+	j.RoomUntil = at + roomFor
+	j.Places = j.Places[:0]
+	for _, r := range best {
+		c.stopFor(j, r.victims, need.hurry)
+		delete(p.yields, r.h)
+		for range r.tasks {
+			if len(j.Places) < len(w.tasks) {
+				j.Places = append(j.Places, bookkeeping.Booking{Machine: r.h.Name, Begin: at + protocol.Second, Ready: r.ready})
+			}
+		}
+	}
+	return true
+}
+
 // yielding is what a host's work of lower rank takes, and what is being
 // stopped.
 func (c *Controller) yielding(p *pass, h *bookkeeping.Host) protocol.Resources {
@@ -612,10 +821,11 @@
 	return s.Rank > protocol.High && (s.Kind != protocol.Gang || s.Tasks == 1)
 }
 
-// victims finds attempts of lower rank on a host whose end makes room, those
-// that lose least first.
-func (c *Controller) victims(h *bookkeeping.Host, j *bookkeeping.Job) ([]*bookkeeping.Attempt, float64) {
+// victims finds attempts of lower rank on a host whose end makes room for n
+// tasks of a job, those that lose least first.
+func (c *Controller) victims(h *bookkeeping.Host, j *bookkeeping.Job, n int) ([]*bookkeeping.Attempt, float64) {
 	at := c.at.Steady
+	need := protocol.Resources{}.Add(j.Spec.Need, int64(n))
 	free := h.Type.Offer.Add(h.Used(), -1)
 	type cost struct {
 		a    *bookkeeping.Attempt
@@ -647,14 +857,14 @@
 	var victims []*bookkeeping.Attempt
 	var loss float64
 	for _, v := range list {
-		if free.Holds(j.Spec.Need) {
+		if free.Holds(need) {
 			break
 		}
 		free = free.Add(v.a.Job.Spec.Need, 1)
 		victims = append(victims, v.a)
 		loss += v.loss
 	}
-	if len(victims) == 0 || !free.Holds(j.Spec.Need) {
+	if len(victims) == 0 || !free.Holds(need) {
 		return nil, 0
 	}
 	return victims, loss
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -77,6 +77,9 @@
 // Occupy marks a span of what is on the machine.
 func (m *Machine) Occupy(s Span) { m.spans = append(m.spans, s) }
 
+// Free is what the machine has free now.
+func (m *Machine) Free() resources { return m.free }
+
 // NextEnd is when the first of the spans ends by its estimate.
 func (m *Machine) NextEnd() micros { return m.next }
 
@@ -211,11 +214,12 @@
 	Length    micros // run time without the fetch
 	Deadline  micros // latest end, 0: none
 	Avoid     func(machine string) bool
-	Prefer    string  // machine on which room was made for it
-	Spare     bool    // room to keep, not work
-	Patient   micros  // no machine is rented for what is ready by then
-	Kept      []Place // its booking of the pass before
-	NoBooking bool    // it was found lately that a booking can't meet the deadline
+	Prefer    func(machine string) bool // room was made for it there
+	Spare     bool                      // room to keep, not work
+	Patient   micros                    // no machine is rented for what is ready by then
+	Kept      []Place                   // its booking of the pass before
+	Hold      bool                      // room was made for it: Kept holds though it is not the first that can't start
+	NoBooking bool                      // it was found lately that a booking can't meet the deadline
 
 	image int32
 }
@@ -427,7 +431,7 @@
 }
 
 func (t *Table) cost(r *Request, p Place) micros {
-	if p.Begin == t.Now && r.Prefer == p.Machine.Name && r.Prefer != "" {
+	if p.Begin == t.Now && r.Prefer != nil && r.Prefer(p.Machine.Name) {
 		return -1
 	}
 	return p.Ready + p.Machine.Penalty + t.waste(r, p.Machine)
@@ -691,13 +695,13 @@
 			return res
 		}
 	}
-	if best == nil && book {
+	if best == nil && (book || r.Hold) {
 		if t.holds(r, r.Kept) {
 			best = r.Kept
 			for _, p := range best {
 				bestStart = max(bestStart, p.Ready)
 			}
-		} else {
+		} else if book {
 			each(func(zone string) {
 				t.gatherLater(r, newZones(r), zone, false)
 				choose(zone, &t.any, t.laterOn)
@@ -802,7 +806,7 @@
 	} else {
 		res = t.Try(r, !t.blocked)
 	}
-	if len(res.Booked) > 0 && (r.Deadline == 0 || !res.Viable) {
+	if len(res.Booked) > 0 && (r.Deadline == 0 || !res.Viable) && !r.Hold {
 		t.blocked = true
 	}
 	return res
