--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -271,9 +271,6 @@
 	})
 }
 
-// maxBooting bounds how many machines boot at a time.
-const maxBooting = 400
-
 // rentalWork bounds what a plan for rental looks at, in rows of the table.
 const rentalWork = 400_000
 
@@ -336,7 +333,8 @@
 			}
 		}
 	}
-	most := max(0, maxBooting-booting)
+	// As many as the cloud's calls of one second can ask for.
+	most := int(max(1, c.platform.CloudRate)) * maxClaim
 	clear(r.needed)
 	note := func(list []*slottable.Machine) {
 		for _, m := range list {
