Launches are recorded: a take-over places all that is not on unproven hosts

Ruled out: cost (the leader's processor was idle).

Now each launch is in a durable record before it leaves, many in one value, so a successor knows which task may be on which host. Those stay pinned until the host's first report; all else is placed at once. The other controllers are asked whether they answer workers under an earlier epoch; once all say no, leases tell when tasks behind a cut are gone. Machines of a zone that is cut off are kept for four leases, except where a task of a cancelled job may be on one.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -108,6 +108,10 @@
 			return
 		}
 		msg, err := protocol.ParsePeer(e.Frame)
+		if err == nil && msg.Kind == protocol.PeerAsk {
+			d.perform(d.ctl.Step(d.now(), coordination.PeerQuestion{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Epoch: msg.Epoch}))
+			return
+		}
 		if err != nil || msg.Kind != protocol.PeerCall {
 			d.log.Info("malformed message", "from", "controller", "err", err)
 			d.reply(coordination.Reply{To: coordination.Address{Conn: uint64(e.Conn), Peer: true}})
--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -16,13 +16,13 @@
 
 func TestJobRecord(t *testing.T) {
 	j := job(3)
-	j.SubmittedWall, j.Epoch = 1234567, 7
+	j.SubmittedWall, j.Epoch, j.CancelledWall = 1234567, 7, 2345678
 	for _, cancelled := range []bool{false, true} {
 		got, err := DecodeJob(EncodeJob(j, cancelled))
 		if err != nil {
 			t.Fatal(err)
 		}
-		if d := cmp.Diff(j.Spec, got.Spec); d != "" || got.Epoch != 7 || got.SubmittedWall != 1234567 || (got.State == JobCancelled) != cancelled {
+		if d := cmp.Diff(j.Spec, got.Spec); d != "" || got.Epoch != 7 || got.SubmittedWall != 1234567 || (got.State == JobCancelled) != cancelled || cancelled && got.CancelledWall != 2345678 {
 			t.Errorf("%s %+v", d, got)
 		}
 	}
@@ -91,6 +91,24 @@
 	}
 }
 
+// Launches are read back with their attempts; a damaged record is refused.
+func TestLaunchRecord(t *testing.T) {
+	name := func(ref string, i int, n uint64) protocol.AttemptName {
+		return protocol.AttemptName{TaskName: protocol.TaskName{Job: ref, Index: i}, Number: n}
+	}
+	list := []Launch{{name("req-000001", 0, 5<<24|7), "n-1"}, {name("req-000001", 3, 5<<24|8), "n-2"}, {name("req-000002", 1, 9), "n-1"}}
+	got, err := DecodeLaunches(EncodeLaunches(list))
+	if d := cmp.Diff(list, got); d != "" || err != nil {
+		t.Error(d, err)
+	}
+	for _, bad := range []string{`{"form":2,"on":{"req-000001":[0,"n-1"]}}`, `{"form":2,"on":{"req-000001":[-1,"n-1",2]}}`, `{"form":2,"on":{"req-000001":7}}`,
+		`{"form":2,"on":{"req-000001":[0,"",2]}}`, `{"form":1,"on":{}}`, `{"form":2}`} {
+		if got, err := DecodeLaunches([]byte(bad)); err == nil {
+			t.Errorf("%s: read as %v", bad, got)
+		}
+	}
+}
+
 // An epoch of the form before is read; a controller of that form can't read
 // ours and so can't lead without seeing the hosts that share a record.
 func TestEpochRecord(t *testing.T) {
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -65,6 +65,7 @@
 	Stamp         uint64 // of its record
 	SubmittedWall micros
 	Submitted     micros
+	CancelledWall micros // time of day at which its user asked to cancel it, as recorded
 	Tasks         []Task
 	Done          int
 	Queued        int // tasks that wait for a place
@@ -173,6 +174,7 @@
 	ViaReport     bool // the launch left with the answer to a report
 	Adopted       bool
 	ExpectedReady micros
+	Recorded      bool   // its launch is in the state service; it does not leave before
 	Seen          uint64 // the host's report that listed it last
 }
 
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -25,6 +25,7 @@
 	HostPages       = "hp/"
 	BookingPages    = "bp/"
 	CompletionPages = "dp/"
+	LaunchPages     = "lp/"
 	// Prefixes of form 1, which had a key for each host and each booking. They
 	// are read, moved and dropped.
 	OldHostPrefix    = "m/"
@@ -85,7 +86,8 @@
 	b = append(b, `,"epoch":`...)
 	b = strconv.AppendUint(b, j.Epoch, 10)
 	if cancelled {
-		b = append(b, `,"cancelled":true`...)
+		b = append(b, `,"cancelled":true,"cancelledAt":`...)
+		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
 	}
 	b = append(b, `,"job":`...)
 	b = protocol.AppendJob(b, j.Spec)
@@ -107,6 +109,7 @@
 	j.Epoch = v.GetUint64("epoch")
 	if v.GetBool("cancelled") {
 		j.State = JobCancelled
+		j.CancelledWall = micros(v.GetInt64("cancelledAt"))
 	}
 	return j, nil
 }
@@ -234,6 +237,59 @@
 	return out, err
 }
 
+// Launch says that an attempt may be on a host.
+type Launch struct {
+	Name protocol.AttemptName
+	Host string
+}
+
+// EncodeLaunches writes launches, for each job its tasks with their hosts and
+// the numbers of the attempts. They come in the order of their jobs.
+func EncodeLaunches(list []Launch) []byte {
+	var refs []string
+	of := make(map[string][]Launch)
+	for _, l := range list {
+		if of[l.Name.Job] == nil {
+			refs = append(refs, l.Name.Job)
+		}
+		of[l.Name.Job] = append(of[l.Name.Job], l)
+	}
+	return byRef("on", refs, func(b []byte, ref string) []byte {
+		b = append(b, '[')
+		for i, l := range of[ref] {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = append(strconv.AppendInt(b, int64(l.Name.Index), 10), ',')
+			b = append(protocol.AppendQuoted(b, l.Host), ',')
+			b = strconv.AppendUint(b, l.Name.Number, 10)
+		}
+		return append(b, ']')
+	})
+}
+
+// DecodeLaunches reads launches.
+func DecodeLaunches(value []byte) ([]Launch, error) {
+	var out []Launch
+	err := eachRef(value, "on", func(ref string, v *fastjson.Value) error {
+		f, err := v.Array()
+		if err != nil || len(f)%3 != 0 {
+			return errForm
+		}
+		for ; len(f) > 0; f = f[3:] {
+			index, err := f[0].Int()
+			host, err2 := f[1].StringBytes()
+			number, err3 := f[2].Uint64()
+			if err != nil || err2 != nil || err3 != nil || index < 0 || index >= protocol.MaxTasks || len(host) == 0 {
+				return errForm
+			}
+			out = append(out, Launch{protocol.AttemptName{TaskName: protocol.TaskName{Job: ref, Index: index}, Number: number}, string(host)})
+		}
+		return nil
+	})
+	return out, err
+}
+
 // EncodeCompletions writes which tasks of some arrays are done.
 func EncodeCompletions(jobs []*Job) []byte {
 	refs := make([]string, len(jobs))
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -46,6 +46,12 @@
 	Body  []byte
 }
 
+// PeerQuestion is asked by a controller that leads under an epoch.
+type PeerQuestion struct {
+	Reply Address
+	Epoch uint64
+}
+
 // HealthCall asks for the node's health.
 type HealthCall struct{ Reply Address }
 
@@ -67,6 +73,7 @@
 
 func (UserCall) event()     {}
 func (WorkerReport) event() {}
+func (PeerQuestion) event() {}
 func (HealthCall) event()   {}
 func (CallDone) event()     {}
 func (Tick) event()         {}
@@ -217,6 +224,8 @@
 		c.onReport(e)
 	case HealthCall:
 		c.onHealth(e)
+	case PeerQuestion:
+		c.onAsk(e)
 	case CallDone:
 		if fn := c.calls[e.ID]; fn != nil {
 			delete(c.calls, e.ID)
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -15,7 +15,8 @@
 	until       micros // the lease certainly lasts until then
 	renewing    bool
 	nextRenew   micros
-	predAnswers micros // until then the predecessor may answer workers
+	predAnswers micros // until then a predecessor may answer workers
+	oldForm     bool   // the epoch's record was of form 1
 }
 
 // become is the one place where the role changes.
@@ -166,6 +167,7 @@
 				return
 			}
 			last = n
+			c.seat.oldForm = e.Value[0] != '{'
 		}
 		epoch := last + 1
 		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -120,8 +120,7 @@
 			ch.Value, done = p.value(slices.Sorted(maps.Keys(g.entries)))
 		}
 		if len(ch.Value) > c.platform.ValueBytes {
-			c.log.Error("record too long", "key", g.key, "bytes", len(ch.Value))
-			g.due = at + 60*protocol.Second
+			c.split(p, g, len(ch.Value))
 			continue
 		}
 		if size += len(ch.Value) + 100; size > txnBytes && len(then) > 0 {
@@ -165,6 +164,26 @@
 	})
 }
 
+// split moves half of a record that came out too long to another one. Both are
+// written; the one that takes them first, in case only one gets through.
+func (c *Controller) split(p *pages, g *page, size int) {
+	names := slices.Sorted(maps.Keys(g.entries))
+	if len(names) < 2 {
+		c.log.Error("record too long", "key", g.key, "bytes", size)
+		g.due = c.at.Steady + 60*protocol.Second
+		return
+	}
+	p.last++
+	o := &page{key: p.prefix + strconv.Itoa(p.last), entries: make(map[string]int), due: c.at.Steady, urgent: true}
+	p.list = append([]*page{o}, p.list...)
+	for _, name := range names[len(names)/2:] {
+		size := g.entries[name]
+		g.size -= size
+		delete(g.entries, name)
+		p.enter(o, name, size)
+	}
+}
+
 // restamp finds out which stamp a record has after a write without an answer.
 func (c *Controller) restamp(p *pages, g *page) {
 	t := c.term
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -113,7 +113,7 @@
 func (c *Controller) newPass() *pass {
 	t := c.term
 	p := &pass{held: make(map[string]protocol.Resources), yields: make(map[*bookkeeping.Host]protocol.Resources)}
-	if !t.recovered {
+	if !t.recovered && t.unlisted {
 		for _, h := range t.book.Hosts() {
 			if h.FromRecord && !h.Proven {
 				if h.Type == nil {
@@ -279,7 +279,7 @@
 		if j.Queued == 0 || at < j.Held {
 			continue
 		}
-		if !t.recovered && j.Epoch != t.epoch {
+		if !t.recovered && t.unlisted && j.Epoch != t.epoch {
 			continue // its tasks may be on hosts that have not reported yet
 		}
 		w := &wanted{job: j, within: holdsGuarantee(c.platform.Teams[s.Team].Guarantee, sums[s.Team])}
@@ -454,7 +454,7 @@
 	t := c.term
 	limit := c.platform.Teams[j.Spec.Team].Limit
 	used := t.book.Used[j.Spec.Team].Add(held, 1)
-	if !t.recovered && limit != (protocol.Resources{}) {
+	if !t.recovered && t.unlisted && limit != (protocol.Resources{}) {
 		if p.unknown {
 			return 0
 		}
@@ -497,7 +497,7 @@
 	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool { return m.Host == h })
 	t.book.Move(c.at.Steady, a, bookkeeping.AttemptAssigned)
 	c.touchIdle(h)
-	c.wantCall(h)
+	c.recordLaunch(a, c.at.Steady)
 	c.log.Debug("assigned", "task", name.TaskName.String(), "try", number, "host", h.Name, "ready_in_ms", int64((p.Ready-c.at.Steady)/protocol.Millisecond))
 }
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"maps"
 	"slices"
 	"sort"
 	"strconv"
@@ -37,6 +38,9 @@
 	hostPages    *pages // records of hosts, bookings and completions
 	bookingPages *pages
 	donePages    *pages
+	launchPages  *pages
+	launches     map[string]*bookkeeping.Attempt // by task, those that a record names or will
+	unlisted     bool                            // earlier launches may be in no record: a leader of form 1 came before
 	chunks       chunkWriter
 
 	toCall  []*bookkeeping.Host // hosts that commands wait for
@@ -61,6 +65,10 @@
 	t.hostPages = c.newPages(bookkeeping.HostPages, c.hostRecord)
 	t.bookingPages = c.newPages(bookkeeping.BookingPages, c.bookingRecord)
 	t.donePages = c.newPages(bookkeeping.CompletionPages, c.doneRecord)
+	t.launchPages = c.newPages(bookkeeping.LaunchPages, c.launchRecord)
+	t.launches = make(map[string]*bookkeeping.Attempt)
+	t.unlisted = c.seat.oldForm
+	launches := make(map[string]recordedLaunch)
 	c.term = t
 	bookings := make(map[string]micros)
 	done := make(map[string][]byte)
@@ -143,6 +151,23 @@
 				done[ref] = bits
 			}
 		}},
+		{bookkeeping.LaunchPages, func(e protocol.Entry) {
+			list, err := bookkeeping.DecodeLaunches(e.Value)
+			if err != nil {
+				damaged(e, err)
+				refused = true
+				return
+			}
+			g := t.launchPages.load(e)
+			for _, l := range list {
+				// A record that was not written again may still name where a task
+				// was before: the one that was written later is right.
+				name := l.Name.TaskName.String()
+				if old, ok := launches[name]; !ok || old.page.stamp < g.stamp {
+					launches[name] = recordedLaunch{l, g}
+				}
+			}
+		}},
 		{bookkeeping.ChunkPrefix, func(e protocol.Entry) {
 			ref, _, _ := strings.Cut(strings.TrimPrefix(e.Key, bookkeeping.ChunkPrefix), "/")
 			chunks[ref] = append(chunks[ref], e)
@@ -209,16 +234,81 @@
 					}
 				}
 			}
-			c.loaded(rev)
+			c.loaded(rev, launches)
 		})
 	}
 	step(0)
 }
 
+// recordedLaunch is a launch and the record that names it.
+type recordedLaunch struct {
+	bookkeeping.Launch
+	page *page
+}
+
+// pin notes where a launch of an earlier epoch may have put a task. The host's
+// first report under this epoch says what came of it; until then the task stays
+// there, and counts.
+func (c *Controller) pin(l recordedLaunch) {
+	t := c.term
+	j, h := t.book.Job(l.Name.Job), t.book.Host(l.Host)
+	if j == nil || h == nil || l.Name.Index >= len(j.Tasks) {
+		return // over, or gone with its host
+	}
+	a := t.book.Attach(c.at.Steady, j, h, l.Name)
+	a.Adopted, a.Recorded = true, true
+	t.book.Move(c.at.Steady, a, bookkeeping.AttemptLaunched)
+	if j.Spec.Kind == protocol.Gang {
+		j.GangAttempt = max(j.GangAttempt, l.Name.Number)
+	}
+	a.Stop = j.State != bookkeeping.JobLive
+	// It stays in the record that names it for as long as it may be there.
+	name := l.Name.TaskName.String()
+	t.launchPages.enter(l.page, name, launchBytes(a))
+	t.launches[name] = a
+}
+
+// launchBytes is what a launch may take in a record. Tasks of a job come
+// together mostly; a record that comes out too long is split.
+func launchBytes(a *bookkeeping.Attempt) int { return len(a.Host.Name) + 24 }
+
+// recordLaunch asks for the record of a launch.
+func (c *Controller) recordLaunch(a *bookkeeping.Attempt, due micros) {
+	t := c.term
+	name := a.Name.TaskName.String()
+	t.launches[name] = a
+	t.launchPages.put(name, launchBytes(a), c.room(), due, due < protocol.Forever)
+}
+
+// launchRecord makes the record that some launches share. What is over falls
+// out of it.
+func (c *Controller) launchRecord(names []string) ([]byte, func()) {
+	t := c.term
+	var list []bookkeeping.Launch
+	var attempts []*bookkeeping.Attempt
+	for _, name := range names {
+		a := t.launches[name]
+		if a == nil || !a.State.Occupies() {
+			delete(t.launches, name)
+			t.launchPages.drop(name, protocol.Forever)
+			continue
+		}
+		list, attempts = append(list, bookkeeping.Launch{Name: a.Name, Host: a.Host.Name}), append(attempts, a)
+	}
+	return bookkeeping.EncodeLaunches(list), func() {
+		for _, a := range attempts {
+			if !a.Recorded {
+				a.Recorded = true
+				c.wantCall(a.Host)
+			}
+		}
+	}
+}
+
 // steadyOf turns a time of day into the steady clock's.
 func (c *Controller) steadyOf(wall micros) micros { return c.at.Steady + wall - c.at.Wall }
 
-func (c *Controller) loaded(rev uint64) {
+func (c *Controller) loaded(rev uint64, launches map[string]recordedLaunch) {
 	t := c.term
 	c.become(Leading)
 	for _, h := range t.book.Hosts() {
@@ -228,6 +318,9 @@
 			t.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, true)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(launches)) {
+		c.pin(launches[name])
+	}
 	for _, j := range slices.Clone(t.book.Line()) {
 		c.checkFinished(j)
 	}
@@ -236,6 +329,7 @@
 	for _, h := range t.book.Hosts() {
 		c.probe(t, h)
 	}
+	c.askOthers(t)
 	sort.Strings(t.orphans)
 	c.pollTypes(t)
 	c.pollMachines(t)
@@ -318,7 +412,9 @@
 	j.Submitted = min(c.at.Steady, c.steadyOf(j.SubmittedWall))
 	t.book.AddJob(j)
 	// An attempt of a job that was not known yet may have been reported.
-	t.book.Rebind(c.at.Steady, j)
+	for _, a := range t.book.Rebind(c.at.Steady, j) {
+		c.recordLaunch(a, c.at.Steady)
+	}
 	c.class(j.Spec.Class).arrived(c.at.Steady, j)
 	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
@@ -349,6 +445,7 @@
 		c.dropOrphans()
 	}
 	c.writePages(t.hostPages)
+	c.writePages(t.launchPages)
 	c.writePages(t.donePages)
 	c.writeChunks()
 	c.writePages(t.bookingPages)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -413,6 +413,7 @@
 	case bookkeeping.JobLive:
 		t.cancels[ref] = append(t.cancels[ref], to)
 		j.To(bookkeeping.JobCancelling)
+		j.CancelledWall = c.at.Wall
 		c.stopJob(j)
 		c.writeCancel(t, j)
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -162,12 +162,19 @@
 		j.GangAttempt = max(j.GangAttempt, task.Number)
 	}
 	if j != nil && a.Task().Current != a && task.State != protocol.Exited {
-		c.log.Error("task is on two hosts", "task", task.TaskName.String(), "host", h.Name)
+		on := ""
+		if o := a.Task().Current; o != nil {
+			on = o.Host.Name
+		}
+		c.log.Error("task is on two hosts", "task", task.TaskName.String(), "host", h.Name, "other", on, "state", a.Task().State)
 	}
 	if j == nil || j.State != bookkeeping.JobLive || a.Task().Current != a {
 		a.Stop = true
 		c.wantCall(h)
 	}
+	if j != nil && task.State != protocol.Exited && a.Task().Current == a {
+		c.recordLaunch(a, c.at.Steady) // a leader of form 1 did not
+	}
 	return a
 }
 
@@ -391,7 +398,7 @@
 				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
 			}
 		case a.State == bookkeeping.AttemptAssigned:
-			if !h.Recorded || j.State != bookkeeping.JobLive {
+			if !h.Recorded || !a.Recorded || j.State != bookkeeping.JobLive {
 				continue
 			}
 			a.SentSession, a.SentTick, a.ViaReport = h.Session, h.Tick, true
@@ -427,7 +434,7 @@
 			waiting = append(waiting, t.toCall[i:]...)
 			break
 		}
-		if h.Calling || !h.Recorded && h.State == bookkeeping.HostReady {
+		if h.Calling {
 			waiting = append(waiting, h)
 			continue
 		}
@@ -439,7 +446,7 @@
 		var launched []*bookkeeping.Attempt
 		for _, a := range h.Attempts() {
 			switch {
-			case a.State == bookkeeping.AttemptAssigned && a.Job.State == bookkeeping.JobLive:
+			case a.State == bookkeeping.AttemptAssigned && a.Recorded && h.Recorded && a.Job.State == bookkeeping.JobLive:
 				launched = append(launched, a)
 				cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
 			case a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched:
@@ -621,6 +628,9 @@
 // report is overdue by half of the time between two.
 func (c *Controller) silence() micros { return c.platform.ReportEvery * 3 / 2 }
 
+// cutPatience is how many leases the machines of a zone that is cut off are kept.
+const cutPatience = 4
+
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
 func (c *Controller) watchHosts() {
@@ -671,9 +681,10 @@
 		limit := limit
 		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < 2*c.platform.ReportEvery+4*protocol.Second {
 			// The zone is cut off: its tasks go on within their leases, and a
-			// release would end them all. When the cut ends, its hosts do not
-			// all come back at the same instant.
-			limit = max(limit, lease)
+			// release would end them all. After that the machines are worth
+			// keeping for a while, with their images. When the cut ends, its
+			// hosts do not all come back at the same instant.
+			limit = max(limit, cutPatience*lease)
 		}
 		expired := at > h.Answered+lease+drift(lease)+100*protocol.Millisecond
 		switch h.State {
@@ -685,6 +696,8 @@
 				c.loseAll(h, "silent for longer than its lease")
 				h.To(bookkeeping.HostSilent)
 				h.Proven = true
+			} else if at-h.Heard > c.silence() && mayRelease && c.holdsCancelled(h) {
+				c.release(h, "silent, and a cancelled task may be on it")
 			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-h.Heard > limit+limit/2) && mayRelease {
 				// It neither reports nor answers.
 				c.release(h, "silent")
@@ -715,6 +728,73 @@
 	}
 }
 
+// askOthers asks the other controllers whether they may still answer workers
+// under an earlier epoch. Once each has said that it does not, hosts that are
+// silent have been answered by nobody since, so their leases tell when their
+// tasks are gone, and machines behind a cut need not be released to know it.
+func (c *Controller) askOthers(t *term) {
+	waiting := len(c.platform.Siblings)
+	all := true
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch})
+	for _, s := range c.platform.Siblings {
+		c.callAddr(ToPeer, "", s.Address, "", frame, callTimeout, func(r CallDone) {
+			if c.term != t || t.recovered {
+				return
+			}
+			said := false
+			if r.Status == 200 {
+				m, err := protocol.ParsePeer(r.Body)
+				said = err == nil && m.Kind == protocol.PeerAnswer && m.Status == 200
+			}
+			all = all && said
+			if waiting--; waiting > 0 {
+				return
+			}
+			if !all {
+				c.after(protocol.Second, func() {
+					if c.term == t && !t.recovered {
+						c.askOthers(t)
+					}
+				})
+				return
+			}
+			c.log.Info("no other controller answers workers", "epoch", t.epoch)
+			c.seat.predAnswers = min(c.seat.predAnswers, c.at.Steady)
+			for _, h := range t.book.Hosts() {
+				if h.FromRecord && !h.Proven {
+					h.Answered = min(h.Answered, c.seat.predAnswers)
+				}
+			}
+		})
+	}
+}
+
+// onAsk answers another controller that leads under a newer epoch, if this node
+// answers no workers under an earlier one, now or later.
+func (c *Controller) onAsk(e PeerQuestion) {
+	if leads(c.role) && e.Epoch > c.seat.epoch {
+		c.deposed("another controller leads")
+	}
+	status := 503
+	if !leads(c.role) && c.role != Claiming {
+		status = 200
+	}
+	c.reply(e.Reply, status, nil, 0)
+}
+
+// holdsCancelled reports whether a task may be on a host whose job was cancelled
+// so long ago that it has to be gone soon. Half of the time allowed is left to
+// the cloud, which may be in trouble itself.
+func (c *Controller) holdsCancelled(h *bookkeeping.Host) bool {
+	for _, a := range h.Attempts() {
+		if j := a.Job; j != nil && a.State.MayRun() && (j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling) &&
+			c.at.Wall-j.CancelledWall > c.platform.Cancel/2 {
+			return true
+		}
+	}
+	return false
+}
+
 // drainNoticed saves what it can from a machine that is about to be taken.
 func (c *Controller) drainNoticed(h *bookkeeping.Host) {
 	left := h.TakenAt - c.at.Steady
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -20,6 +20,7 @@
 const (
 	PeerCall PeerKind = 1 + iota
 	PeerAnswer
+	PeerAsk // whether a node answers workers under an earlier epoch
 )
 
 // UserOp is what a user asks.
@@ -32,7 +33,8 @@
 	OpCancel
 )
 
-// PeerMessage is a user's call passed to the leader, or its answer.
+// PeerMessage is a user's call passed to the leader, a leader's question, or the
+// answer to either.
 type PeerMessage struct {
 	Kind PeerKind
 	// A call.
@@ -42,7 +44,9 @@
 	// An answer. Status 0: the node called does not lead.
 	Status     uint16
 	RetryAfter Micros
-	// The body of either.
+	// A question: the epoch under which it is asked.
+	Epoch uint64
+	// The body of a call or an answer.
 	Body []byte
 }
 
@@ -52,13 +56,16 @@
 func AppendPeer(b []byte, m *PeerMessage) []byte {
 	start := len(b)
 	b = append(b, 0, 0, 0, 0, peerVersion, byte(m.Kind))
-	if m.Kind == PeerCall {
+	switch m.Kind {
+	case PeerCall:
 		b = append(b, byte(m.Op))
 		b = appendPeerText(b, m.Ref)
 		b = appendPeerText(b, m.From)
-	} else {
+	case PeerAnswer:
 		b = binary.BigEndian.AppendUint16(b, m.Status)
 		b = binary.BigEndian.AppendUint64(b, uint64(m.RetryAfter))
+	case PeerAsk:
+		b = binary.BigEndian.AppendUint64(b, m.Epoch)
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(len(m.Body)))
 	b = append(b, m.Body...)
@@ -107,6 +114,8 @@
 		if m.RetryAfter < 0 {
 			return nil, errFrame
 		}
+	case PeerAsk:
+		m.Epoch = r.uint(8)
 	default:
 		return nil, errFrame
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -142,6 +142,7 @@
 	for _, m := range []*PeerMessage{
 		{Kind: PeerCall, Op: OpSubmit, Ref: "req-000001", From: "n0", Body: []byte(goodJob)},
 		{Kind: PeerAnswer, Status: 503, RetryAfter: 2 * Second, Body: []byte("{}")},
+		{Kind: PeerAsk, Epoch: 1 << 40},
 	} {
 		b := AppendPeer(nil, m)
 		frame, used, err := SplitPeer(append(b, 1, 2, 3))
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -18,6 +18,7 @@
 	rented, up      micros
 	phase           string // booting, running, failed
 	slow            bool   // answers of the controllers come too late
+	answered        bool   // somebody that no test sees renews its lease
 	hung            bool
 	held            bool // reports are held back on the way
 	heldReports     []func()
@@ -94,6 +95,9 @@
 		return
 	}
 	lease := w.Platform.WorkerLease
+	if m.answered {
+		m.leaseFrom = w.now
+	}
 	if w.now > m.leaseFrom+lease { // a machine that hangs can't go on with its tasks after this
 		for _, t := range m.sorted() {
 			w.leave(m, t)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -189,7 +189,7 @@
 		w.store.setDown(words[1] == "down")
 	case "cloud":
 		w.cloudDown = words[1] == "down"
-	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls":
+	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls", "cut-off", "reach", "answer-behind":
 		m := w.machines[words[1]]
 		if m == nil {
 			return fmt.Errorf("no such machine")
@@ -221,6 +221,14 @@
 		}
 		m.tasks = map[string]*runningTask{}
 		m.phase = "failed"
+	case "cut-off": // what either side sends is held on the way
+		m.held, m.holdCalls, m.slow = true, true, true
+	case "reach":
+		m.slow = false
+		w.actMachine("deliver-calls", m)
+		w.actMachine("deliver-reports", m)
+	case "answer-behind": // a controller behind the cut goes on answering it
+		m.answered = true
 	case "lose-answers":
 		m.slow = true
 	case "pass-answers":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -304,7 +304,12 @@
 			frame, _, _ := protocol.SplitPeer(out)
 			back(200, string(frame))
 		}
-		w.step(o, coordination.UserCall{Reply: coordination.Address{Conn: w.nextConn, Peer: true}, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
+		to := coordination.Address{Conn: w.nextConn, Peer: true}
+		if msg.Kind == protocol.PeerAsk {
+			w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch})
+			continue
+		}
+		w.step(o, coordination.UserCall{Reply: to, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
 	}
 }
 
