A follower's watch of the leader goes first; lookups beyond its rate are refused

The surviving node asked the state service for 80 polls a second at a share of 18, its queue was full, and the watch that tells who leads waited behind users' reads: it learned of the new leader 47 s late. Ruled out: the leader itself, which answered what it got.

Now the watch of the leader's record has the highest priority, a node that is told that it asked the wrong one reads the record again, followers have half of the state service's requests among them, and what has no room is refused at once.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -48,15 +48,21 @@
 	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute}
-	for _, m := range d.meters {
-		m.SetShare(coordination.FollowerShare(len(p.Siblings) + 1))
-	}
+	d.share(false)
 	go d.server.Run(p.ClientListen, p.ClusterListen)
 	log.Info("started", "node", p.Node, "zone", p.Zone, "version", version)
 	d.loop()
 	return nil
 }
 
+// share keeps to this node's part of the rates that all controllers share.
+func (d *driver) share(leads bool) {
+	nodes := len(d.platform.Siblings) + 1
+	writes := coordination.WriteShare(nodes, leads)
+	d.meters[coordination.ToState].SetShare(coordination.ReadShare(nodes, leads), writes)
+	d.meters[coordination.ToCloud].SetShare(writes, 0)
+}
+
 func (d *driver) deliver(m transport.Inbound) bool {
 	select {
 	case d.in <- m:
@@ -162,14 +168,7 @@
 		case coordination.Call:
 			d.call(e)
 		case coordination.Share:
-			nodes := len(d.platform.Siblings) + 1
-			part := coordination.FollowerShare(nodes)
-			if e.Leads {
-				part = coordination.LeaderShare(nodes)
-			}
-			for _, m := range d.meters {
-				m.SetShare(part)
-			}
+			d.share(e.Leads)
 		}
 	}
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -164,6 +164,8 @@
 	seat       seat
 	leader     bookkeeping.Leadership // as known from the state service
 	suspect    micros                 // the leader did not answer, until then it is not asked
+	rechecked  micros                 // when the leader's record was read again after that
+	direct     int                    // users' calls that are being served from the state service
 	finals     map[string]final
 	types      []*protocol.MachineType
 	typeByName map[string]*protocol.MachineType
@@ -437,14 +439,14 @@
 
 // watch follows a prefix from a revision until stop says so. lost is called
 // when changes were missed and the keys have to be read again.
-func (c *Controller) watch(prefix string, from uint64, stop func() bool, each func(protocol.Entry), lost func()) {
+func (c *Controller) watch(prio uint8, prefix string, from uint64, stop func() bool, each func(protocol.Entry), lost func()) {
 	var next func(rev uint64)
 	next = func(rev uint64) {
 		if stop() {
 			return
 		}
 		path := "/follow?under=" + prefix + "&since=" + strconv.FormatUint(rev, 10) + "&blockMs=20000"
-		c.call(ToState, prioUrgent, "GET", path, nil, 25*protocol.Second, 0, func(r CallDone) {
+		c.call(ToState, prio, "GET", path, nil, 25*protocol.Second, 0, func(r CallDone) {
 			if stop() {
 				return
 			}
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -78,9 +78,24 @@
 	}
 }
 
+// recheck reads the leader's record again when the node that is taken for the
+// leader says that it does not lead, or does not answer: the watch that would
+// tell may be slow or lost.
+func (c *Controller) recheck() {
+	if c.role != Following || c.at.Steady-c.rechecked < 500*protocol.Millisecond {
+		return
+	}
+	c.rechecked = c.at.Steady
+	c.get(prioLeadership, bookkeeping.KeyLeader, func(e protocol.Entry, found, ok bool) {
+		if found && c.role == Following {
+			c.sawLeader(e)
+		}
+	})
+}
+
 func (c *Controller) watchLeader(gen uint64, rev uint64) {
 	stop := func() bool { return gen != c.callGen || c.role != Following }
-	c.watch(bookkeeping.KeyLeader, rev, stop, func(e protocol.Entry) {
+	c.watch(prioLeadership, bookkeeping.KeyLeader, rev, stop, func(e protocol.Entry) {
 		switch {
 		case e.Key != bookkeeping.KeyLeader:
 		case e.Value != nil:
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -383,7 +383,7 @@
 			}
 		})
 	}
-	c.watch(bookkeeping.JobPrefix, rev, gone, take, reread)
+	c.watch(prioUrgent, bookkeeping.JobPrefix, rev, gone, take, reread)
 }
 
 // learnJob takes a job's record into the book, unless it is there.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -7,7 +7,7 @@
 
 // forwardTimeout is how long the leader has to answer a passed-on call before
 // the node goes to the state service itself.
-const forwardTimeout = 900 * protocol.Millisecond
+const forwardTimeout = 600 * protocol.Millisecond
 
 func (c *Controller) onHealth(e HealthCall) { c.reply(e.Reply, 200, []byte(`{}`), 0) }
 
@@ -66,7 +66,7 @@
 		}
 	}
 	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
-		c.direct(e, spec)
+		c.serveDirect(e, spec)
 		return
 	}
 	epoch := c.leader.Epoch
@@ -82,6 +82,7 @@
 				c.malformed("controller", err)
 			}
 		}
+		c.recheck()
 		if c.leader.Epoch == epoch && r.Status != 200 {
 			c.suspect = c.at.Steady + 2*protocol.Second
 		}
@@ -89,27 +90,43 @@
 			c.onUser(e) // this node has come to lead meanwhile
 			return
 		}
-		c.direct(e, spec)
+		c.serveDirect(e, spec)
 	})
 }
 
-// direct serves a call from the state service alone.
-func (c *Controller) direct(e UserCall, spec *protocol.JobSpec) {
+// serveDirect serves a call from the state service alone. What its rate has no
+// room for is refused at once: waiting in line would only make the others late.
+func (c *Controller) serveDirect(e UserCall, spec *protocol.JobSpec) {
+	nodes := len(c.platform.Siblings) + 1
+	room := c.platform.StateRate * ReadShare(nodes, false)
+	if e.Op == protocol.OpQuery {
+		room /= 2 // the rest is for submissions
+	}
+	if e.Op != protocol.OpCancel && float64(c.direct) >= max(2, room*directWait.Seconds()) {
+		c.unavailable(e.Reply, "no leader can be reached")
+		return
+	}
 	switch e.Op {
 	case protocol.OpCancel:
 		// Only the leader can stop tasks; the user comes again.
 		c.unavailable(e.Reply, "no leader can be reached")
 	case protocol.OpQuery:
-		c.lookUp(e.Reply, e.Ref)
+		c.direct++
+		c.lookUp(e.Reply, e.Ref, func() { c.direct-- })
 	case protocol.OpSubmit:
-		c.directSubmit(e.Reply, spec)
+		c.direct++
+		c.directSubmit(e.Reply, spec, func() { c.direct-- })
 	}
 }
 
+// directWait is how long a call may wait for the state service's rate.
+const directWait = 400 * protocol.Millisecond
+
 // lookUp answers a query from the state service. The live record is read
 // first: a job that ends meanwhile is then found among the final ones.
-func (c *Controller) lookUp(to Address, ref string) {
+func (c *Controller) lookUp(to Address, ref string, over func()) {
 	c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+		over()
 		switch {
 		case !ok:
 			c.unavailable(to, "the state service can't be reached")
@@ -167,29 +184,34 @@
 }
 
 // directSubmit creates a job's record without the leader, which notices it.
-func (c *Controller) directSubmit(to Address, spec *protocol.JobSpec) {
+func (c *Controller) directSubmit(to Address, spec *protocol.JobSpec, over func()) {
 	if len(c.types) == 0 {
 		c.get(prioUser, bookkeeping.KeyTypes, func(e protocol.Entry, found, ok bool) {
 			if found {
 				c.tookTypes(e.Value)
 			}
 			if len(c.types) == 0 {
+				over()
 				c.unavailable(to, "machine types are not known yet")
 				return
 			}
-			c.directSubmit(to, spec)
+			c.directSubmit(to, spec, over)
 		})
 		return
 	}
 	if why := c.impossible(spec); why != "" {
+		over()
 		c.refuse(to, spec, why)
 		return
 	}
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall = c.at.Wall
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
-		c.txn(prioUser, when, then, done)
-	})
+		c.txn(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
+			over()
+			done(o, r)
+		})
+	}, over)
 }
 
 // refuse answers 422, unless the job was accepted before: machine types may
@@ -218,10 +240,11 @@
 type writer func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult))
 
 // create records a job if it is not there yet, and answers once it is durable.
-func (c *Controller) create(to Address, j *bookkeeping.Job, write writer) {
+func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
 	ref := j.Spec.Ref
 	value := bookkeeping.EncodeJob(j, false)
 	if len(value) > c.platform.ValueBytes {
+		refused()
 		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
 		return
 	}
@@ -291,16 +314,27 @@
 
 // writeRate is how many changes a second the leader may make.
 func (c *Controller) writeRate() float64 {
-	return max(1, c.platform.StateWriteRate*LeaderShare(len(c.platform.Siblings)+1))
+	return max(1, c.platform.StateWriteRate*WriteShare(len(c.platform.Siblings)+1, true))
 }
 
-// LeaderShare is the part of the metered services' rates that the leader takes;
-// FollowerShare is what each of the others may take.
-func LeaderShare(nodes int) float64 { return 1 - float64(nodes-1)*FollowerShare(nodes) }
+// WriteShare is the part of the rate of changes, and of the cloud's, that a node
+// may use; ReadShare that of the state service's requests. A node that does not
+// lead only watches, and serves users for a short while when the leader can't
+// be reached; then it may have to read for all of them.
+func WriteShare(nodes int, leads bool) float64 { return shareOf(0.75, nodes, leads) }
+
+// ReadShare is the part of the requests to the state service, see WriteShare.
+func ReadShare(nodes int, leads bool) float64 { return shareOf(0.5, nodes, leads) }
 
-// FollowerShare is little: a node that does not lead only watches, and serves
-// users for a short while when the leader can't be reached.
-func FollowerShare(nodes int) float64 { return 0.25 / float64(max(1, nodes-1)) }
+func shareOf(leader float64, nodes int, leads bool) float64 {
+	switch {
+	case nodes <= 1:
+		return 1
+	case leads:
+		return leader
+	}
+	return (1 - leader) / float64(nodes-1)
+}
 
 // submit accepts a job as the leader.
 func (c *Controller) submit(to Address, spec *protocol.JobSpec) {
@@ -355,7 +389,7 @@
 				}
 			}
 		})
-	})
+	}, func() { delete(t.submits, ref) })
 }
 
 // jobAnswer says how a job of the book stands.
@@ -380,7 +414,7 @@
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
-	c.lookUp(to, ref)
+	c.lookUp(to, ref, func() {})
 }
 
 // cancel ends a job: durable first, then the answer, then its tasks are
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -50,15 +50,15 @@
 // largest how many changes one call may carry.
 func NewMeter(rate, writes, burst float64, largest int) *Meter {
 	m := &Meter{rate: rate, writes: writes, burst: burst, largest: float64(largest)}
-	m.SetShare(1)
+	m.SetShare(1, 1)
 	m.calls.level, m.changes.level = m.calls.burst, m.changes.burst
 	return m
 }
 
-// SetShare sets the part of the published rates that this process may use.
-func (m *Meter) SetShare(part float64) {
-	m.calls.rate, m.calls.burst = m.rate*part, max(1, m.rate*part*m.burst)
-	m.changes.rate, m.changes.burst = m.writes*part, max(m.largest, m.writes*part*m.burst)
+// SetShare sets the parts of the published rates that this process may use.
+func (m *Meter) SetShare(calls, changes float64) {
+	m.calls.rate, m.calls.burst = m.rate*calls, max(1, m.rate*calls*m.burst)
+	m.changes.rate, m.changes.burst = m.writes*changes, max(m.largest, m.writes*changes*m.burst)
 }
 
 // Add queues a call.
--- a/internal/transport/bucket_test.go
+++ b/internal/transport/bucket_test.go
@@ -10,7 +10,7 @@
 // long is told so.
 func TestMeter(t *testing.T) {
 	m := NewMeter(100, 20, 1, 12)
-	m.SetShare(0.05) // five calls a second, bursts of five
+	m.SetShare(0.05, 0.05) // five calls a second, bursts of five
 	var sent []string
 	expired := 0
 	add := func(name string, p Priority, expires protocol.Micros) {
