--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -51,6 +51,9 @@
 func (t *runningTask) key() string { return fmt.Sprintf("%s/%d#%d", t.job.spec.Ref, t.index, t.try) }
 
 func (m *machine) sorted() []*runningTask {
+	if len(m.tasks) == 0 {
+		return nil
+	}
 	keys := make([]string, 0, len(m.tasks))
 	for k := range m.tasks {
 		keys = append(keys, k)
@@ -164,7 +167,7 @@
 
 func (w *World) attemptsOf(j *userJob, try uint64) (list []*runningTask, hosts []*machine) {
 	for _, m := range w.sortedMachines() {
-		for _, t := range m.sorted() {
+		for _, t := range m.tasks {
 			if t.job == j && t.try == try && t.on {
 				list, hosts = append(list, t), append(hosts, m)
 			}
@@ -214,7 +217,7 @@
 	zones := map[string]int{}
 	var used protocol.Resources
 	for _, o := range w.sortedMachines() {
-		for _, x := range o.sorted() {
+		for _, x := range o.tasks {
 			if !x.on {
 				continue
 			}
@@ -458,6 +461,7 @@
 				}
 				m.phase = "gone"
 				delete(w.machines, name)
+				w.byName = nil
 				w.removed++
 				w.note("%s is released", name)
 			}
--- /dev/null
+++ b/internal/rehearsal/size_test.go
@@ -0,0 +1,107 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/coordination"
+	"mapleslip/internal/protocol"
+)
+
+// fleetSize is about the largest deployment that its users run.
+const fleetSize = 1200
+
+// grown is a deployment of full size in the middle of its work: services and
+// arrays on all machines, and more arrays and gangs that wait.
+func grown(tb testing.TB, nodes int) *World {
+	tb.Helper()
+	w := NewWorld(nodes)
+	w.quiet = true
+	w.Platform.ReportEvery = 5 * protocol.Second
+	w.Platform.StateWriteRate = 35
+	var b strings.Builder
+	fmt.Fprintf(&b, "team red\nno-capacity\naim wait pick within=12\n")
+	fmt.Fprintf(&b, "type small cpus=12 gpus=2 mem=48 boot=25 fetch=0.4 zones=a,b\ntype large cpus=32 gpus=4 mem=128 boot=35 fetch=0.4 zones=a,b,c\n")
+	for i := range fleetSize {
+		fmt.Fprintf(&b, "machine n-%06d %s %s\n", i+1, []string{"small", "large"}[i%2], []string{"a", "b", "c"}[i%3/(2-i%2)])
+	}
+	ref := 0
+	add := func(at float64, format string, args ...any) {
+		ref++
+		fmt.Fprintf(&b, "at %g submit req-%06d %s\n", at, ref, fmt.Sprintf(format, args...))
+	}
+	for i := range 80 {
+		add(2, "service class=pick tasks=4 cpus=4 mem=14 rank=critical spread size=1 image=live-%d", i%18)
+	}
+	for i := range 140 {
+		add(4, "array class=rerun tasks=25 cpus=5 mem=18 run=400 estimate=400 size=1 image=rerun-%d spot", i%6)
+	}
+	for i := range 40 {
+		add(20, "gang class=locate tasks=8 gpus=4 cpus=28 mem=100 run=100 one-zone rank=standard image=loc-%d", i%12)
+		add(20, "array class=rerun tasks=25 cpus=5 mem=18 run=400 estimate=400 deadline=5000 size=1 image=rerun-%d spot", i%6)
+	}
+	if err := w.play(b.String()); err != nil {
+		tb.Fatal(err)
+	}
+	w.Run(30 * protocol.Second)
+	if len(w.Broken) > 0 {
+		tb.Fatal(w.Broken[0])
+	}
+	return w
+}
+
+// reportOf is what a machine reports next.
+func reportOf(w *World, i int) coordination.WorkerReport {
+	w.nextConn++
+	return coordination.WorkerReport{Reply: coordination.Address{Conn: w.nextConn}, Body: []byte(w.sortedMachines()[i].report())}
+}
+
+// BenchmarkReport is a worker's report that says nothing new.
+func BenchmarkReport(b *testing.B) {
+	w := grown(b, 1)
+	n := w.leader()
+	events := make([]coordination.WorkerReport, b.N)
+	for i := range events {
+		events[i] = reportOf(w, i%fleetSize)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for _, e := range events {
+		n.ctl.Step(w.timeOf(n), e)
+	}
+}
+
+// BenchmarkRound is a tick with a round in it, while a hundred jobs wait and
+// one machine in sixty has changed.
+func BenchmarkRound(b *testing.B) {
+	w := grown(b, 1)
+	n := w.leader()
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		w.now += w.Operator.RoundEvery
+		b.StopTimer()
+		for k := range 20 {
+			n.ctl.Step(w.timeOf(n), reportOf(w, (i*20+k)%fleetSize))
+		}
+		b.StartTimer()
+		n.ctl.Step(w.timeOf(n), coordination.Tick{})
+	}
+}
+
+// BenchmarkTakeOver is a new leader's work until every host is accounted for,
+// with that of all stand-ins.
+func BenchmarkTakeOver(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		b.StopTimer()
+		w := grown(b, 2)
+		w.leader().alive = false
+		b.StartTimer()
+		w.Run(w.now + 8*protocol.Second)
+		if w.leader() == nil {
+			b.Fatal("nobody leads")
+		}
+	}
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -29,6 +29,17 @@
 	if prepare != nil {
 		prepare(w)
 	}
+	if err := w.play(text); err != nil {
+		return w, err
+	}
+	if len(w.Broken) > 0 {
+		return w, fmt.Errorf("rules broken: %s", strings.Join(w.Broken, "; "))
+	}
+	return w, nil
+}
+
+// play does what the lines of a trace say.
+func (w *World) play(text string) error {
 	started := false
 	sc := bufio.NewScanner(strings.NewReader(text))
 	for no := 1; sc.Scan(); no++ {
@@ -37,8 +48,8 @@
 		if len(words) == 0 {
 			continue
 		}
-		fail := func(format string, args ...any) (*World, error) {
-			return w, fmt.Errorf("line %d (%s): %s", no, strings.TrimSpace(line), fmt.Sprintf(format, args...))
+		fail := func(format string, args ...any) error {
+			return fmt.Errorf("line %d (%s): %s", no, strings.TrimSpace(line), fmt.Sprintf(format, args...))
 		}
 		if words[0] != "at" {
 			if err := w.scene(words); err != nil {
@@ -62,10 +73,7 @@
 			return fail("%v", err)
 		}
 	}
-	if len(w.Broken) > 0 {
-		return w, fmt.Errorf("rules broken: %s", strings.Join(w.Broken, "; "))
-	}
-	return w, nil
+	return nil
 }
 
 // options reads words of the form name=value.
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -30,9 +30,11 @@
 	nodes      []*node
 	store      *store
 	machines   map[string]*machine
+	byName     []*machine // in order, nil: to be made anew
 	jobs       map[string]*userJob
 	claims     map[string]string
 	cloudDown  bool
+	quiet      bool // no log is kept
 	noCapacity bool
 	removed    int
 	started    int
@@ -112,6 +114,9 @@
 }
 
 func (w *World) note(format string, args ...any) {
+	if w.quiet {
+		return
+	}
 	w.Log = append(w.Log, fmt.Sprintf("%8.2f ", w.now.Seconds())+fmt.Sprintf(format, args...))
 }
 
@@ -314,18 +319,19 @@
 }
 
 func (w *World) sortedMachines() []*machine {
-	list := make([]*machine, 0, len(w.machines))
-	for _, m := range w.machines {
-		list = append(list, m)
+	if w.byName == nil {
+		for _, m := range w.machines {
+			w.byName = append(w.byName, m)
+		}
+		sort.Slice(w.byName, func(a, b int) bool { return w.byName[a].name < w.byName[b].name })
 	}
-	sort.Slice(list, func(a, b int) bool { return list[a].name < list[b].name })
-	return list
+	return w.byName
 }
 
 func (w *World) addMachine(name, typ, zone string, spot bool) *machine {
 	m := &machine{name: name, typ: typ, zone: zone, spot: spot, rented: w.now, phase: "running", session: 1, leaseFrom: w.now,
 		images: map[string]micros{}, tasks: map[string]*runningTask{}, node: len(w.machines)}
-	w.machines[name] = m
+	w.machines[name], w.byName = m, nil
 	return m
 }
 
