A controller cut off with a zone keeps that zone's workers; no proof by time then

Now a controller that has heard neither a leader nor the state service for 4 s answers the workers of its own zone, under the token they know and without commands. The leader asks the others every second whether they answer anybody, and counts on time only while those of a host's zone say no; release is a proof as before.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -175,6 +175,9 @@
 
 func (d *driver) reply(r coordination.Reply) {
 	d.server.Answer(transport.ConnID(r.To.Conn), func(closing bool) []byte {
+		if r.To.Peer && r.Frame {
+			return r.Body
+		}
 		if r.To.Peer {
 			return protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(r.Status), RetryAfter: r.RetryAfter, Body: r.Body})
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -93,6 +93,7 @@
 	Status     int
 	Body       []byte
 	RetryAfter micros
+	Frame      bool // the body is a whole frame for another controller
 }
 
 // Call asks for an outbound call.
@@ -150,7 +151,7 @@
 
 	at       now
 	effects  []Effect
-	calls    map[uint64]func(CallDone)
+	calls    map[uint64]openCall
 	callSeq  uint64
 	callGen  uint64 // raised when the role restarts, so that old answers are dropped
 	timers   timers
@@ -165,7 +166,11 @@
 	leader     bookkeeping.Leadership // as known from the state service
 	suspect    micros                 // the leader did not answer, until then it is not asked
 	rechecked  micros                 // when the leader's record was read again after that
-	direct     int                    // users' calls that are being served from the state service
+	born       micros
+	asked      micros // when a leader last asked this node
+	answered   micros // when this node last answered a worker without leading
+	stateHeard micros // when the state service last answered
+	direct     int    // users' calls that are being served from the state service
 	finals     map[string]final
 	types      []*protocol.MachineType
 	typeByName map[string]*protocol.MachineType
@@ -180,6 +185,12 @@
 	Malformed int
 }
 
+// openCall is a call that has not ended.
+type openCall struct {
+	target Target
+	done   func(CallDone)
+}
+
 // final is the last phase of a job that is over.
 type final struct {
 	phase protocol.Phase
@@ -195,7 +206,7 @@
 // New makes a controller.
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
-		calls: make(map[uint64]func(CallDone)), finals: make(map[string]final),
+		calls: make(map[uint64]openCall), finals: make(map[string]final),
 		typeByName: make(map[string]*protocol.MachineType)}
 }
 
@@ -204,7 +215,7 @@
 
 // Start begins the controller's work.
 func (c *Controller) Start(at now) []Effect {
-	c.at = at
+	c.at, c.born = at, at.Steady
 	c.follow()
 	return c.flush()
 }
@@ -229,12 +240,16 @@
 	case PeerQuestion:
 		c.onAsk(e)
 	case CallDone:
-		if fn := c.calls[e.ID]; fn != nil {
+		if o := c.calls[e.ID]; o.done != nil {
 			delete(c.calls, e.ID)
-			fn(e)
+			if o.target == ToState && e.Status > 0 && e.Status != 503 {
+				c.stateHeard = at.Steady
+			}
+			o.done(e)
 		}
 	case Tick:
 		c.watchLag(e.Backlog)
+		c.feel()
 	}
 	c.watchLease()
 	if _, tick := ev.(Tick); tick && c.term != nil {
@@ -264,13 +279,13 @@
 
 func (c *Controller) call(target Target, prio uint8, method, path string, body []byte, timeout micros, changes int, done func(CallDone)) {
 	c.callSeq++
-	c.calls[c.callSeq] = done
+	c.calls[c.callSeq] = openCall{target, done}
 	c.emit(Call{ID: c.callSeq, Target: target, Method: method, Path: path, Body: body, Timeout: timeout, Priority: prio, Changes: changes})
 }
 
 func (c *Controller) callAddr(target Target, method, addr, path string, body []byte, timeout micros, done func(CallDone)) {
 	c.callSeq++
-	c.calls[c.callSeq] = done
+	c.calls[c.callSeq] = openCall{target, done}
 	c.emit(Call{ID: c.callSeq, Target: target, Addr: addr, Method: method, Path: path, Body: body, Timeout: timeout})
 }
 
--- /dev/null
+++ b/internal/coordination/others.go
@@ -0,0 +1,132 @@
+package coordination
+
+import (
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// A controller that is cut off together with a zone goes on answering that
+// zone's workers, without commands, so that their leases don't end and their
+// tasks go on. A leader outside can then not tell by time that such tasks are
+// gone: it asks the other controllers all the time, and counts on time only
+// while those of the host's zone say that they answer nobody.
+
+// Spans of that. A node takes itself for cut off only after it has heard
+// neither a leader nor the state service for isolatedAfter; what it said to a
+// leader holds for standHolds, which is less.
+const (
+	askEvery      = protocol.Second
+	standHolds    = 3 * protocol.Second
+	isolatedAfter = 4 * protocol.Second
+)
+
+// stand is what another controller last said of itself.
+type stand struct {
+	asked    micros // when it was asked; 0: it has not answered in this term
+	answered micros // when it last answered a worker
+}
+
+// askOthers asks the other controllers whether they answer workers, as long as
+// the term lasts.
+func (c *Controller) askOthers(t *term) {
+	if c.term != t {
+		return
+	}
+	asked := c.at.Steady
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch})
+	for _, s := range c.platform.Siblings {
+		c.callAddr(ToPeer, "", s.Address, "", frame, askEvery, func(r CallDone) {
+			if c.term != t || r.Status != 200 {
+				return
+			}
+			m, err := protocol.ParsePeer(r.Body)
+			if err != nil {
+				c.malformed("controller", err)
+				return
+			}
+			if m.Kind != protocol.PeerStand || m.Answers {
+				return
+			}
+			o := t.others[s.Name]
+			o.asked = max(o.asked, asked)
+			if m.Age < protocol.Forever {
+				o.answered = max(o.answered, c.at.Steady-m.Age)
+			}
+			t.others[s.Name] = o
+			c.allStand(t)
+		})
+	}
+	c.after(askEvery, func() { c.askOthers(t) })
+}
+
+// allStand notes when each of the others has said that it does not answer
+// workers under an earlier epoch. From then on leases tell when the tasks of
+// hosts that were recorded before are gone.
+func (c *Controller) allStand(t *term) {
+	if t.stood {
+		return
+	}
+	for _, s := range c.platform.Siblings {
+		if c.at.Steady-t.others[s.Name].asked > standHolds || t.others[s.Name].asked == 0 {
+			return
+		}
+	}
+	t.stood = true
+	c.log.Info("no other controller answers workers", "epoch", t.epoch)
+	for _, h := range t.book.Hosts() {
+		if h.FromRecord && !h.Proven {
+			h.Answered = min(h.Answered, c.at.Steady)
+		}
+	}
+}
+
+// expired reports whether a host's lease has certainly ended: nobody can have
+// answered it for that long.
+func (c *Controller) expired(h *bookkeeping.Host) bool {
+	at, lease := c.at.Steady, c.platform.WorkerLease
+	answered := h.Answered
+	for _, s := range c.platform.Siblings {
+		if s.Zone != h.Zone {
+			continue
+		}
+		o := c.term.others[s.Name]
+		if o.asked == 0 || at-o.asked > standHolds {
+			return false
+		}
+		answered = max(answered, o.answered)
+	}
+	return at > answered+lease+drift(lease)+100*protocol.Millisecond
+}
+
+// onAsk tells a leader whether this node answers workers. One that led under an
+// earlier epoch stops.
+func (c *Controller) onAsk(e PeerQuestion) {
+	if leads(c.role) && e.Epoch > c.seat.epoch {
+		c.deposed("another controller leads")
+	}
+	m := &protocol.PeerMessage{Kind: protocol.PeerStand, Age: protocol.Forever}
+	if leads(c.role) || c.role == Claiming {
+		m.Answers = true
+	} else if e.Epoch >= c.leader.Epoch {
+		c.asked = c.at.Steady
+	}
+	if c.answered > 0 {
+		m.Age = c.at.Steady - c.answered
+	}
+	c.emit(Reply{To: e.Reply, Status: 200, Body: protocol.AppendPeer(nil, m), Frame: true})
+}
+
+// isolated reports whether this node is cut off: it has heard neither a leader
+// nor the state service for a while.
+func (c *Controller) isolated() bool {
+	at := c.at.Steady
+	return !leads(c.role) && at-max(c.asked, c.born) > isolatedAfter && at-max(c.stateHeard, c.born) > isolatedAfter
+}
+
+// feel finds out whether the state service can be reached, where no leader is
+// heard.
+func (c *Controller) feel() {
+	if !leads(c.role) && c.at.Steady-max(c.asked, c.stateHeard) > askEvery {
+		c.recheck()
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -28,6 +28,8 @@
 	cancels map[string][]Address
 	gone    map[string]micros // machines that are certainly gone, and since when
 	rental  rental
+	others  map[string]stand  // what the other controllers said of themselves
+	stood   bool              // each has said that it answers nobody under an earlier epoch
 	cutSeen map[string]micros // when a zone last looked cut off
 	classes map[string]*class
 
@@ -59,7 +61,7 @@
 	c.seat.nextRenew = c.at.Steady
 	t := &term{book: bookkeeping.NewBook(), epoch: c.seat.epoch, started: c.at.Steady,
 		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]micros),
-		classes: make(map[string]*class), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
+		classes: make(map[string]*class), others: make(map[string]stand), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
 	t.rental.init()
 	t.probes.init()
 	t.hostPages = c.newPages(bookkeeping.HostPages, c.hostRecord)
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -27,6 +27,13 @@
 		return
 	case Leading, Doubtful:
 	default:
+		if c.isolated() && r.Zone == c.platform.Zone && r.Epoch > 0 {
+			// Cut off together with the worker: under the token that it knows its
+			// tasks go on. It gets no commands.
+			c.answered = c.at.Steady
+			c.reply(e.Reply, 200, protocol.AppendCommands(nil, r.Epoch, 0, nil), 0)
+			return
+		}
 		leader := c.leader.Node
 		if leader == c.platform.Node {
 			leader = ""
@@ -686,7 +693,7 @@
 			// hosts do not all come back at the same instant.
 			limit = max(limit, cutPatience*lease)
 		}
-		expired := at > h.Answered+lease+drift(lease)+100*protocol.Millisecond
+		expired := c.expired(h)
 		switch h.State {
 		case bookkeeping.HostReady, bookkeeping.HostBooting:
 			if h.State == bookkeeping.HostBooting && !h.FromRecord {
@@ -728,60 +735,6 @@
 	}
 }
 
-// askOthers asks the other controllers whether they may still answer workers
-// under an earlier epoch. Once each has said that it does not, hosts that are
-// silent have been answered by nobody since, so their leases tell when their
-// tasks are gone, and machines behind a cut need not be released to know it.
-func (c *Controller) askOthers(t *term) {
-	waiting := len(c.platform.Siblings)
-	all := true
-	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch})
-	for _, s := range c.platform.Siblings {
-		c.callAddr(ToPeer, "", s.Address, "", frame, callTimeout, func(r CallDone) {
-			if c.term != t || t.recovered {
-				return
-			}
-			said := false
-			if r.Status == 200 {
-				m, err := protocol.ParsePeer(r.Body)
-				said = err == nil && m.Kind == protocol.PeerAnswer && m.Status == 200
-			}
-			all = all && said
-			if waiting--; waiting > 0 {
-				return
-			}
-			if !all {
-				c.after(protocol.Second, func() {
-					if c.term == t && !t.recovered {
-						c.askOthers(t)
-					}
-				})
-				return
-			}
-			c.log.Info("no other controller answers workers", "epoch", t.epoch)
-			c.seat.predAnswers = min(c.seat.predAnswers, c.at.Steady)
-			for _, h := range t.book.Hosts() {
-				if h.FromRecord && !h.Proven {
-					h.Answered = min(h.Answered, c.seat.predAnswers)
-				}
-			}
-		})
-	}
-}
-
-// onAsk answers another controller that leads under a newer epoch, if this node
-// answers no workers under an earlier one, now or later.
-func (c *Controller) onAsk(e PeerQuestion) {
-	if leads(c.role) && e.Epoch > c.seat.epoch {
-		c.deposed("another controller leads")
-	}
-	status := 503
-	if !leads(c.role) && c.role != Claiming {
-		status = 200
-	}
-	c.reply(e.Reply, status, nil, 0)
-}
-
 // holdsCancelled reports whether a task may be on a host whose job was cancelled
 // so long ago that it has to be gone soon. Half of the time allowed is left to
 // the cloud, which may be in trouble itself.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -20,7 +20,8 @@
 const (
 	PeerCall PeerKind = 1 + iota
 	PeerAnswer
-	PeerAsk // whether a node answers workers under an earlier epoch
+	PeerAsk   // a leader asks whether another node answers workers
+	PeerStand // the answer
 )
 
 // UserOp is what a user asks.
@@ -46,6 +47,10 @@
 	RetryAfter Micros
 	// A question: the epoch under which it is asked.
 	Epoch uint64
+	// Its answer: whether the node answers workers, and how long ago it last did,
+	// Forever: never since it was started.
+	Answers bool
+	Age     Micros
 	// The body of a call or an answer.
 	Body []byte
 }
@@ -66,6 +71,12 @@
 		b = binary.BigEndian.AppendUint64(b, uint64(m.RetryAfter))
 	case PeerAsk:
 		b = binary.BigEndian.AppendUint64(b, m.Epoch)
+	case PeerStand:
+		answers := byte(0)
+		if m.Answers {
+			answers = 1
+		}
+		b = binary.BigEndian.AppendUint64(append(b, answers), uint64(m.Age))
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(len(m.Body)))
 	b = append(b, m.Body...)
@@ -116,6 +127,12 @@
 		}
 	case PeerAsk:
 		m.Epoch = r.uint(8)
+	case PeerStand:
+		answers := r.byte()
+		m.Answers, m.Age = answers == 1, Micros(r.uint(8))
+		if answers > 1 || m.Age < 0 {
+			return nil, errFrame
+		}
 	default:
 		return nil, errFrame
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -143,6 +143,8 @@
 		{Kind: PeerCall, Op: OpSubmit, Ref: "req-000001", From: "n0", Body: []byte(goodJob)},
 		{Kind: PeerAnswer, Status: 503, RetryAfter: 2 * Second, Body: []byte("{}")},
 		{Kind: PeerAsk, Epoch: 1 << 40},
+		{Kind: PeerStand, Answers: true, Age: 1},
+		{Kind: PeerStand, Age: Forever},
 	} {
 		b := AppendPeer(nil, m)
 		frame, used, err := SplitPeer(append(b, 1, 2, 3))
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -286,19 +286,22 @@
 				return // lost on the way
 			}
 			w.after(w.delay(), func() {
-				if answered || m.phase != "running" {
-					return
-				}
-				answered = true
-				m.inFlight = false
-				w.tookAnswer(m, session, sent, status, resp)
+				w.cross(node.zone, m.zone, func() {
+					if answered || m.phase != "running" {
+						return
+					}
+					answered = true
+					m.inFlight = false
+					w.tookAnswer(m, session, sent, status, resp)
+				})
 			})
 		})
 	}
+	reach := func() { w.cross(m.zone, node.zone, deliver) }
 	if m.held {
-		m.heldReports = append(m.heldReports, deliver)
+		m.heldReports = append(m.heldReports, reach)
 	} else {
-		w.after(w.delay(), deliver)
+		w.after(w.delay(), reach)
 	}
 	w.after(4*protocol.Second, fail)
 }
@@ -333,9 +336,8 @@
 
 // callWorker hands a direct command to a worker. A machine that hangs executes
 // it when it goes on, if token and session still match.
-func (w *World) callWorker(c coordination.Call, back func(int, string)) {
-	m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]
-	if m == nil || m.phase != "running" {
+func (w *World) callWorker(m *machine, c coordination.Call, back func(int, string)) {
+	if m.phase != "running" {
 		return
 	}
 	serve := func() {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -103,6 +103,11 @@
 			return fmt.Errorf("one to three nodes")
 		}
 		w.nodes = w.nodes[:n]
+		for i, zone := range words[2:] { // nodes 2 a b
+			if i < n {
+				w.nodes[i].zone = zone
+			}
+		}
 	case "team":
 		o := options(words[2:])
 		w.Platform.Teams[words[1]] = protocol.Team{Name: words[1],
@@ -193,6 +198,10 @@
 				n.cut = false
 			}
 		}
+	case "cut-zone": // from everything outside, messages are held
+		w.cutZone = words[1]
+	case "heal-zone":
+		w.heal()
 	case "state":
 		w.store.setDown(words[1] == "down")
 	case "cloud":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -34,7 +34,9 @@
 	jobs       map[string]*userJob
 	claims     map[string]string
 	cloudDown  bool
-	quiet      bool // no log is kept
+	cutZone    string   // is cut off from everything outside; inside, all goes on
+	mail       []func() // messages held at the cut, in order
+	quiet      bool     // no log is kept
 	noCapacity bool
 	removed    int
 	started    int
@@ -67,6 +69,7 @@
 // node is one controller.
 type node struct {
 	name  string
+	zone  string
 	alive bool
 	cut   bool // from everything
 	// denied: the state service answers this node alone with 503.
@@ -165,11 +168,11 @@
 	n.life++
 	n.seed += 100
 	p := w.Platform
-	p.Node = n.name
+	p.Node, p.Zone = n.name, n.zone
 	p.Siblings = nil
 	for _, o := range w.nodes {
 		if o != n {
-			p.Siblings = append(p.Siblings, protocol.Sibling{Name: o.name, Zone: "a", Address: o.name})
+			p.Siblings = append(p.Siblings, protocol.Sibling{Name: o.name, Zone: o.zone, Address: o.name})
 		}
 	}
 	n.ctl = coordination.New(&p, w.Operator, n.seed, w.Logger.With("node", n.name))
@@ -215,7 +218,10 @@
 		case coordination.Reply:
 			fn := w.answers[e.To.Conn]
 			delete(w.answers, e.To.Conn)
-			if fn != nil {
+			if fn != nil && e.Frame {
+				frame, _, _ := protocol.SplitPeer(e.Body)
+				fn(-1, frame)
+			} else if fn != nil {
 				fn(e.Status, e.Body)
 			}
 		case coordination.Call:
@@ -241,6 +247,25 @@
 	}
 }
 
+// cross carries a message between zones ("": outside of all), or holds it.
+func (w *World) cross(a, b string, deliver func()) {
+	if w.cutZone != "" && (a == w.cutZone) != (b == w.cutZone) {
+		w.mail = append(w.mail, deliver)
+		return
+	}
+	deliver()
+}
+
+// heal ends the cut; what was held is delivered.
+func (w *World) heal() {
+	w.cutZone = ""
+	mail := w.mail
+	w.mail = nil
+	for _, deliver := range mail {
+		w.after(w.delay(), deliver)
+	}
+}
+
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
 	life, answered := n.life, false
@@ -251,12 +276,16 @@
 			w.step(n, d)
 		}
 	}
-	back := func(status int, body string) {
-		w.after(w.delay(), func() {
-			if !n.cut {
-				finish(coordination.CallDone{Status: status, Body: []byte(body)})
-			}
-		})
+	backFrom := func(zone string) func(int, string) {
+		return func(status int, body string) {
+			w.after(w.delay(), func() {
+				w.cross(zone, n.zone, func() {
+					if !n.cut {
+						finish(coordination.CallDone{Status: status, Body: []byte(body)})
+					}
+				})
+			})
+		}
 	}
 	w.after(c.Timeout, func() { finish(coordination.CallDone{}) })
 	if n.cut {
@@ -266,56 +295,63 @@
 		switch c.Target {
 		case coordination.ToState:
 			if n.denied {
-				back(503, `{"error":"trouble"}`)
+				backFrom("")(503, `{"error":"trouble"}`)
 				return
 			}
-			w.store.serve(c.Method, c.Path, c.Body, back)
+			w.cross(n.zone, "", func() { w.store.serve(c.Method, c.Path, c.Body, backFrom("")) })
 		case coordination.ToCloud:
-			status, body := w.serveCloud(c.Method, c.Path, c.Body)
-			back(status, body)
+			w.cross(n.zone, "", func() {
+				status, body := w.serveCloud(c.Method, c.Path, c.Body)
+				backFrom("")(status, body)
+			})
 		case coordination.ToPeer:
-			w.carryPeer(c, back, finish)
+			for _, o := range w.nodes {
+				if o.name == c.Addr {
+					w.cross(n.zone, o.zone, func() { w.carryPeer(o, c, backFrom(o.zone), finish) })
+				}
+			}
 		case coordination.ToWorker:
-			w.callWorker(c, back)
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
+				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
+			}
 		}
 	})
 }
 
-func (w *World) carryPeer(c coordination.Call, back func(int, string), finish func(coordination.CallDone)) {
-	for _, o := range w.nodes {
-		if o.name != c.Addr {
-			continue
-		}
-		if !o.alive {
-			finish(coordination.CallDone{Unsent: true})
-			return
-		}
-		if o.cut {
-			return
-		}
-		frame, _, err := protocol.SplitPeer(c.Body)
-		if err != nil {
-			w.broken("malformed frame: %v", err)
-			return
-		}
-		msg, err := protocol.ParsePeer(frame)
-		if err != nil {
-			w.broken("malformed frame: %v", err)
+func (w *World) carryPeer(o *node, c coordination.Call, back func(int, string), finish func(coordination.CallDone)) {
+	if !o.alive {
+		finish(coordination.CallDone{Unsent: true, Refused: true})
+		return
+	}
+	if o.cut {
+		return
+	}
+	frame, _, err := protocol.SplitPeer(c.Body)
+	if err != nil {
+		w.broken("malformed frame: %v", err)
+		return
+	}
+	msg, err := protocol.ParsePeer(frame)
+	if err != nil {
+		w.broken("malformed frame: %v", err)
+		return
+	}
+	w.nextConn++
+	w.answers[w.nextConn] = func(status int, body []byte) {
+		if status < 0 { // a whole frame
+			back(200, string(body))
 			return
 		}
-		w.nextConn++
-		w.answers[w.nextConn] = func(status int, body []byte) {
-			out := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(status), Body: body})
-			frame, _, _ := protocol.SplitPeer(out)
-			back(200, string(frame))
-		}
-		to := coordination.Address{Conn: w.nextConn, Peer: true}
-		if msg.Kind == protocol.PeerAsk {
-			w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch})
-			continue
-		}
-		w.step(o, coordination.UserCall{Reply: to, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
+		out := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(status), Body: body})
+		frame, _, _ := protocol.SplitPeer(out)
+		back(200, string(frame))
+	}
+	to := coordination.Address{Conn: w.nextConn, Peer: true}
+	if msg.Kind == protocol.PeerAsk {
+		w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch})
+		return
 	}
+	w.step(o, coordination.UserCall{Reply: to, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
 }
 
 func (w *World) sortedMachines() []*machine {
@@ -338,7 +374,7 @@
 func (w *World) upNode() *node {
 	for range w.nodes {
 		w.poller++
-		if n := w.nodes[w.poller%len(w.nodes)]; n.alive && !n.cut {
+		if n := w.nodes[w.poller%len(w.nodes)]; n.alive && !n.cut && (w.cutZone == "" || n.zone != w.cutZone) {
 			return n
 		}
 	}
