--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -115,7 +115,7 @@
 		}
 		msg, err := protocol.ParsePeer(e.Frame)
 		if err == nil && msg.Kind == protocol.PeerAsk {
-			d.perform(d.ctl.Step(d.now(), coordination.PeerQuestion{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Epoch: msg.Epoch}))
+			d.perform(d.ctl.Step(d.now(), coordination.PeerQuestion{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Epoch: msg.Epoch, From: msg.From}))
 			return
 		}
 		if err != nil || msg.Kind != protocol.PeerCall {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -50,6 +50,7 @@
 type PeerQuestion struct {
 	Reply Address
 	Epoch uint64
+	From  string // the leader
 }
 
 // HealthCall asks for the node's health.
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -33,7 +33,7 @@
 		return
 	}
 	asked := c.at.Steady
-	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch})
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch, From: c.platform.Node})
 	for _, s := range c.platform.Siblings {
 		c.callAddr(ToPeer, "", s.Address, "", frame, askEvery, func(r CallDone) {
 			if c.term != t || r.Status != 200 {
@@ -109,6 +109,11 @@
 		m.Answers = true
 	} else if e.Epoch >= c.leader.Epoch {
 		c.asked = c.at.Steady
+		if e.Epoch > c.leader.Epoch {
+			// The state service would say the same; it may refuse this node.
+			c.leader = bookkeeping.Leadership{Node: e.From, Epoch: e.Epoch, AnswerOn: c.leader.AnswerOn}
+			c.suspect = 0
+		}
 	}
 	if c.answered > 0 {
 		m.Age = c.at.Steady - c.answered
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -38,7 +38,7 @@
 // answer to either.
 type PeerMessage struct {
 	Kind PeerKind
-	// A call.
+	// A call; a question has From too.
 	Op   UserOp
 	Ref  string
 	From string
@@ -71,6 +71,7 @@
 		b = binary.BigEndian.AppendUint64(b, uint64(m.RetryAfter))
 	case PeerAsk:
 		b = binary.BigEndian.AppendUint64(b, m.Epoch)
+		b = appendPeerText(b, m.From)
 	case PeerStand:
 		answers := byte(0)
 		if m.Answers {
@@ -127,6 +128,7 @@
 		}
 	case PeerAsk:
 		m.Epoch = r.uint(8)
+		m.From = string(r.take(int(r.uint(2))))
 	case PeerStand:
 		answers := r.byte()
 		m.Answers, m.Age = answers == 1, Micros(r.uint(8))
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -142,7 +142,7 @@
 	for _, m := range []*PeerMessage{
 		{Kind: PeerCall, Op: OpSubmit, Ref: "req-000001", From: "n0", Body: []byte(goodJob)},
 		{Kind: PeerAnswer, Status: 503, RetryAfter: 2 * Second, Body: []byte("{}")},
-		{Kind: PeerAsk, Epoch: 1 << 40},
+		{Kind: PeerAsk, Epoch: 1 << 40, From: "n1"},
 		{Kind: PeerStand, Answers: true, Age: 1},
 		{Kind: PeerStand, Age: Forever},
 	} {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -160,6 +160,12 @@
 	switch words[0] {
 	case "submit":
 		return w.actSubmit(words)
+	case "submit-at": // the user's connection is to that node
+		if w.sticky = w.nodeNamed(words[1]); w.sticky == nil {
+			return fmt.Errorf("no such node")
+		}
+		defer func() { w.sticky = nil }()
+		return w.actSubmit(words[1:])
 	case "cancel":
 		j := w.jobs[words[1]]
 		if j == nil {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -41,6 +41,7 @@
 	removed    int
 	started    int
 	poller     int
+	sticky     *node // where users' requests go, nil: to one after another
 	nextConn   uint64
 	answers    map[uint64]func(int, []byte)
 }
@@ -348,7 +349,7 @@
 	}
 	to := coordination.Address{Conn: w.nextConn, Peer: true}
 	if msg.Kind == protocol.PeerAsk {
-		w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch})
+		w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch, From: msg.From})
 		return
 	}
 	w.step(o, coordination.UserCall{Reply: to, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
@@ -372,6 +373,9 @@
 }
 
 func (w *World) upNode() *node {
+	if w.sticky != nil {
+		return w.sticky
+	}
 	for range w.nodes {
 		w.poller++
 		if n := w.nodes[w.poller%len(w.nodes)]; n.alive && !n.cut && (w.cutZone == "" || n.zone != w.cutZone) {
