Followers record submissions before they look up polls; shares of the state's rates

Now polls come after submissions there, followers may make half of the changes among them (the leader then makes none), and have 0.6 of the requests.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -125,7 +125,8 @@
 // lookUp answers a query from the state service. The live record is read
 // first: a job that ends meanwhile is then found among the final ones.
 func (c *Controller) lookUp(to Address, ref string, over func()) {
-	c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+	// Users poll again soon, and wait for a submission.
+	c.find(prioUrgent, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		over()
 		switch {
 		case !ok:
@@ -143,8 +144,8 @@
 }
 
 // find looks for a job in the state service.
-func (c *Controller) find(ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
-	c.get(prioUser, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+func (c *Controller) find(prio uint8, ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
+	c.get(prio, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 		if !ok {
 			done(nil, final{}, false, false)
 			return
@@ -165,7 +166,7 @@
 			done(j, final{}, true, true)
 			return
 		}
-		c.get(prioUser, bookkeeping.FinalPrefix+ref, func(e protocol.Entry, found, ok bool) {
+		c.get(prio, bookkeeping.FinalPrefix+ref, func(e protocol.Entry, found, ok bool) {
 			if !ok || !found {
 				done(nil, final{}, false, ok)
 				return
@@ -217,7 +218,7 @@
 // refuse answers 422, unless the job was accepted before: machine types may
 // have been others then.
 func (c *Controller) refuse(to Address, spec *protocol.JobSpec, why string) {
-	c.find(spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
 			c.unavailable(to, "the state service can't be reached")
@@ -259,7 +260,7 @@
 			}
 			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
 		case txnRefused:
-			c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 				if !ok || !found {
 					c.unavailable(to, "the state service can't be reached")
 					return
@@ -319,21 +320,22 @@
 
 // WriteShare is the part of the rate of changes, and of the cloud's, that a node
 // may use; ReadShare that of the state service's requests. A node that does not
-// lead only watches, and serves users for a short while when the leader can't
-// be reached; then it may have to read for all of them.
-func WriteShare(nodes int, leads bool) float64 { return shareOf(0.75, nodes, leads) }
+// lead only watches; when the leader can't be reached it serves users for a
+// short while. Then it may have to read for all of them, and the leader mostly
+// changes nothing, so that the parts of changes are more than one together.
+func WriteShare(nodes int, leads bool) float64 { return shareOf(0.75, 0.5, nodes, leads) }
 
 // ReadShare is the part of the requests to the state service, see WriteShare.
-func ReadShare(nodes int, leads bool) float64 { return shareOf(0.5, nodes, leads) }
+func ReadShare(nodes int, leads bool) float64 { return shareOf(0.4, 0.6, nodes, leads) }
 
-func shareOf(leader float64, nodes int, leads bool) float64 {
+func shareOf(leader, others float64, nodes int, leads bool) float64 {
 	switch {
 	case nodes <= 1:
 		return 1
 	case leads:
 		return leader
 	}
-	return (1 - leader) / float64(nodes-1)
+	return others / float64(nodes-1)
 }
 
 // submit accepts a job as the leader.
@@ -423,7 +425,7 @@
 	t := c.term
 	j := t.book.Job(ref)
 	if j == nil {
-		c.find(ref, func(j *bookkeeping.Job, f final, found, ok bool) {
+		c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 			switch {
 			case !ok:
 				c.unavailable(to, "the state service can't be reached")
