--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -469,7 +469,7 @@
 	if within == 0 || j.Spec.Kind == protocol.Service {
 		return 0
 	}
-	return j.Submitted + within/2 - c.class(j.Spec.Class).length(j.Spec)
+	return j.Submitted + within*7/10 - c.class(j.Spec.Class).length(j.Spec)
 }
 
 // startWithin is the shortest time that an aim gives a class to start, or 0.
