A machine that was never recorded is proven by its first report

A new machine's first report is under epoch 0. Nothing is launched on a host before it is recorded, so one that no record names holds nothing.

--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -271,6 +271,9 @@
 	})
 }
 
+// rentalSlack is how much sooner work has to be ready for a machine to be rented.
+const rentalSlack = 3 * protocol.Second
+
 // rentalWork bounds what a plan for rental looks at, in rows of the table.
 const rentalWork = 400_000
 
@@ -294,25 +297,6 @@
 	for _, n := range r.open {
 		booting += n
 	}
-	for _, w := range list {
-		if w.request == nil || w.job.State != bookkeeping.JobLive {
-			continue
-		}
-		left := *w.request
-		left.Kept = nil
-		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
-		if n := len(w.result.Booked); n > 0 {
-			// A booking far away is as good as none.
-			last := w.result.Booked[n-1]
-			if last.Begin > at+10*protocol.Second {
-				left.Tasks += n
-			}
-		}
-		left.Limit = min(left.Tasks, c.allowance(t.pass, w.job, protocol.Resources{}))
-		if left.Tasks > 0 && left.Limit > 0 {
-			requests = append(requests, &left)
-		}
-	}
 	var offers []*slottable.Offer
 	var kinds []kind
 	for _, typ := range c.types {
@@ -333,6 +317,25 @@
 			}
 		}
 	}
+	for _, w := range list {
+		if w.request == nil || w.job.State != bookkeeping.JobLive {
+			continue
+		}
+		left := *w.request
+		left.Kept = nil
+		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
+		if n := len(w.result.Booked); n > 0 {
+			// A booking far away is as good as none.
+			last := w.result.Booked[n-1]
+			if last.Begin > at+10*protocol.Second {
+				left.Tasks += n
+			}
+		}
+		left.Limit = min(left.Tasks, c.allowance(t.pass, w.job, protocol.Resources{}))
+		if left.Tasks > 0 && left.Limit > 0 {
+			requests = append(requests, &left)
+		}
+	}
 	// As many as the cloud's calls of one second can ask for.
 	most := int(max(1, c.platform.CloudRate)) * maxClaim
 	clear(r.needed)
@@ -341,13 +344,13 @@
 			r.needed[m] = true
 		}
 	}
-	rent, needed := t.table.Rent(requests, offers, 3*protocol.Second, most, rentalWork)
+	rent, needed := t.table.Rent(requests, offers, rentalSlack, most, rentalWork)
 	note(needed)
 	// Classes seldom burst together: each looks for its spare room by itself,
 	// so the same room may serve several.
 	spares := make(map[int]int)
 	for _, s := range c.spare() {
-		more, needed := t.table.Rent([]*slottable.Request{s}, offers, 3*protocol.Second, most, rentalWork)
+		more, needed := t.table.Rent([]*slottable.Request{s}, offers, rentalSlack, most, rentalWork)
 		for i, n := range more {
 			spares[i] = max(spares[i], n)
 		}
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -56,7 +56,7 @@
 		var bestReady micros
 		if total < most {
 			for oi, o := range offers {
-				if rent[oi] >= o.Most || !o.suits(r) || !z.allows(o.Zone) {
+				if rent[oi] >= o.Most || !o.Suits(r) || !z.allows(o.Zone) {
 					continue
 				}
 				ready := t.Now + o.Boot + o.Fetch(r.ImageSize)
@@ -100,6 +100,7 @@
 	return total
 }
 
-func (o *Offer) suits(r *Request) bool {
+// Suits reports whether a machine of that kind could take a request's tasks.
+func (o *Offer) Suits(r *Request) bool {
 	return (!o.Spot || r.Spot) && (r.Zone == "" || r.Zone == o.Zone) && o.Resources.Holds(r.Need) && allowsType(r.Types, o.Type)
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -102,7 +102,11 @@
 		h.Noticed, h.TakenAt = r.Noticed, at+r.Notice
 	}
 	current := r.Epoch == t.epoch
-	if current && !h.Proven {
+	if (current || !h.FromRecord) && !h.Proven {
+		// Nothing is ever launched on a host before it is recorded, so one that
+		// was not holds nothing, whatever epoch it has seen. To wait for its next
+		// report would have its room missing from the plans meanwhile, and more
+		// machines rented in its place.
 		h.Proven = true
 		t.dirty = true
 	}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -446,7 +446,22 @@
 			return 503, `{"error":"no capacity"}`
 		}
 		var names []string
-		for i := 0; i < fastjson.GetInt(body, "count"); i++ {
+		count := fastjson.GetInt(body, "count")
+		if count > 50 {
+			w.broken("%d machines asked for at once", count)
+		}
+		if w.capacity != nil {
+			kind := fastjson.GetString(body, "flavor") + "/" + fastjson.GetString(body, "region")
+			if fastjson.GetBool(body, "reclaimable") {
+				kind += "/spot"
+			}
+			if count = min(count, w.capacity[kind]); count == 0 {
+				w.note("none left of %s", kind)
+				return 503, `{"error":"no capacity"}`
+			}
+			w.capacity[kind] -= count
+		}
+		for range count {
 			m := w.addMachine(fmt.Sprintf("n-%06d", 500000+len(w.machines)+w.removed), fastjson.GetString(body, "flavor"), fastjson.GetString(body, "region"),
 				fastjson.GetBool(body, "reclaimable"))
 			m.phase, m.up = "booting", w.now+w.typeOf(m).Boot
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -25,7 +25,10 @@
 	nextID   uint64
 	watches  []*follower
 	changes  []change
-	commits  int
+	written  int // puts and deletes
+	refused  int // transactions beyond the rate
+	room     float64
+	roomAt   micros
 }
 
 type entry struct {
@@ -191,8 +194,20 @@
 		answer(400, `{}`)
 		return
 	}
-	s.commits++
 	then := v.GetArray("then")
+	if s.w.limited {
+		// A bucket of one second's worth, which transactions that fail empty too.
+		rate := s.w.Platform.StateWriteRate
+		s.room = min(rate, s.room+rate*(s.w.now-s.roomAt).Seconds())
+		s.roomAt = s.w.now
+		if s.room < float64(len(then)) {
+			s.refused++
+			answer(429, `{}`)
+			return
+		}
+		s.room -= float64(len(then))
+	}
+	s.written += len(then)
 	if len(then) > s.w.Platform.TxnOps || len(v.GetArray("when")) > 4*s.w.Platform.TxnOps {
 		s.w.broken("transaction too large: %d changes", len(then))
 		answer(400, `{}`)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -126,6 +126,13 @@
 	case "aim": // aim wait CLASS within=15
 		o := options(words[3:])
 		w.Platform.Objectives = append(w.Platform.Objectives, protocol.Objective{Kind: words[1], Class: words[2], Within: protocol.FromSeconds(number(o, "within", 10))})
+	case "limits": // of the state service are held: limits changes=35
+		w.limited, w.Platform.StateWriteRate = true, number(options(words[1:]), "changes", 35)
+	case "capacity": // the cloud has no more than this: capacity big/a=3 big/a/spot=1
+		w.capacity = make(map[string]int)
+		for kind := range options(words[1:]) {
+			w.capacity[kind] = int(number(options(words[1:]), kind, 0))
+		}
 	case "no-capacity":
 		w.noCapacity = true
 	default:
@@ -160,6 +167,18 @@
 	switch words[0] {
 	case "submit":
 		return w.actSubmit(words)
+	case "burst": // burst COUNT FIRST KIND ...: as many jobs, numbered on from FIRST
+		count, err := strconv.Atoi(words[1])
+		first, err2 := strconv.Atoi(strings.TrimPrefix(words[2], "req-"))
+		if err != nil || err2 != nil {
+			return fmt.Errorf("burst COUNT FIRST")
+		}
+		for i := range count {
+			if err := w.actSubmit(append([]string{"submit", fmt.Sprintf("req-%06d", first+i)}, words[3:]...)); err != nil {
+				return err
+			}
+		}
+		return nil
 	case "submit-at": // the user's connection is to that node
 		if w.sticky = w.nodeNamed(words[1]); w.sticky == nil {
 			return fmt.Errorf("no such node")
@@ -328,6 +347,14 @@
 			return nil
 		}
 		return differs(got, words[2])
+	case "machines-of": // machines-of TYPE N
+		n := 0
+		for _, m := range w.machines {
+			if m.typ == words[1] {
+				n++
+			}
+		}
+		return differs(strconv.Itoa(n), words[2])
 	case "machines":
 		return differs(strconv.Itoa(len(w.machines)), words[1])
 	case "machine":
@@ -336,6 +363,14 @@
 			got = "gone"
 		}
 		return differs(got, words[2])
+	case "all": // all N PHASE: so many jobs are in a phase
+		n := 0
+		for _, j := range w.jobs {
+			if j.phase == words[2] {
+				n++
+			}
+		}
+		return differs(strconv.Itoa(n), words[1])
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
 	case "kept": // kept KEY yes|no
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -12,6 +12,7 @@
 
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/transport"
 )
 
 // World is a whole deployment in simulated time: nothing in it depends on the
@@ -34,9 +35,12 @@
 	jobs       map[string]*userJob
 	claims     map[string]string
 	cloudDown  bool
-	cutZone    string   // is cut off from everything outside; inside, all goes on
-	mail       []func() // messages held at the cut, in order
-	quiet      bool     // no log is kept
+	cutZone    string         // is cut off from everything outside; inside, all goes on
+	mail       []func()       // messages held at the cut, in order
+	quiet      bool           // no log is kept
+	limited    bool           // calls are metered as the program does, and the limits are held
+	capacity   map[string]int // machines that the cloud still has, by kind; nil: any number
+	calls      map[coordination.Target]int
 	noCapacity bool
 	removed    int
 	started    int
@@ -80,6 +84,7 @@
 	waiting []coordination.Event
 	born    micros
 	life    int
+	meter   *transport.Meter // of its calls to the state service
 	ctl     *coordination.Controller
 	seed    uint64
 }
@@ -103,7 +108,7 @@
 // NewWorld makes a deployment of n controllers.
 func NewWorld(n int) *World {
 	w := &World{Operator: protocol.DefaultOperator(), machines: make(map[string]*machine), jobs: make(map[string]*userJob),
-		claims: make(map[string]string), answers: make(map[uint64]func(int, []byte)),
+		claims: make(map[string]string), calls: make(map[coordination.Target]int), answers: make(map[uint64]func(int, []byte)),
 		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
 	w.Platform = protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
 		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
@@ -176,6 +181,8 @@
 			p.Siblings = append(p.Siblings, protocol.Sibling{Name: o.name, Zone: o.zone, Address: o.name})
 		}
 	}
+	n.meter = transport.NewMeter(p.StateRate, p.StateWriteRate, 1, p.TxnOps)
+	w.share(n, false)
 	n.ctl = coordination.New(&p, w.Operator, n.seed, w.Logger.With("node", n.name))
 	life := n.life
 	w.perform(n, n.ctl.Start(w.timeOf(n)))
@@ -183,12 +190,19 @@
 	tick = func() {
 		if n.alive && n.life == life {
 			w.step(n, coordination.Tick{})
+			n.meter.Run(w.now)
 			w.after(50*protocol.Millisecond, tick)
 		}
 	}
 	tick()
 }
 
+// share sets the parts of the state service's rates that a node keeps to.
+func (w *World) share(n *node, leads bool) {
+	nodes := len(w.nodes)
+	n.meter.SetShare(coordination.ReadShare(nodes, leads), coordination.WriteShare(nodes, leads))
+}
+
 func (w *World) timeOf(n *node) protocol.Now {
 	return protocol.Now{Steady: w.now - n.born + protocol.Second, Wall: w.now + 1_700_000_000*protocol.Second}
 }
@@ -225,7 +239,15 @@
 			} else if fn != nil {
 				fn(e.Status, e.Body)
 			}
+		case coordination.Share:
+			w.share(n, e.Leads)
 		case coordination.Call:
+			if w.limited && e.Target == coordination.ToState {
+				n.meter.Add(transport.Metered{Priority: transport.Priority(e.Priority), Changes: e.Changes, Expires: w.now + e.Timeout,
+					Send: func() { w.call(n, e) }, Expire: func() { w.step(n, coordination.CallDone{ID: e.ID, Unsent: true}) }})
+				n.meter.Run(w.now)
+				continue
+			}
 			w.call(n, e)
 		}
 	}
@@ -269,6 +291,7 @@
 
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
+	w.calls[c.Target]++
 	life, answered := n.life, false
 	finish := func(d coordination.CallDone) {
 		if !answered && n.alive && n.life == life {
