Tests at full size, for records of another form, a leader that falls behind

Counts that can't vary: a take-over of 1,200 machines asks each about once, writes under 60 changes and stays within the state service's rate; 4,000 running tasks stand in a few dozen records; a booking that holds costs no search; a plan for rental leaves the table as it was.

--- a/internal/coordination/slottable/table_test.go
+++ b/internal/coordination/slottable/table_test.go
@@ -137,3 +137,67 @@
 		t.Errorf("a place comes free before a machine is up: %v", got)
 	}
 }
+
+// A booking is kept while its room is free: the next pass does not search the
+// table again, though the job still can't start. If the room is lost it does.
+func TestBookingsAreKept(t *testing.T) {
+	rows := make([]*Machine, 100)
+	for i := range rows {
+		rows[i] = row("m", 4, Span{0, micros(30+i) * sec, gpus(4)})
+	}
+	table := tableOf(nil, rows...)
+	ask := func(kept []Place) (Result, int) {
+		r := &Request{Tasks: 8, Limit: 8, Need: gpus(1), Image: "img", Length: 20 * sec, Deadline: 500 * sec, Kept: kept}
+		table.Work = 0
+		table.Begin()
+		res := table.Next(r)
+		return res, table.Work
+	}
+	first, searched := ask(nil)
+	if len(first.Booked) != 8 || searched != 100*workRoom {
+		t.Fatalf("%d booked, %d looked at", len(first.Booked), searched)
+	}
+	again, kept := ask(first.Booked)
+	if len(again.Booked) != 8 || again.Booked[7] != first.Booked[7] || kept != 0 {
+		t.Fatalf("%d booked, %d looked at", len(again.Booked), kept)
+	}
+	rows[0].Occupy(Span{0, 400 * sec, gpus(1)})
+	if moved, n := ask(first.Booked); len(moved.Booked) != 8 || n != 100*workRoom {
+		t.Fatalf("%d booked, %d looked at", len(moved.Booked), n)
+	}
+}
+
+// A pass that is cut short carries on where it stopped: what was booked before
+// the cut stays marked, and a later job moves none of it.
+func TestPassCutShort(t *testing.T) {
+	m := row("m", 4, Span{0, 30 * sec, gpus(2)})
+	blocked := &Request{Tasks: 1, Limit: 1, Need: gpus(4), Image: "img", Length: 20 * sec, Gang: true}
+	long := &Request{Tasks: 1, Limit: 1, Need: gpus(2), Image: "img", Length: 60 * sec}
+	table := tableOf([]*Machine{m}, m)
+	table.Begin()
+	if res := table.Next(blocked); len(res.Booked) != 1 {
+		t.Fatalf("%+v", res)
+	}
+	table.Resume()
+	if res := table.Next(long); len(res.Start) != 0 || len(res.Booked) != 0 {
+		t.Fatalf("it moves the booking: %+v", res)
+	}
+	table.Begin()
+	if res := table.Next(long); len(res.Start) != 1 {
+		t.Fatalf("without the booking: %+v", res)
+	}
+}
+
+// A plan for rental leaves the table as it was.
+func TestRentLeavesTheTable(t *testing.T) {
+	m := row("m", 4)
+	table := tableOf(nil, m)
+	table.Begin()
+	r := &Request{Tasks: 4, Limit: 4, Need: gpus(1), Image: "img", Length: 10 * sec}
+	if _, needed := table.Rent([]*Request{r}, nil, 0, 8, 1000); len(needed) != 4 {
+		t.Fatalf("needed %v", needed)
+	}
+	if m.Free() != gpus(4) || len(m.marks) != 0 {
+		t.Fatalf("free %v, %d marks", m.Free(), len(m.marks))
+	}
+}
--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -51,6 +51,63 @@
 	return w
 }
 
+// A take-over of the whole fleet under the state service's limits: each machine
+// is asked about once, hardly anything is written, and what waited for the old
+// leader is placed by the new one. Nothing runs twice.
+func TestTakeOverAtFullSize(t *testing.T) {
+	w := grown(t, 2)
+	w.limited = true
+	for _, n := range w.nodes {
+		w.share(n, n == w.leader())
+	}
+	written, asked, started := w.store.written, w.calls[coordination.ToWorker], w.started
+	w.leader().alive = false
+	w.Run(w.now + 8*protocol.Second)
+	if w.leader() == nil {
+		t.Fatal("nobody leads")
+	}
+	stale := 0
+	for _, m := range w.machines {
+		if m.epoch != 2 {
+			stale++
+		}
+	}
+	if stale > 0 {
+		t.Errorf("%d machines have not seen the new epoch", stale)
+	}
+	// Each is asked by one empty command, some also start a task.
+	if n := w.calls[coordination.ToWorker] - asked - (w.started - started); n > fleetSize+fleetSize/10 {
+		t.Errorf("%d calls to %d machines", n, fleetSize)
+	}
+	if n := w.store.written - written; n > 60 {
+		t.Errorf("%d changes written", n)
+	}
+	if w.store.refused > 0 {
+		t.Errorf("%d transactions beyond the rate", w.store.refused)
+	}
+	if len(w.Broken) > 0 {
+		t.Error(w.Broken)
+	}
+}
+
+// A fleet of full size takes a few dozen records, not one for each machine,
+// booking and launch.
+func TestRecordsAtFullSize(t *testing.T) {
+	w := grown(t, 1)
+	count := map[string]int{}
+	for key, e := range w.store.keys {
+		prefix, _, _ := strings.Cut(key, "/")
+		count[prefix]++
+		if len(e.value) > w.Platform.ValueBytes {
+			t.Errorf("%s takes %d bytes", key, len(e.value))
+		}
+	}
+	// 1200 machines, 4000 tasks and some bookings.
+	if count["hp"] > 24 || count["lp"] > 40 || count["bp"] > 2 || count["j"] != 300 {
+		t.Errorf("%v", count)
+	}
+}
+
 // reportOf is what a machine reports next.
 func reportOf(w *World, i int) coordination.WorkerReport {
 	w.nextConn++
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -126,6 +126,9 @@
 	case "aim": // aim wait CLASS within=15
 		o := options(words[3:])
 		w.Platform.Objectives = append(w.Platform.Objectives, protocol.Objective{Kind: words[1], Class: words[2], Within: protocol.FromSeconds(number(o, "within", 10))})
+	case "record": // is in the state service from the start: record KEY VALUE
+		w.store.revision++
+		w.store.keys[words[1]] = &entry{value: words[2], stamp: w.store.revision}
 	case "limits": // of the state service are held: limits changes=35
 		w.limited, w.Platform.StateWriteRate = true, number(options(words[1:]), "changes", 35)
 	case "capacity": // the cloud has no more than this: capacity big/a=3 big/a/spot=1
@@ -223,6 +226,12 @@
 				n.cut = false
 			}
 		}
+	case "backlog": // so many events wait at every node
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.backlog = n
 	case "cut-zone": // from everything outside, messages are held
 		w.cutZone = words[1]
 	case "heal-zone":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -41,6 +41,7 @@
 	limited    bool           // calls are metered as the program does, and the limits are held
 	capacity   map[string]int // machines that the cloud still has, by kind; nil: any number
 	calls      map[coordination.Target]int
+	backlog    int // events that wait at every node
 	noCapacity bool
 	removed    int
 	started    int
@@ -189,7 +190,7 @@
 	var tick func()
 	tick = func() {
 		if n.alive && n.life == life {
-			w.step(n, coordination.Tick{})
+			w.step(n, coordination.Tick{Backlog: w.backlog})
 			n.meter.Run(w.now)
 			w.after(50*protocol.Millisecond, tick)
 		}
