--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -168,10 +168,12 @@
 	suspect    micros                 // the leader did not answer, until then it is not asked
 	rechecked  micros                 // when the leader's record was read again after that
 	born       micros
-	asked      micros // when a leader last asked this node
-	answered   micros // when this node last answered a worker without leading
-	stateHeard micros // when the state service last answered
-	direct     int    // users' calls that are being served from the state service
+	asked      micros            // when a leader last asked this node
+	answered   micros            // when this node last answered a worker without leading
+	heard      map[string]micros // workers that were sent to the leader, and when
+	shy        micros            // this node resigned: until then others go first
+	stateHeard micros            // when the state service last answered
+	direct     int               // users' calls that are being served from the state service
 	finals     map[string]final
 	types      []*protocol.MachineType
 	typeByName map[string]*protocol.MachineType
@@ -207,7 +209,7 @@
 // New makes a controller.
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
-		calls: make(map[uint64]openCall), finals: make(map[string]final),
+		calls: make(map[uint64]openCall), heard: make(map[string]micros), finals: make(map[string]final),
 		typeByName: make(map[string]*protocol.MachineType)}
 }
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -118,6 +118,9 @@
 		// A node that just lost its lease is more likely in trouble.
 		wait += 300 * protocol.Millisecond
 	}
+	if c.at.Steady < c.shy {
+		wait += 2 * protocol.Second
+	}
 	c.after(wait, func() {
 		if gen != c.callGen || c.role != Following {
 			return
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"strconv"
+
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
 )
@@ -24,6 +26,7 @@
 type stand struct {
 	asked    micros // when it was asked; 0: it has not answered in this term
 	answered micros // when it last answered a worker
+	heard    int    // workers that it lately sent to this node
 }
 
 // askOthers asks the other controllers whether they answer workers, as long as
@@ -48,7 +51,7 @@
 				return
 			}
 			o := t.others[s.Name]
-			o.asked = max(o.asked, asked)
+			o.asked, o.heard = max(o.asked, asked), int(m.Heard)
 			if m.Age < protocol.Forever {
 				o.answered = max(o.answered, c.at.Steady-m.Age)
 			}
@@ -115,12 +118,53 @@
 			c.suspect = 0
 		}
 	}
+	for host, at := range c.heard {
+		if c.at.Steady-at > heardFor {
+			delete(c.heard, host)
+		}
+	}
+	m.Heard = uint32(len(c.heard))
 	if c.answered > 0 {
 		m.Age = c.at.Steady - c.answered
 	}
 	c.emit(Reply{To: e.Reply, Status: 200, Body: protocol.AppendPeer(nil, m), Frame: true})
 }
 
+// heardFor is how long a worker that was sent to the leader counts as heard: one
+// that can't reach the leader tries another node every ten seconds or so.
+const heardFor = 15 * protocol.Second
+
+// deaf reports whether it is this node that the workers can't reach, and not the
+// workers that are gone: most are silent here, and another node hears them. To
+// release them for that would end all that runs.
+func (c *Controller) deaf(zones map[string]*zoneCount) bool {
+	silent, all := 0, 0
+	for _, z := range zones {
+		silent += z.silent
+		all += z.all
+	}
+	if silent < 3 || 2*silent < all || !c.mayStart() {
+		return false
+	}
+	for _, o := range c.term.others {
+		if o.asked > 0 && c.at.Steady-o.asked <= standHolds && 2*o.heard >= silent {
+			return true
+		}
+	}
+	return false
+}
+
+// shyFor is how long a node that resigned lets others go first.
+const shyFor = 30 * protocol.Second
+
+// resign gives leadership up, so that a node that the workers reach can lead.
+func (c *Controller) resign() {
+	c.log.Info("resigning: workers are heard by other nodes and not by this one", "epoch", c.seat.epoch)
+	c.shy = c.at.Steady + shyFor
+	c.call(ToState, prioLeadership, "DELETE", "/leases/"+strconv.FormatUint(c.seat.lease, 10), nil, stateTimeout, 0, func(CallDone) {})
+	c.follow()
+}
+
 // isolated reports whether this node is cut off: it has heard neither a leader
 // nor the state service for a while.
 func (c *Controller) isolated() bool {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -436,6 +436,9 @@
 	if sweep {
 		t.lastSweep = c.at.Steady
 		c.watchHosts()
+		if c.term != t {
+			return // it resigned
+		}
 	}
 	c.runProbes()
 	if c.role != Leading {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -34,6 +34,7 @@
 			c.reply(e.Reply, 200, protocol.AppendCommands(nil, r.Epoch, 0, nil), 0)
 			return
 		}
+		c.heard[r.Host] = c.at.Steady
 		leader := c.leader.Node
 		if leader == c.platform.Node {
 			leader = ""
@@ -667,6 +668,10 @@
 			}
 		}
 	}
+	if c.deaf(zones) {
+		c.resign()
+		return
+	}
 	limit := release
 	if silent > 2 && silent*3 > reporting {
 		// So many at once are rather cut off than dead.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -51,6 +51,7 @@
 	// Forever: never since it was started.
 	Answers bool
 	Age     Micros
+	Heard   uint32 // workers that it lately sent to the leader
 	// The body of a call or an answer.
 	Body []byte
 }
@@ -78,6 +79,7 @@
 			answers = 1
 		}
 		b = binary.BigEndian.AppendUint64(append(b, answers), uint64(m.Age))
+		b = binary.BigEndian.AppendUint32(b, m.Heard)
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(len(m.Body)))
 	b = append(b, m.Body...)
@@ -131,7 +133,7 @@
 		m.From = string(r.take(int(r.uint(2))))
 	case PeerStand:
 		answers := r.byte()
-		m.Answers, m.Age = answers == 1, Micros(r.uint(8))
+		m.Answers, m.Age, m.Heard = answers == 1, Micros(r.uint(8)), uint32(r.uint(4))
 		if answers > 1 || m.Age < 0 {
 			return nil, errFrame
 		}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -143,7 +143,7 @@
 		{Kind: PeerCall, Op: OpSubmit, Ref: "req-000001", From: "n0", Body: []byte(goodJob)},
 		{Kind: PeerAnswer, Status: 503, RetryAfter: 2 * Second, Body: []byte("{}")},
 		{Kind: PeerAsk, Epoch: 1 << 40, From: "n1"},
-		{Kind: PeerStand, Answers: true, Age: 1},
+		{Kind: PeerStand, Answers: true, Age: 1, Heard: 700},
 		{Kind: PeerStand, Age: Forever},
 	} {
 		b := AppendPeer(nil, m)
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -277,6 +277,9 @@
 		}
 	}
 	deliver := func() {
+		if node.deaf {
+			return
+		}
 		if !node.alive || node.cut {
 			w.after(w.delay(), fail)
 			return
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -174,6 +174,12 @@
 		s.nextID++
 		s.leases[s.nextID] = &lease{ttl, s.w.now + ttl}
 		answer(200, fmt.Sprintf(`{"hold":%d}`, s.nextID))
+	case method == "DELETE":
+		id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+		if s.leases[id] != nil {
+			s.endLease(id)
+		}
+		answer(200, `{}`)
 	case strings.HasSuffix(path, "/extend"):
 		id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
 		l := s.leases[id]
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -194,7 +194,7 @@
 			return fmt.Errorf("no such job")
 		}
 		w.cancel(j)
-	case "kill", "start", "cut", "join", "freeze", "thaw", "deny", "admit":
+	case "kill", "start", "cut", "join", "freeze", "thaw", "deny", "admit", "deafen", "undeafen":
 		names := []string{words[1]}
 		if words[1] == "all" {
 			names = nil
@@ -212,6 +212,10 @@
 				n.alive = false
 			case "start":
 				w.startNode(n)
+			case "deafen": // it and the workers can't reach each other
+				n.deaf = true
+			case "undeafen":
+				n.deaf = false
 			case "deny":
 				n.denied = true
 			case "admit":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -78,6 +78,8 @@
 	zone  string
 	alive bool
 	cut   bool // from everything
+	// deaf: it and the workers can't reach each other.
+	deaf bool
 	// denied: the state service answers this node alone with 503.
 	denied bool
 	// frozen: it does nothing, and what comes waits until it goes on.
@@ -336,7 +338,7 @@
 				}
 			}
 		case coordination.ToWorker:
-			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf {
 				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
 			}
 		}
