--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -104,8 +104,9 @@
 		t.pass = nil
 		return
 	}
-	if p.rounds > 1 {
-		c.log.Debug("plan cut short", "stage", p.stage.String(), "next", p.next, "of", len(p.list), "work", p.work)
+	if at := c.at.Steady; at-t.cutLog > 5*protocol.Second {
+		t.cutLog = at
+		c.log.Info("plan cut short", "stage", p.stage.String(), "next", p.next, "of", len(p.list), "work", p.work)
 	}
 }
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -53,6 +53,8 @@
 	dropping bool
 
 	nextImages micros
+
+	cutLog, budgetLog micros // when what they are about was last logged
 }
 
 // load reads the records of jobs, hosts and bookings.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -361,6 +361,10 @@
 	// What would have to wait for its record for longer than users should is
 	// refused at once: they are told when its turn would come.
 	if wait := protocol.FromSeconds(float64(len(t.submits)) / c.writeRate()); wait > submitWait {
+		if at := c.at.Steady; at-t.budgetLog > 5*protocol.Second {
+			t.budgetLog = at
+			c.log.Info("state budget used up", "waiting", len(t.submits), "delay_ms", int64(wait/protocol.Millisecond))
+		}
 		c.reply(to, 503, protocol.ErrorBody("too many submissions"), wait)
 		return
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -640,6 +640,18 @@
 // report is overdue by half of the time between two.
 func (c *Controller) silence() micros { return c.platform.ReportEvery * 3 / 2 }
 
+// cutShare is the part of a zone's hosts that are silent when it counts as cut
+// off. The first of them would be released a fixed time after it fell silent, and
+// by then the others have only begun to: with longer times between reports, fewer.
+// In a small zone a few machines that die at once are as many, so it takes half.
+func (c *Controller) cutShare(release micros, hosts int) float64 {
+	if hosts < 30 {
+		return 0.5
+	}
+	begun := float64(release-c.silence()) / float64(c.platform.ReportEvery)
+	return max(0.2, min(0.5, 0.6*begun))
+}
+
 // cutPatience is how many leases the machines of a zone that is cut off are kept.
 const cutPatience = 4
 
@@ -678,7 +690,7 @@
 		limit = 2 * limit
 	}
 	for name, z := range zones {
-		if z.silent >= 3 && 2*z.silent >= z.all {
+		if z.silent >= 3 && float64(z.silent) >= c.cutShare(release, z.all)*float64(z.all) {
 			t.cutSeen[name] = at
 		}
 	}
