--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -172,6 +172,8 @@
 func FuzzPeer(f *testing.F) {
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerCall, Op: OpCancel, Ref: "req-000001", From: "n0"}))
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerAnswer, Status: 200, Body: []byte("{}")}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerAsk, Epoch: 7, From: "n0"}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerStand, Answers: true, Age: 5, Heard: 9}))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		frame, used, err := SplitPeer(in)
 		if err != nil || used == 0 {
