--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
 )
 
@@ -123,6 +124,14 @@
 		if w.typeOf(m) == nil {
 			return fmt.Errorf("unknown type %s", words[2])
 		}
+	case "fleet": // so many machines: fleet 400 big a
+		count, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		for range count {
+			w.addMachine(fmt.Sprintf("n-%06d", len(w.machines)+1), words[2], words[3], false)
+		}
 	case "aim": // aim wait CLASS within=15
 		o := options(words[3:])
 		w.Platform.Objectives = append(w.Platform.Objectives, protocol.Objective{Kind: words[1], Class: words[2], Within: protocol.FromSeconds(number(o, "within", 10))})
@@ -230,6 +239,8 @@
 				n.cut = false
 			}
 		}
+	case "count": // from here on: changes written, direct calls to workers, starts
+		w.written, w.asked, w.begun = w.store.written, w.calls[coordination.ToWorker], w.started
 	case "backlog": // so many events wait at every node
 		n, err := strconv.Atoi(words[1])
 		if err != nil {
@@ -376,6 +387,19 @@
 			got = "gone"
 		}
 		return differs(got, words[2])
+	case "at-most": // at-most N changes|questions, since the count began
+		most, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		got := w.store.written - w.written
+		if words[2] == "questions" { // calls to workers that start nothing
+			got = w.calls[coordination.ToWorker] - w.asked - (w.started - w.begun)
+		}
+		if got > most {
+			return fmt.Errorf("%d", got)
+		}
+		return nil
 	case "all": // all N PHASE: so many jobs are in a phase
 		n := 0
 		for _, j := range w.jobs {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -25,30 +25,31 @@
 	Broken   []string // rules that were broken
 	Logger   *slog.Logger
 
-	now        micros
-	seq        int
-	events     eventHeap
-	nodes      []*node
-	store      *store
-	machines   map[string]*machine
-	byName     []*machine // in order, nil: to be made anew
-	jobs       map[string]*userJob
-	claims     map[string]string
-	cloudDown  bool
-	cutZone    string         // is cut off from everything outside; inside, all goes on
-	mail       []func()       // messages held at the cut, in order
-	quiet      bool           // no log is kept
-	limited    bool           // calls are metered as the program does, and the limits are held
-	capacity   map[string]int // machines that the cloud still has, by kind; nil: any number
-	calls      map[coordination.Target]int
-	backlog    int // events that wait at every node
-	noCapacity bool
-	removed    int
-	started    int
-	poller     int
-	sticky     *node // where users' requests go, nil: to one after another
-	nextConn   uint64
-	answers    map[uint64]func(int, []byte)
+	now                   micros
+	seq                   int
+	events                eventHeap
+	nodes                 []*node
+	store                 *store
+	machines              map[string]*machine
+	byName                []*machine // in order, nil: to be made anew
+	jobs                  map[string]*userJob
+	claims                map[string]string
+	cloudDown             bool
+	cutZone               string         // is cut off from everything outside; inside, all goes on
+	mail                  []func()       // messages held at the cut, in order
+	quiet                 bool           // no log is kept
+	limited               bool           // calls are metered as the program does, and the limits are held
+	capacity              map[string]int // machines that the cloud still has, by kind; nil: any number
+	calls                 map[coordination.Target]int
+	written, asked, begun int // when a trace began to count
+	backlog               int // events that wait at every node
+	noCapacity            bool
+	removed               int
+	started               int
+	poller                int
+	sticky                *node // where users' requests go, nil: to one after another
+	nextConn              uint64
+	answers               map[uint64]func(int, []byte)
 }
 
 type event struct {
