One check of whether a job's task may be on a host, for both ways of making room

Read over, behaviour as before: making room for one task and for a gang each had the same five conditions on a host.

--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -648,7 +648,7 @@
 	looked := [2]int{}
 	t.table.Work += len(t.book.Hosts())
 	for _, h := range t.book.Hosts() {
-		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || need.taken[h] || !s.AllowsType(h.TypeName) {
+		if need.taken[h] || !c.mayTake(h, s) {
 			continue
 		}
 		if s.Spread && zones[h.Zone] >= w.request.ZoneCap || s.OneZone && len(w.request.ZoneUsed) > 0 && w.request.ZoneUsed[h.Zone] == 0 {
@@ -730,7 +730,7 @@
 	zones := make(map[string][]room)
 	have := make(map[string]int)
 	for _, h := range t.book.Hosts() {
-		if !c.usable(h) || h.Spot && !s.Spot || s.Zone != "" && s.Zone != h.Zone || !h.Type.Offer.Holds(s.Need) || !s.AllowsType(h.TypeName) {
+		if !c.mayTake(h, s) {
 			continue
 		}
 		n := h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Times(s.Need)
@@ -801,6 +801,11 @@
 	return true
 }
 
+// mayTake reports whether a job's task could be on a host, were it empty.
+func (c *Controller) mayTake(h *bookkeeping.Host, s *protocol.JobSpec) bool {
+	return c.usable(h) && (!h.Spot || s.Spot) && (s.Zone == "" || s.Zone == h.Zone) && h.Type.Offer.Holds(s.Need) && s.AllowsType(h.TypeName)
+}
+
 // yielding is what a host's work of lower rank takes, and what is being
 // stopped.
 func (c *Controller) yielding(p *pass, h *bookkeeping.Host) protocol.Resources {
