Reports of workers that can't reach the leader go through another controller

Each worker tries nodes that do not answer for 4 s each and is sent back to the leader by the one that is left: 25 s go by and 1,580 tasks are killed by their leases.

Now a follower passes the report of a worker that the leader seems out of reach for to the leader and gives back its answer; silent machines are also asked by way of another controller before they are released. The leader resigns when most workers come that way.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -113,17 +113,15 @@
 			d.route(e)
 			return
 		}
+		to := coordination.Address{Conn: uint64(e.Conn), Peer: true}
 		msg, err := protocol.ParsePeer(e.Frame)
-		if err == nil && msg.Kind == protocol.PeerAsk {
-			d.perform(d.ctl.Step(d.now(), coordination.PeerQuestion{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Epoch: msg.Epoch, From: msg.From}))
-			return
-		}
-		if err != nil || msg.Kind != protocol.PeerCall {
+		ev := coordination.PeerEvent(to, msg)
+		if err != nil || ev == nil {
 			d.log.Info("malformed message", "from", "controller", "err", err)
-			d.reply(coordination.Reply{To: coordination.Address{Conn: uint64(e.Conn), Peer: true}})
+			d.reply(coordination.Reply{To: to})
 			return
 		}
-		d.perform(d.ctl.Step(d.now(), coordination.UserCall{Reply: coordination.Address{Conn: uint64(e.Conn), Peer: true}, Op: msg.Op, Ref: msg.Ref, Body: msg.Body}))
+		d.perform(d.ctl.Step(d.now(), ev))
 	}
 }
 
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -40,10 +40,12 @@
 	Body  []byte
 }
 
-// WorkerReport is a worker's report.
+// WorkerReport is a worker's report, from the worker or passed on by a node.
 type WorkerReport struct {
 	Reply Address
 	Body  []byte
+	// Returned: passed on by a node that had sent the worker here before.
+	Returned bool
 }
 
 // PeerQuestion is asked by a controller that leads under an epoch.
@@ -53,6 +55,32 @@
 	From  string // the leader
 }
 
+// PeerEvent is the event that a message of another controller makes here, nil:
+// it is none that is asked.
+func PeerEvent(to Address, m *protocol.PeerMessage) Event {
+	if m == nil {
+		return nil
+	}
+	switch m.Kind {
+	case protocol.PeerCall:
+		return UserCall{Reply: to, Op: m.Op, Ref: m.Ref, Body: m.Body}
+	case protocol.PeerAsk:
+		return PeerQuestion{Reply: to, Epoch: m.Epoch, From: m.From}
+	case protocol.PeerReport:
+		return WorkerReport{Reply: to, Body: m.Body, Returned: m.Returned}
+	case protocol.PeerProbe:
+		return WorkerCall{Reply: to, Addr: m.Addr, Body: m.Body}
+	}
+	return nil
+}
+
+// WorkerCall is a leader's call to a worker, for this node to make.
+type WorkerCall struct {
+	Reply Address
+	Addr  string
+	Body  []byte
+}
+
 // HealthCall asks for the node's health.
 type HealthCall struct{ Reply Address }
 
@@ -75,6 +103,7 @@
 func (UserCall) event()     {}
 func (WorkerReport) event() {}
 func (PeerQuestion) event() {}
+func (WorkerCall) event()   {}
 func (HealthCall) event()   {}
 func (CallDone) event()     {}
 func (Tick) event()         {}
@@ -170,7 +199,9 @@
 	born       micros
 	asked      micros            // when a leader last asked this node
 	answered   micros            // when this node last answered a worker without leading
-	heard      map[string]micros // workers that were sent to the leader, and when
+	callers    map[string]caller // workers that came here while another node led
+	relaying   int               // their reports that are on their way to the leader
+	relayAfter micros            // the leader did not answer one: none is passed on before
 	shy        micros            // this node resigned: until then others go first
 	stateHeard micros            // when the state service last answered
 	direct     int               // users' calls that are being served from the state service
@@ -209,7 +240,7 @@
 // New makes a controller.
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
-		calls: make(map[uint64]openCall), heard: make(map[string]micros), finals: make(map[string]final),
+		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
 		typeByName: make(map[string]*protocol.MachineType)}
 }
 
@@ -242,6 +273,8 @@
 		c.onHealth(e)
 	case PeerQuestion:
 		c.onAsk(e)
+	case WorkerCall:
+		c.onWorkerCall(e)
 	case CallDone:
 		if o := c.calls[e.ID]; o.done != nil {
 			delete(c.calls, e.ID)
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -118,40 +118,34 @@
 			c.suspect = 0
 		}
 	}
-	for host, at := range c.heard {
-		if c.at.Steady-at > heardFor {
-			delete(c.heard, host)
-		}
-	}
-	m.Heard = uint32(len(c.heard))
+	m.Heard = c.countCallers()
 	if c.answered > 0 {
 		m.Age = c.at.Steady - c.answered
 	}
 	c.emit(Reply{To: e.Reply, Status: 200, Body: protocol.AppendPeer(nil, m), Frame: true})
 }
 
-// heardFor is how long a worker that was sent to the leader counts as heard: one
-// that can't reach the leader tries another node every ten seconds or so.
-const heardFor = 15 * protocol.Second
-
 // deaf reports whether it is this node that the workers can't reach, and not the
-// workers that are gone: most are silent here, and another node hears them. To
-// release them for that would end all that runs.
+// workers that are gone: most are silent here or only heard through other nodes,
+// and those hear them. To release them for that would end all that runs.
 func (c *Controller) deaf(zones map[string]*zoneCount) bool {
-	silent, all := 0, 0
+	silent, relayed, all := 0, 0, 0
 	for _, z := range zones {
 		silent += z.silent
+		relayed += z.relayed
 		all += z.all
 	}
-	if silent < 3 || 2*silent < all || !c.mayStart() {
+	missed := silent + relayed
+	if missed < 3 || 2*missed < all || !c.mayStart() {
 		return false
 	}
+	heard := 0
 	for _, o := range c.term.others {
-		if o.asked > 0 && c.at.Steady-o.asked <= standHolds && 2*o.heard >= silent {
-			return true
+		if o.asked > 0 && c.at.Steady-o.asked <= standHolds {
+			heard = max(heard, o.heard)
 		}
 	}
-	return false
+	return 2*max(heard, relayed) >= missed
 }
 
 // shyFor is how long a node that resigned lets others go first.
--- /dev/null
+++ b/internal/coordination/relay.go
@@ -0,0 +1,150 @@
+package coordination
+
+import (
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// A worker that comes to a node that does not lead is sent to the leader. Some
+// can't get there, though the leader is well: a link or a filter is between them
+// and it. Sent back and forth, such a worker would lose its lease and all that
+// runs on it. So a report of a worker that the leader seems out of reach for is
+// passed on to the leader, and the leader's own answer goes back. Nobody but the
+// leader answers: the detour changes who carries the message, nothing else.
+
+// caller is a worker that came here while another node led.
+type caller struct {
+	last   micros // when it last came
+	sent   micros // when it was last sent to the leader
+	relays micros // until then its reports are passed on without asking it to try
+}
+
+// Spans of that. A worker that can't reach the leader comes back within
+// returnsIn: after half a second and two tries that nobody answers.
+const (
+	returnsIn    = 15 * protocol.Second
+	relayTimeout = 1500 * protocol.Millisecond
+	relayAgain   = 3 * protocol.Second
+	maxRelaying  = 24
+)
+
+// outOfReach reports whether a worker seems unable to reach the leader: it was
+// sent there and came back, or it has served under this leader before and tries
+// other nodes now.
+func (c *Controller) outOfReach(r *protocol.Report) (yes, returned bool) {
+	at := c.at.Steady
+	k, known := c.callers[r.Host]
+	switch {
+	case k.sent > 0 && at-k.sent < returnsIn && r.Epoch <= c.leader.Epoch:
+		returned = true
+		k.relays = at + 2*c.platform.WorkerLease
+	case at < k.relays:
+		returned = true
+	}
+	first := !known || at-k.last >= returnsIn
+	yes = returned || first && r.Epoch > 0 && r.Epoch == c.leader.Epoch
+	k.last, k.sent = at, 0
+	c.callers[r.Host] = k
+	return yes, returned
+}
+
+// sendOn sends a worker to the leader, or its report where the worker can't go.
+func (c *Controller) sendOn(e WorkerReport, r *protocol.Report) {
+	yes, returned := c.outOfReach(r)
+	addr := c.addressOf(c.leader.Node)
+	if !yes || addr == "" || c.at.Steady < c.relayAfter || c.relaying >= maxRelaying {
+		c.sendAway(e, r.Host)
+		return
+	}
+	c.relaying++
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerReport, Returned: returned, Body: e.Body})
+	c.callAddr(ToPeer, "", addr, "", frame, relayTimeout, func(d CallDone) {
+		c.relaying--
+		if d.Status == 200 {
+			m, err := protocol.ParsePeer(d.Body)
+			if err == nil && m.Kind == protocol.PeerAnswer && m.Status != 0 {
+				c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
+				return
+			}
+			if err != nil {
+				c.malformed("controller", err)
+			}
+		}
+		// It does not lead any more, or can't be reached from here either.
+		c.relayAfter = c.at.Steady + relayAgain
+		c.recheck()
+		c.sendAway(e, r.Host)
+	})
+}
+
+// sendAway tells a worker who leads, as far as known.
+func (c *Controller) sendAway(e WorkerReport, host string) {
+	k := c.callers[host]
+	k.last, k.sent = c.at.Steady, c.at.Steady
+	c.callers[host] = k
+	leader := c.leader.Node
+	if leader == c.platform.Node {
+		leader = ""
+	}
+	c.reply(e.Reply, 421, protocol.LeaderBody(leader), 0)
+}
+
+// countCallers counts the workers that came here lately, and forgets the others.
+func (c *Controller) countCallers() uint32 {
+	n := uint32(0)
+	for host, k := range c.callers {
+		switch age := c.at.Steady - k.last; {
+		case age <= returnsIn:
+			n++
+		case c.at.Steady >= k.relays:
+			delete(c.callers, host)
+		}
+	}
+	return n
+}
+
+// addressOf finds a controller's address, "" if it is unknown or this node.
+func (c *Controller) addressOf(node string) string {
+	for _, s := range c.platform.Siblings {
+		if s.Name == node {
+			return s.Address
+		}
+	}
+	return ""
+}
+
+// onWorkerCall makes a call to a worker for the leader. Whether the command has
+// any effect is for the worker to say, by the token and session that it names.
+func (c *Controller) onWorkerCall(e WorkerCall) {
+	c.callAddr(ToWorker, "POST", e.Addr, "/commands", e.Body, callTimeout*3/4, func(r CallDone) {
+		c.reply(e.Reply, r.Status, r.Body, 0)
+	})
+}
+
+// probeThrough asks a silent worker by way of another node: the link from here
+// may be what is lost, and to release the machine would end all that runs on it.
+// It reports whether there is a node to ask.
+func (c *Controller) probeThrough(h *bookkeeping.Host, body []byte, done func(CallDone)) bool {
+	t := c.term
+	for i := range c.platform.Siblings {
+		s := c.platform.Siblings[(t.probes.through+i)%len(c.platform.Siblings)]
+		if o := t.others[s.Name]; o.asked == 0 || c.at.Steady-o.asked > standHolds {
+			continue // it can hardly be reached itself
+		}
+		t.probes.through += i + 1
+		frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerProbe, Addr: h.Addr, Body: body})
+		c.callAddr(ToPeer, "", s.Address, "", frame, callTimeout, func(d CallDone) {
+			if d.Status == 200 {
+				m, err := protocol.ParsePeer(d.Body)
+				if err == nil && m.Kind == protocol.PeerAnswer {
+					done(CallDone{Status: int(m.Status), Body: m.Body})
+					return
+				}
+				c.malformed("controller", err)
+			}
+			done(CallDone{})
+		})
+		return true
+	}
+	return false
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -59,12 +59,7 @@
 // passOn gives a user's call to the leader, or goes to the state service
 // where it can't be reached.
 func (c *Controller) passOn(e UserCall, spec *protocol.JobSpec) {
-	addr := ""
-	for _, s := range c.platform.Siblings {
-		if s.Name == c.leader.Node {
-			addr = s.Address
-		}
-	}
+	addr := c.addressOf(c.leader.Node)
 	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
 		c.serveDirect(e, spec)
 		return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -27,6 +27,10 @@
 		return
 	case Leading, Doubtful:
 	default:
+		if e.Reply.Peer {
+			c.reply(e.Reply, 0, nil, 0) // this node does not lead
+			return
+		}
 		if c.isolated() && r.Zone == c.platform.Zone && r.Epoch > 0 {
 			// Cut off together with the worker: under the token that it knows its
 			// tasks go on. It gets no commands.
@@ -34,12 +38,7 @@
 			c.reply(e.Reply, 200, protocol.AppendCommands(nil, r.Epoch, 0, nil), 0)
 			return
 		}
-		c.heard[r.Host] = c.at.Steady
-		leader := c.leader.Node
-		if leader == c.platform.Node {
-			leader = ""
-		}
-		c.reply(e.Reply, 421, protocol.LeaderBody(leader), 0)
+		c.sendOn(e, r)
 		return
 	}
 	t := c.term
@@ -67,6 +66,11 @@
 		c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, nil), 0)
 		return
 	}
+	if !e.Reply.Peer {
+		h.Unreached = 0
+	} else if e.Returned {
+		h.Unreached = c.at.Steady
+	}
 	c.takeReport(h, r, false)
 	cmds := c.commands(h)
 	h.Answered = max(h.Answered, c.at.Steady)
@@ -551,9 +555,10 @@
 // or behind a cut there are hundreds, and those that don't answer must not keep
 // the others waiting.
 type prober struct {
-	queue []*bookkeeping.Host
-	busy  int
-	zones map[string]int // calls on their way, by zone
+	queue   []*bookkeeping.Host
+	busy    int
+	zones   map[string]int // calls on their way, by zone
+	through int            // which of the other nodes was last asked to ask
 }
 
 func (p *prober) init() { p.zones = make(map[string]int) }
@@ -607,21 +612,20 @@
 	p.zones[h.Zone]++
 	body := protocol.AppendCommands(nil, t.epoch, session, nil)
 	asked := c.at.Steady
-	c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) {
+	waiting, failed := 1, false
+	over := func(r CallDone) {
 		if c.term != t {
 			return
 		}
-		p.busy--
-		p.zones[h.Zone]--
-		h.Probing = false
-		// Only a call that was made and got no answer says something, and only
-		// if this node was awake to hear it.
-		if r.Status == 0 && !(r.Unsent && !r.Refused) && !c.lagging(c.at.Steady-asked+protocol.Second) {
-			h.ProbeFailed = true
+		if waiting--; waiting == 0 {
+			h.Probing = false
 		}
 		if t.book.Host(h.Name) != h {
 			return
 		}
+		if waiting == 0 && failed && h.Heard < asked && !c.lagging(c.at.Steady-asked+protocol.Second) {
+			h.ProbeFailed = true
+		}
 		report := c.answerOf(h, r)
 		if report == nil || !c.takeAnswer(h, report) {
 			return
@@ -630,11 +634,24 @@
 			h.Probing = true
 			c.sendProbe(t, h, report.Session, tries-1)
 		}
+	}
+	c.callAddr(ToWorker, "POST", h.Addr, "/commands", body, callTimeout, func(r CallDone) {
+		if c.term == t {
+			p.busy--
+			p.zones[h.Zone]--
+		}
+		// Only a call that was made and got no answer says something, and only
+		// if this node was awake to hear it.
+		failed = r.Status == 0 && !(r.Unsent && !r.Refused)
+		over(r)
 	})
+	if h.Proven && c.probeThrough(h, body, over) {
+		waiting++
+	}
 }
 
 // zoneCount counts the hosts of a zone.
-type zoneCount struct{ silent, all int }
+type zoneCount struct{ silent, relayed, all int }
 
 // silence is after how long without a report a host counts as silent: its
 // report is overdue by half of the time between two.
@@ -674,6 +691,8 @@
 			z.all++
 			if at-h.Heard > c.silence() {
 				z.silent++
+			} else if h.Unreached > 0 && at-h.Unreached < c.platform.WorkerLease {
+				z.relayed++
 			}
 			if at-h.Heard > release {
 				silent++
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -20,8 +20,10 @@
 const (
 	PeerCall PeerKind = 1 + iota
 	PeerAnswer
-	PeerAsk   // a leader asks whether another node answers workers
-	PeerStand // the answer
+	PeerAsk    // a leader asks whether another node answers workers
+	PeerStand  // the answer
+	PeerReport // a worker's report, passed to the leader; a PeerAnswer comes back
+	PeerProbe  // a leader's call to a worker, to be made by another node; so too
 )
 
 // UserOp is what a user asks.
@@ -34,8 +36,8 @@
 	OpCancel
 )
 
-// PeerMessage is a user's call passed to the leader, a leader's question, or the
-// answer to either.
+// PeerMessage is a user's call or a worker's report passed to the leader, a
+// leader's question, or the answer to one of them.
 type PeerMessage struct {
 	Kind PeerKind
 	// A call; a question has From too.
@@ -52,7 +54,11 @@
 	Answers bool
 	Age     Micros
 	Heard   uint32 // workers that it lately sent to the leader
-	// The body of a call or an answer.
+	// A report: the worker was sent to the leader and came back.
+	Returned bool
+	// A call to a worker: its address.
+	Addr string
+	// The body of a call, a report or an answer.
 	Body []byte
 }
 
@@ -74,12 +80,12 @@
 		b = binary.BigEndian.AppendUint64(b, m.Epoch)
 		b = appendPeerText(b, m.From)
 	case PeerStand:
-		answers := byte(0)
-		if m.Answers {
-			answers = 1
-		}
-		b = binary.BigEndian.AppendUint64(append(b, answers), uint64(m.Age))
+		b = binary.BigEndian.AppendUint64(appendPeerFlag(b, m.Answers), uint64(m.Age))
 		b = binary.BigEndian.AppendUint32(b, m.Heard)
+	case PeerReport:
+		b = appendPeerFlag(b, m.Returned)
+	case PeerProbe:
+		b = appendPeerText(b, m.Addr)
 	}
 	b = binary.BigEndian.AppendUint32(b, uint32(len(m.Body)))
 	b = append(b, m.Body...)
@@ -92,6 +98,13 @@
 	return append(b, s...)
 }
 
+func appendPeerFlag(b []byte, flag bool) []byte {
+	if flag {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
 // SplitPeer finds a whole frame at the start of buf, without its length.
 func SplitPeer(buf []byte) (frame []byte, used int, err error) {
 	if len(buf) < 4 {
@@ -132,11 +145,14 @@
 		m.Epoch = r.uint(8)
 		m.From = string(r.take(int(r.uint(2))))
 	case PeerStand:
-		answers := r.byte()
-		m.Answers, m.Age, m.Heard = answers == 1, Micros(r.uint(8)), uint32(r.uint(4))
-		if answers > 1 || m.Age < 0 {
+		m.Answers, m.Age, m.Heard = r.flag(), Micros(r.uint(8)), uint32(r.uint(4))
+		if m.Age < 0 {
 			return nil, errFrame
 		}
+	case PeerReport:
+		m.Returned = r.flag()
+	case PeerProbe:
+		m.Addr = string(r.take(int(r.uint(2))))
 	default:
 		return nil, errFrame
 	}
@@ -172,6 +188,12 @@
 	return 0
 }
 
+func (r *peerReader) flag() bool {
+	v := r.byte()
+	r.bad = r.bad || v > 1
+	return v == 1
+}
+
 func (r *peerReader) uint(n int) uint64 {
 	var v uint64
 	for _, c := range r.take(n) {
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -145,6 +145,9 @@
 		{Kind: PeerAsk, Epoch: 1 << 40, From: "n1"},
 		{Kind: PeerStand, Answers: true, Age: 1, Heard: 700},
 		{Kind: PeerStand, Age: Forever},
+		{Kind: PeerReport, Returned: true, Body: []byte("{}")},
+		{Kind: PeerReport, Body: []byte("{}")},
+		{Kind: PeerProbe, Addr: "10.0.0.9:9000", Body: []byte("{}")},
 	} {
 		b := AppendPeer(nil, m)
 		frame, used, err := SplitPeer(append(b, 1, 2, 3))
@@ -174,6 +177,8 @@
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerAnswer, Status: 200, Body: []byte("{}")}))
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerAsk, Epoch: 7, From: "n0"}))
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerStand, Answers: true, Age: 5, Heard: 9}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerReport, Returned: true, Body: []byte("{}")}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerProbe, Addr: "10.0.0.9:9000", Body: []byte("{}")}))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		frame, used, err := SplitPeer(in)
 		if err != nil || used == 0 {
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -20,7 +20,8 @@
 	slow            bool   // answers of the controllers come too late
 	answered        bool   // somebody that no test sees renews its lease
 	hung            bool
-	held            bool // reports are held back on the way
+	apart           map[string]bool // controllers that it can't reach, nor they it
+	held            bool            // reports are held back on the way
 	heldReports     []func()
 	holdCalls       bool
 	heldCalls       []func() // direct commands that come once it goes on
@@ -277,7 +278,7 @@
 		}
 	}
 	deliver := func() {
-		if node.deaf {
+		if node.deaf || m.apart[node.name] {
 			return
 		}
 		if !node.alive || node.cut {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -254,6 +254,15 @@
 		w.store.setDown(words[1] == "down")
 	case "cloud":
 		w.cloudDown = words[1] == "down"
+	case "part", "rejoin": // part MACHINE NODE: neither reaches the other
+		m, n := w.machines[words[1]], w.nodeNamed(words[2])
+		if m == nil || n == nil {
+			return fmt.Errorf("no such machine or node")
+		}
+		if m.apart == nil {
+			m.apart = make(map[string]bool)
+		}
+		m.apart[n.name] = words[0] == "part"
 	case "hang", "wake", "die", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls", "cut-off", "reach", "answer-behind":
 		m := w.machines[words[1]]
 		if m == nil {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -341,7 +341,7 @@
 				}
 			}
 		case coordination.ToWorker:
-			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf {
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.apart[n.name] {
 				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
 			}
 		}
@@ -377,11 +377,7 @@
 		back(200, string(frame))
 	}
 	to := coordination.Address{Conn: w.nextConn, Peer: true}
-	if msg.Kind == protocol.PeerAsk {
-		w.step(o, coordination.PeerQuestion{Reply: to, Epoch: msg.Epoch, From: msg.From})
-		return
-	}
-	w.step(o, coordination.UserCall{Reply: to, Op: msg.Op, Ref: msg.Ref, Body: msg.Body})
+	w.step(o, coordination.PeerEvent(to, msg))
 }
 
 func (w *World) sortedMachines() []*machine {
