Guests take what is spare: unseen by other plans, they give way and keep no machine

Tasks without a GPU were not placed where all GPUs were in use. Ruled out: processor time, the rate of changes.

Plans of others are made as if work of the lowest rank were not there; the command that launches a task stops the guests in its way. Guests keep and rent spot machines only, for 15 minutes from their submission. Of the work that could give way, what frees nothing short is left alone.

--- /dev/null
+++ b/internal/coordination/guests.go
@@ -0,0 +1,79 @@
+package coordination
+
+import (
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// Work of the lowest rank is a guest on machines that are there for others: it
+// takes what is spare. The plans of all others are made as if it were not there;
+// where one of their tasks is placed, guests give way with the same command that
+// launches it. Guests keep no machine at the full price, and none is rented for
+// them but spot ones. Without this, an idle-time job of a thousand tasks kept
+// every machine busy that was ever rented, and had work of higher rank rent more.
+
+// guest reports whether a job's tasks give way to whatever else is placed.
+func guest(s *protocol.JobSpec) bool { return s.Rank == protocol.Low }
+
+// frugalFor is how long a guest's job is content with what is spare. After that
+// it is served like others, only behind them: an accepted job must run.
+const frugalFor = 900 * protocol.Second
+
+// frugal reports whether a job neither keeps a machine at the full price nor has
+// one rented.
+func (c *Controller) frugal(j *bookkeeping.Job) bool {
+	return guest(j.Spec) && j.Spec.Spot && c.at.Steady-j.Submitted < frugalFor
+}
+
+// held reports whether a machine has work for which it is to be kept.
+func (c *Controller) held(h *bookkeeping.Host) bool {
+	for _, a := range h.Attempts() {
+		if a.State.Occupies() && (a.Job == nil || h.Spot || !c.frugal(a.Job)) {
+			return true
+		}
+	}
+	return false
+}
+
+// clearGuests stops the guests on a host that are in the way of a task.
+func (c *Controller) clearGuests(h *bookkeeping.Host, need protocol.Resources) {
+	free := h.Type.Offer
+	var guests []victim
+	for _, a := range h.Attempts() {
+		if !a.State.Occupies() || a.Job == nil || a.Stop {
+			continue
+		}
+		s := a.Job.Spec
+		free = free.Add(s.Need, -1)
+		if guest(s) {
+			lost := micros(0)
+			if a.Started > 0 {
+				lost = c.at.Steady - a.Started
+				if s.Checkpoints() {
+					lost = min(lost, s.CheckpointEvery)
+				}
+			}
+			guests = append(guests, victim{a, lost.Seconds()})
+		}
+	}
+	if free.Holds(need) {
+		return
+	}
+	for _, v := range fewest(guests, free, need) {
+		c.log.Debug("guest gives way", "task", v.a.Name.TaskName.String(), "host", h.Name)
+		c.stop(v.a, 0)
+	}
+}
+
+// sendGuestsOff lets the guests on a machine that goes back save what they did.
+func (c *Controller) sendGuestsOff(h *bookkeeping.Host) {
+	for _, a := range h.Attempts() {
+		if a.State.Occupies() && !a.Stop && a.Job != nil {
+			grace := micros(0)
+			if a.Job.Spec.Checkpoints() {
+				grace = a.Job.Spec.Saves + protocol.Second
+			}
+			c.stop(a, grace)
+		}
+	}
+}
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -567,10 +567,15 @@
 		return
 	}
 	for _, h := range t.book.Hosts() {
-		if h.State != bookkeeping.HostReady || !h.Proven || !h.Empty() || t.rental.needed[t.rows[h]] {
+		if h.State != bookkeeping.HostReady || !h.Proven || c.held(h) || t.rental.needed[t.rows[h]] {
 			continue
 		}
-		if at-h.IdleSince > c.operator.IdleReturn {
+		if at-h.IdleSince <= c.operator.IdleReturn {
+			continue
+		}
+		if !h.Empty() {
+			c.sendGuestsOff(h)
+		} else {
 			c.release(h, "idle for "+strconv.FormatInt(int64((at-h.IdleSince)/protocol.Second), 10)+" s")
 		}
 	}
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -233,6 +233,7 @@
 	if h.Slowness > 1.8 {
 		m.Penalty = micros((h.Slowness - 1) * 10 * float64(protocol.Second))
 	}
+	m.Unheld = !h.Spot && !c.held(h)
 	for name := range h.Images {
 		table.AddImage(m, name, 0)
 	}
@@ -253,7 +254,7 @@
 		case s.Kind != protocol.Service:
 			till = max(at, a.ExpectedReady) + k.length(s)
 		}
-		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need})
+		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need, Guest: guest(s)})
 		if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching {
 			if !table.HasImage(m, s.Image) {
 				table.AddImage(m, s.Image, max(a.ExpectedReady, at+protocol.Second))
@@ -354,7 +355,8 @@
 		return false
 	}
 	r := &slottable.Request{Tasks: len(w.tasks), Need: s.Need, Gang: s.Kind == protocol.Gang, Image: s.Image, ImageSize: s.ImageSize,
-		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s)}
+		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s),
+		Guest: guest(s), Frugal: c.frugal(j)}
 	w.request = r
 	if s.Spread {
 		r.ZoneCap = (s.Tasks + 1) / 2
@@ -493,6 +495,9 @@
 	if h.Find(name) != nil {
 		return // the host still knows this attempt: it would ignore the launch
 	}
+	if !guest(j.Spec) {
+		c.clearGuests(h, j.Spec.Need)
+	}
 	a := t.book.Attach(c.at.Steady, j, h, name)
 	a.ExpectedReady = p.Ready
 	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool { return m.Host == h })
@@ -833,11 +838,7 @@
 	at := c.at.Steady
 	need := protocol.Resources{}.Add(j.Spec.Need, int64(n))
 	free := h.Type.Offer.Add(h.Used(), -1)
-	type cost struct {
-		a    *bookkeeping.Attempt
-		loss float64
-	}
-	var list []cost
+	var list []victim
 	for _, a := range h.Attempts() {
 		if !a.State.Occupies() || a.Job == nil {
 			continue
@@ -857,21 +858,41 @@
 				ran = min(ran, s.Saves)
 			}
 		}
-		list = append(list, cost{a, ran.Seconds() + 2})
+		list = append(list, victim{a, ran.Seconds() + 2})
 	}
-	sort.SliceStable(list, func(a, b int) bool { return list[a].loss < list[b].loss })
 	var victims []*bookkeeping.Attempt
 	var loss float64
-	for _, v := range list {
-		if free.Holds(need) {
-			break
-		}
-		free = free.Add(v.a.Job.Spec.Need, 1)
+	for _, v := range fewest(list, free, need) {
 		victims = append(victims, v.a)
 		loss += v.loss
 	}
-	if len(victims) == 0 || !free.Holds(need) {
-		return nil, 0
-	}
 	return victims, loss
 }
+
+// victim is an attempt that could be stopped, and the seconds that it would lose.
+type victim struct {
+	a    *bookkeeping.Attempt
+	loss float64
+}
+
+// fewest chooses attempts whose end makes need free, those that lose least. One
+// that loses little may free nothing that is short: it is left out. There are
+// none if nothing is in the way, or if all together are not enough.
+func fewest(list []victim, free, need protocol.Resources) (chosen []victim) {
+	sort.SliceStable(list, func(a, b int) bool { return list[a].loss < list[b].loss })
+	most := 0
+	for ; most < len(list) && !free.Holds(need); most++ {
+		free = free.Add(list[most].a.Job.Spec.Need, 1)
+	}
+	if !free.Holds(need) {
+		return nil
+	}
+	for i := most - 1; i >= 0; i-- {
+		if rest := free.Add(list[i].a.Job.Spec.Need, -1); rest.Holds(need) {
+			free = rest
+		} else {
+			chosen = append(chosen, list[i])
+		}
+	}
+	return chosen
+}
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -102,5 +102,5 @@
 
 // Suits reports whether a machine of that kind could take a request's tasks.
 func (o *Offer) Suits(r *Request) bool {
-	return (!o.Spot || r.Spot) && (r.Zone == "" || r.Zone == o.Zone) && o.Resources.Holds(r.Need) && allowsType(r.Types, o.Type)
+	return (!o.Spot || r.Spot) && (o.Spot || !r.Frugal) && (r.Zone == "" || r.Zone == o.Zone) && o.Resources.Holds(r.Need) && allowsType(r.Types, o.Type)
 }
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -26,6 +26,7 @@
 type Span struct {
 	From, To micros
 	Need     resources
+	Guest    bool // of the lowest rank: gives way at once to whatever else is placed there
 }
 
 // mark is a span that a pass planned.
@@ -55,7 +56,10 @@
 	images           []cached                // known to be there, or on their way
 	spans            []Span                  // what is on the machine
 	marks            []mark                  // what passes planned for it
-	free             resources               // now, beside spans and marks that have begun
+	free             resources               // now, beside spans and marks that have begun, guests not counted
+	guests           resources               // what guests take now
+	heldTill         micros                  // when the last of what is not a guest ends
+	Unheld           bool                    // it costs the full price and nothing but guests is on it
 	next             micros                  // when a span ends by its estimate
 	touched          bool                    // is in the table's list of marked rows
 	order            int                     // in the table
@@ -63,7 +67,7 @@
 
 // Reset empties a row, to be filled again.
 func (m *Machine) Reset() {
-	m.spans, m.images, m.FetchDone, m.Penalty, m.Blocked = m.spans[:0], m.images[:0], 0, 0, false
+	m.spans, m.images, m.FetchDone, m.Penalty, m.Blocked, m.Unheld = m.spans[:0], m.images[:0], 0, 0, false, false
 	// What began in an earlier pass is among the machine's own spans by now.
 	rest := m.marks[:0]
 	for _, k := range m.marks {
@@ -85,11 +89,14 @@
 
 // settle computes what is derived from the spans.
 func (m *Machine) settle(now micros) {
-	m.free, m.next = m.Offer, protocol.Forever
+	m.free, m.guests, m.next, m.heldTill = m.Offer, resources{}, protocol.Forever, 0
 	for i := range m.spans {
 		s := &m.spans[i]
+		if !s.Guest {
+			m.heldTill = max(m.heldTill, s.To)
+		}
 		if s.From <= now && now < s.To {
-			m.free = m.free.Add(s.Need, -1)
+			m.take(s, 1)
 		}
 		if s.To > now {
 			m.next = min(m.next, s.To)
@@ -97,38 +104,56 @@
 	}
 	for i := range m.marks {
 		if k := &m.marks[i]; k.From <= now && now < k.To {
-			m.free = m.free.Add(k.Need, -1)
+			m.take(&k.Span, 1)
 		}
 	}
 }
 
+// take counts a span that is there now, n times.
+func (m *Machine) take(s *Span, n int64) {
+	if s.Guest {
+		m.guests = m.guests.Add(s.Need, n)
+	} else {
+		m.free = m.free.Add(s.Need, -n)
+	}
+}
+
+// freeFor is what is free now for a request: a guest takes what all others
+// leave, and the others don't see guests.
+func (m *Machine) freeFor(r *Request) resources {
+	if r.Guest {
+		return m.free.Add(m.guests, -1)
+	}
+	return m.free
+}
+
 // fits reports whether need is free during [from, to).
-func (m *Machine) fits(need resources, from, to micros) bool {
-	if !m.freeAt(need, from) {
+func (m *Machine) fits(r *Request, from, to micros) bool {
+	if !m.freeAt(r, from) {
 		return false
 	}
 	for i := range m.spans {
-		if s := m.spans[i].From; s > from && s < to && !m.freeAt(need, s) {
+		if s := m.spans[i].From; s > from && s < to && !m.freeAt(r, s) {
 			return false
 		}
 	}
 	for i := range m.marks {
-		if s := m.marks[i].From; s > from && s < to && !m.freeAt(need, s) {
+		if s := m.marks[i].From; s > from && s < to && !m.freeAt(r, s) {
 			return false
 		}
 	}
 	return true
 }
 
-func (m *Machine) freeAt(need resources, at micros) bool {
-	used := need
+func (m *Machine) freeAt(r *Request, at micros) bool {
+	used := r.Need
 	for i := range m.spans {
-		if s := &m.spans[i]; s.From <= at && at < s.To {
+		if s := &m.spans[i]; s.From <= at && at < s.To && (r.Guest || !s.Guest) {
 			used = used.Add(s.Need, 1)
 		}
 	}
 	for i := range m.marks {
-		if s := &m.marks[i]; s.From <= at && at < s.To {
+		if s := &m.marks[i]; s.From <= at && at < s.To && (r.Guest || !s.Guest) {
 			used = used.Add(s.Need, 1)
 		}
 	}
@@ -136,12 +161,12 @@
 }
 
 // room is the earliest time from after on at which need is free for length.
-func (m *Machine) room(need resources, after, length micros) (micros, bool) {
-	if !m.Offer.Holds(need) || m.Blocked {
+func (m *Machine) room(r *Request, after, length micros) (micros, bool) {
+	if !m.Offer.Holds(r.Need) || m.Blocked {
 		return 0, false
 	}
 	after = max(after, m.From)
-	if m.fits(need, after, protocol.End(after, length)) {
+	if m.fits(r, after, protocol.End(after, length)) {
 		return after, true
 	}
 	// Room only ever comes with the end of a span: they are tried in order.
@@ -160,7 +185,7 @@
 		if next == protocol.Forever {
 			return 0, false
 		}
-		if m.fits(need, next, protocol.End(next, length)) {
+		if m.fits(r, next, protocol.End(next, length)) {
 			return next, true
 		}
 		at = next
@@ -216,6 +241,8 @@
 	Avoid     func(machine string) bool
 	Prefer    func(machine string) bool // room was made for it there
 	Spare     bool                      // room to keep, not work
+	Guest     bool                      // of the lowest rank: takes what all others leave
+	Frugal    bool                      // neither keeps a machine at the full price nor has one rented
 	Patient   micros                    // no machine is rented for what is ready by then
 	Kept      []Place                   // its booking of the pass before
 	Hold      bool                      // room was made for it: Kept holds though it is not the first that can't start
@@ -225,7 +252,7 @@
 }
 
 func (r *Request) allows(m *Machine) bool {
-	if m.Spot && !r.Spot {
+	if m.Spot && !r.Spot || r.Frugal && m.Unheld {
 		return false
 	}
 	if r.Zone != "" && r.Zone != m.Zone {
@@ -408,11 +435,11 @@
 
 // nowOn is the place that a machine has for a task at once.
 func (t *Table) nowOn(r *Request, m *Machine) (candidate, bool) {
-	if !m.free.Holds(r.Need) || m.Blocked || m.From > t.Now {
+	if !m.freeFor(r).Holds(r.Need) || m.Blocked || m.From > t.Now {
 		return candidate{}, false
 	}
 	fetch := m.fetch(t.Now, r)
-	if len(m.marks) > 0 && !m.fits(r.Need, t.Now, protocol.End(t.Now+fetch, r.Length)) {
+	if len(m.marks) > 0 && !m.fits(r, t.Now, protocol.End(t.Now+fetch, r.Length)) {
 		return candidate{}, false
 	}
 	p := Place{m, t.Now, t.Now + fetch}
@@ -422,7 +449,7 @@
 // laterOn is the earliest place that a machine has for a task.
 func (t *Table) laterOn(r *Request, m *Machine) (candidate, bool) {
 	length := protocol.End(m.fetch(t.Now, r), r.Length)
-	at, ok := m.room(r.Need, t.Now, length)
+	at, ok := m.room(r, t.Now, length)
 	if !ok {
 		return candidate{}, false
 	}
@@ -434,14 +461,26 @@
 	if p.Begin == t.Now && r.Prefer != nil && r.Prefer(p.Machine.Name) {
 		return -1
 	}
-	return p.Ready + p.Machine.Penalty + t.waste(r, p.Machine)
+	cost := p.Ready + p.Machine.Penalty + t.waste(r, p.Machine)
+	if r.Guest && !p.Machine.Spot && p.Machine.heldTill < protocol.End(p.Ready, r.Length) {
+		cost += 8 * protocol.Second // it would be sent off with the machine
+	}
+	return cost
 }
 
 // waste makes a task prefer the machine that it leaves least broken up: a
 // larger machine, or a free one, is kept for what needs it.
 func (t *Table) waste(r *Request, m *Machine) micros {
-	w := micros(m.free.Times(r.Need)) * 300 * protocol.Millisecond
+	free := m.freeFor(r)
+	w := micros(free.Times(r.Need)) * 300 * protocol.Millisecond
 	w = min(w, 5*protocol.Second)
+	if r.Need.GPU == 0 && free.GPU > 0 {
+		// What needs no GPU goes where it is in the way of nothing that does.
+		return w + 6*protocol.Second
+	}
+	if !r.Guest && !free.Add(m.guests, -1).Holds(r.Need) {
+		w += 3 * protocol.Second // a guest's work would be lost
+	}
 	if r.Spot && !m.Spot {
 		// Spot machines are of use to few; the others are kept for the rest.
 		w += 6 * protocol.Second
@@ -453,10 +492,13 @@
 // one zone or in all.
 func (t *Table) gather(r *Request, z *zones, zone string) {
 	t.now = t.now[:0]
-	t.Work += workLook * len(t.open)
-	for i := 0; i < len(t.open); i++ {
-		m := t.open[i]
-		if !m.free.Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
+	rows := t.open
+	if r.Need.GPU == 0 {
+		rows = t.machines // those whose GPUs are all in use have room for it
+	}
+	t.Work += workLook * len(rows)
+	for _, m := range rows {
+		if !m.freeFor(r).Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
 			continue
 		}
 		if c, ok := t.nowOn(r, m); ok {
@@ -524,13 +566,13 @@
 
 func (t *Table) mark(r *Request, p Place, till micros) {
 	m := p.Machine
-	k := mark{Span: Span{p.Begin, till, r.Need}, start: p.Begin <= t.Now, image: -1}
+	k := mark{Span: Span{p.Begin, till, r.Need, r.Guest}, start: p.Begin <= t.Now, image: -1}
 	if _, ok := m.readyAt(r.image); !ok {
 		k.image, k.ready = r.image, p.Ready
 	}
 	m.marks = append(m.marks, k)
 	if k.start {
-		m.free = m.free.Add(r.Need, -1)
+		m.take(&k.Span, 1)
 	}
 	if !m.touched {
 		m.touched = true
@@ -553,7 +595,7 @@
 			k := m.marks[len(m.marks)-1]
 			m.marks = m.marks[:len(m.marks)-1]
 			if k.start {
-				m.free = m.free.Add(k.Need, 1)
+				m.take(&k.Span, -1)
 			}
 		}
 		t.undo = t.undo[:from]
@@ -603,7 +645,7 @@
 			p = kept[0]
 			kept = kept[1:]
 			if p.Begin <= t.Now || p.Machine.Blocked || !z.allows(p.Machine.Zone) || !r.allows(p.Machine) ||
-				!p.Machine.fits(r.Need, p.Begin, protocol.End(p.Ready, r.Length)) {
+				!p.Machine.fits(r, p.Begin, protocol.End(p.Ready, r.Length)) {
 				kept = nil
 				i--
 				continue
@@ -753,7 +795,7 @@
 	ok := true
 	t.try(func() bool {
 		for _, p := range kept {
-			ok = ok && !p.Machine.Blocked && r.allows(p.Machine) && p.Machine.fits(r.Need, max(p.Begin, t.Now), protocol.End(start, r.Length))
+			ok = ok && !p.Machine.Blocked && r.allows(p.Machine) && p.Machine.fits(r, max(p.Begin, t.Now), protocol.End(start, r.Length))
 			t.mark(r, p, protocol.End(start, r.Length))
 		}
 		return false
--- a/internal/coordination/slottable/table_test.go
+++ b/internal/coordination/slottable/table_test.go
@@ -46,7 +46,7 @@
 // A start is the later of free room and image readiness: the machine that is
 // busy but has the image is ready before the free one has fetched it.
 func TestImageAwareStart(t *testing.T) {
-	busy := row("busy", 1, Span{0, 5 * sec, gpus(1)})
+	busy := row("busy", 1, Span{From: 0, To: 5 * sec, Need: gpus(1)})
 	free := row("free", 1)
 	r := &Request{Tasks: 1, Need: gpus(1), Image: "img", ImageSize: 20000, Length: 10 * sec, Gang: true}
 	res := plan(tableOf([]*Machine{busy}, free, busy), r)
@@ -55,7 +55,7 @@
 	}
 	// With a small image the free machine is ready first.
 	r.ImageSize = 3000
-	busy = row("busy", 1, Span{0, 50 * sec, gpus(1)})
+	busy = row("busy", 1, Span{From: 0, To: 50 * sec, Need: gpus(1)})
 	res = plan(tableOf([]*Machine{busy}, row("free", 1), busy), r)
 	if len(res[0].Start) != 1 || res[0].Start[0].Ready != 3*sec {
 		t.Fatalf("%+v", res[0])
@@ -65,7 +65,7 @@
 // The first blocked job is booked; a later one starts only where it ends
 // before the booking or does not need its room.
 func TestBackfillMovesNoBooking(t *testing.T) {
-	m := row("m", 4, Span{0, 30 * sec, gpus(2)})
+	m := row("m", 4, Span{From: 0, To: 30 * sec, Need: gpus(2)})
 	blocked := &Request{Tasks: 1, Need: gpus(4), Image: "img", Length: 20 * sec, Gang: true}
 	long := &Request{Tasks: 1, Need: gpus(2), Image: "img", Length: 60 * sec}
 	short := &Request{Tasks: 1, Need: gpus(2), Image: "img", Length: 30 * sec}
@@ -84,7 +84,7 @@
 // A deadline job that can be viable is booked beside the first blocked one; an
 // unviable one waits as best effort.
 func TestDeadlineBookings(t *testing.T) {
-	m := row("m", 2, Span{0, 30 * sec, gpus(2)})
+	m := row("m", 2, Span{From: 0, To: 30 * sec, Need: gpus(2)})
 	first := &Request{Tasks: 1, Need: gpus(2), Image: "img", Length: 10 * sec}
 	viable := &Request{Tasks: 1, Need: gpus(2), Image: "img", Length: 10 * sec, Deadline: 60 * sec}
 	late := &Request{Tasks: 1, Need: gpus(2), Image: "img", Length: 10 * sec, Deadline: 55 * sec}
@@ -123,7 +123,7 @@
 		{Type: "big", Zone: "a", Resources: gpus(8), Price: 10, Boot: 20 * sec, Fetch: fetch, Most: 8},
 		{Type: "small", Zone: "a", Resources: gpus(2), Price: 3, Boot: 20 * sec, Fetch: fetch, Most: 8},
 	}
-	busy := row("m", 2, Span{0, 300 * sec, gpus(2)})
+	busy := row("m", 2, Span{From: 0, To: 300 * sec, Need: gpus(2)})
 	one := &Request{Tasks: 1, Limit: 1, Need: gpus(1), Image: "img", Length: 10 * sec}
 	if got, _ := tableOf(nil, busy).Rent([]*Request{one}, offers, 3*sec, 8, 1000); got[1] != 1 || got[0] != 0 {
 		t.Errorf("one task: %v", got)
@@ -132,7 +132,7 @@
 	if got, _ := tableOf(nil, busy).Rent([]*Request{many}, offers, 3*sec, 8, 1000); got[0] != 1 || got[1] != 0 {
 		t.Errorf("many tasks: %v", got)
 	}
-	soon := row("m", 2, Span{0, 10 * sec, gpus(2)})
+	soon := row("m", 2, Span{From: 0, To: 10 * sec, Need: gpus(2)})
 	if got, _ := tableOf(nil, soon).Rent([]*Request{one}, offers, 3*sec, 8, 1000); len(got) != 0 {
 		t.Errorf("a place comes free before a machine is up: %v", got)
 	}
@@ -143,7 +143,7 @@
 func TestBookingsAreKept(t *testing.T) {
 	rows := make([]*Machine, 100)
 	for i := range rows {
-		rows[i] = row("m", 4, Span{0, micros(30+i) * sec, gpus(4)})
+		rows[i] = row("m", 4, Span{From: 0, To: micros(30+i) * sec, Need: gpus(4)})
 	}
 	table := tableOf(nil, rows...)
 	ask := func(kept []Place) (Result, int) {
@@ -161,7 +161,7 @@
 	if len(again.Booked) != 8 || again.Booked[7] != first.Booked[7] || kept != 0 {
 		t.Fatalf("%d booked, %d looked at", len(again.Booked), kept)
 	}
-	rows[0].Occupy(Span{0, 400 * sec, gpus(1)})
+	rows[0].Occupy(Span{From: 0, To: 400 * sec, Need: gpus(1)})
 	if moved, n := ask(first.Booked); len(moved.Booked) != 8 || n != 100*workRoom {
 		t.Fatalf("%d booked, %d looked at", len(moved.Booked), n)
 	}
@@ -170,7 +170,7 @@
 // A pass that is cut short carries on where it stopped: what was booked before
 // the cut stays marked, and a later job moves none of it.
 func TestPassCutShort(t *testing.T) {
-	m := row("m", 4, Span{0, 30 * sec, gpus(2)})
+	m := row("m", 4, Span{From: 0, To: 30 * sec, Need: gpus(2)})
 	blocked := &Request{Tasks: 1, Limit: 1, Need: gpus(4), Image: "img", Length: 20 * sec, Gang: true}
 	long := &Request{Tasks: 1, Limit: 1, Need: gpus(2), Image: "img", Length: 60 * sec}
 	table := tableOf([]*Machine{m}, m)
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -420,7 +420,8 @@
 		c.recordLaunch(a, c.at.Steady)
 	}
 	c.class(j.Spec.Class).arrived(c.at.Steady, j)
-	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
+	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "rank", int(j.Spec.Rank),
+		"cpus", float64(j.Spec.Need.CPU)/1000, "gpus", float64(j.Spec.Need.GPU)/1000, "mem_gb", float64(j.Spec.Need.Mem)/1000, "saves", j.Spec.Checkpoints(), "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -160,7 +160,7 @@
 }
 
 func (c *Controller) touchIdle(h *bookkeeping.Host) {
-	if !h.Empty() {
+	if c.held(h) {
 		h.IdleSince = c.at.Steady
 	}
 }
@@ -413,18 +413,42 @@
 				}
 				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
 			}
-		case a.State == bookkeeping.AttemptAssigned:
-			if !h.Recorded || !a.Recorded || j.State != bookkeeping.JobLive {
-				continue
-			}
-			a.SentSession, a.SentTick, a.ViaReport = h.Session, h.Tick, true
-			t.book.Move(at, a, bookkeeping.AttemptLaunched)
-			cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
 		}
 	}
+	// Launches come after the stops that make room for them.
+	for _, a := range c.launchable(h, protocol.MaxCommands-len(cmds)) {
+		a.SentSession, a.SentTick, a.ViaReport = h.Session, h.Tick, true
+		t.book.Move(at, a, bookkeeping.AttemptLaunched)
+		cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
+	}
 	return cmds
 }
 
+// launchable lists the attempts whose launch may leave for a host: recorded, and
+// with room beside all that is there and not told to end at once.
+func (c *Controller) launchable(h *bookkeeping.Host, most int) []*bookkeeping.Attempt {
+	var list []*bookkeeping.Attempt
+	var used protocol.Resources
+	for _, a := range h.Attempts() {
+		if a.State.MayRun() && a.Job != nil && !(a.StopAt > 0 && a.StopGrace == 0) {
+			used = used.Add(a.Job.Spec.Need, 1)
+		}
+	}
+	for _, a := range h.Attempts() {
+		if len(list) >= most {
+			break
+		}
+		if a.State != bookkeeping.AttemptAssigned || !a.Recorded || !h.Recorded || a.Job.State != bookkeeping.JobLive {
+			continue
+		}
+		if with := used.Add(a.Job.Spec.Need, 1); h.Type == nil || h.Type.Offer.Holds(with) {
+			used = with
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
 // callTimeout is how long a worker has to answer a direct command.
 const callTimeout = 2 * protocol.Second
 
@@ -459,19 +483,15 @@
 			continue // they go with the answer to its next report
 		}
 		var cmds []protocol.Command
-		var launched []*bookkeeping.Attempt
 		for _, a := range h.Attempts() {
-			switch {
-			case a.State == bookkeeping.AttemptAssigned && a.Recorded && h.Recorded && a.Job.State == bookkeeping.JobLive:
-				launched = append(launched, a)
-				cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
-			case a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched:
+			if a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched && len(cmds) < protocol.MaxCommands {
 				a.StopAt = at
 				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
 			}
-			if len(cmds) >= protocol.MaxCommands {
-				break
-			}
+		}
+		launched := c.launchable(h, protocol.MaxCommands-len(cmds))
+		for _, a := range launched {
+			cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
 		}
 		if len(cmds) > 0 {
 			c.callHost(h, cmds, launched)
