--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -58,7 +58,7 @@
 // roundWork bounds what one round looks at, in rows of the table. It is a few
 // milliseconds of a whole processor, more where the share is larger.
 func (c *Controller) roundWork() int {
-	return int(120_000 * max(0.1, min(1, c.platform.CPUShare)))
+	return int(240_000 * max(0.1, min(1, c.platform.CPUShare)))
 }
 
 // round plans: it assigns what can start now, keeps bookings, makes room by
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"mapleslip/internal/protocol"
 )
@@ -43,6 +44,9 @@
 
 // rentFor plans one request, and returns how many machines it would rent.
 func (t *Table) rentFor(r *Request, offers []*Offer, slack micros, most int, rent map[int]int) int {
+	if r.Guest && !slices.ContainsFunc(offers, func(o *Offer) bool { return o.Suits(r) }) {
+		return 0 // nothing to find out: it keeps no machine either
+	}
 	r.image = t.Image(r.Image)
 	z := newZones(r)
 	t.gatherLater(r, z, "", false)
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -846,7 +846,8 @@
 			res.Late = !r.NoBooking
 		}
 	} else {
-		res = t.Try(r, !t.blocked)
+		// A guest needs no booking: no other plan sees it, so none could move it.
+		res = t.Try(r, !t.blocked && !r.Guest)
 	}
 	if len(res.Booked) > 0 && (r.Deadline == 0 || !res.Viable) && !r.Hold {
 		t.blocked = true
