--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -34,6 +34,7 @@
 	fetchFactor map[string]float64
 	needed      map[*slottable.Machine]bool // that the last plan counted on
 	next        micros
+	nextSpare   micros // room to spare is not rented before
 	nextLog     micros
 	releasing   bool
 	answering   bool // the cloud answered the last request for its list
@@ -356,7 +357,15 @@
 		}
 		note(needed)
 	}
-	for i := range offers {
+	// What was rented to spare is of no use before it is up. Until then each plan
+	// would find the same room missing, and rent it once more: it is paced.
+	if at < r.nextSpare {
+		clear(spares)
+	}
+	for i, o := range offers {
+		if n := spares[i]; n > 0 {
+			r.nextSpare = max(r.nextSpare, at+o.Boot/sparePaces)
+		}
 		if n := rent[i] + spares[i]; n > 0 {
 			c.rent(kinds[i], n)
 		}
@@ -368,6 +377,10 @@
 	}
 }
 
+// sparePaces is how many times in a boot time room to spare may be rented: more
+// than once, since the queue takes some of what was rented before it is up.
+const sparePaces = 8
+
 // maxClaim is how many machines one request to the cloud may ask for.
 const maxClaim = 50
 
