Late machines, storms of questions, long arrays and bursts: traces, and what they found

- A job booked on a machine that boots counted as without a place, behind its own booking, so each was rented for twice.
Now what a machine rented now could do sooner decides, and a machine that is late is expected ever later.
- A new leader reads which jobs are over, and looks few unknown ones up at a time: the rest is told to come back.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -205,6 +205,7 @@
 	shy        micros            // this node resigned: until then others go first
 	stateHeard micros            // when the state service last answered
 	direct     int               // users' calls that are being served from the state service
+	looking    int               // questions to the leader that the state service is asked for
 	finals     map[string]final
 	types      []*protocol.MachineType
 	typeByName map[string]*protocol.MachineType
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -71,7 +71,7 @@
 func (c *Controller) bootedAt(h *bookkeeping.Host) micros {
 	due := h.Since + c.bootTime(h.Type)
 	age := c.at.Steady - h.Since
-	return max(due, c.at.Steady+max(age/4, 2*protocol.Second))
+	return max(due, c.at.Steady+max(age/2, 2*protocol.Second))
 }
 
 func (c *Controller) tookTypes(value []byte) {
@@ -325,11 +325,17 @@
 		left := *w.request
 		left.Kept = nil
 		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
-		if n := len(w.result.Booked); n > 0 {
-			// A booking far away is as good as none.
-			last := w.result.Booked[n-1]
-			if last.Begin > at+10*protocol.Second {
-				left.Tasks += n
+		// A booking far away is as good as none, if a machine that is rented now
+		// could be ready sooner.
+		soonest := protocol.Forever
+		for _, o := range offers {
+			if o.Suits(&left) {
+				soonest = min(soonest, at+o.Boot+o.Fetch(left.ImageSize)+rentalSlack)
+			}
+		}
+		for _, b := range w.result.Booked {
+			if b.Begin > at+10*protocol.Second && b.Ready > soonest {
+				left.Tasks++
 			}
 		}
 		left.Limit = min(left.Tasks, c.allowance(t.pass, w.job, protocol.Resources{}))
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -155,6 +155,9 @@
 	for i, pl := range res.Start {
 		c.assign(w, w.tasks[i], pl)
 	}
+	if len(res.Start) == mostTasks {
+		c.term.dirty = true // the rest of a long array comes with the next round
+	}
 	if len(res.Booked) > 0 {
 		c.book(w, res)
 	}
@@ -319,6 +322,9 @@
 	return list
 }
 
+// mostTasks is how many tasks of a job one pass looks for places for.
+const mostTasks = 256
+
 // request makes a job's request, in its turn. It reports whether there is
 // something to place.
 func (c *Controller) request(w *wanted) bool {
@@ -348,7 +354,7 @@
 		}
 	}
 	first := -1
-	for i := j.Lowest; i < len(j.Tasks) && len(w.tasks) < 256; i++ {
+	for i := j.Lowest; i < len(j.Tasks) && len(w.tasks) < mostTasks; i++ {
 		task := &j.Tasks[i]
 		if task.State != bookkeeping.TaskQueued {
 			continue
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -330,6 +330,7 @@
 	}
 	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Line()), "hosts", len(t.book.Hosts()), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
 	c.followJobs(t, rev)
+	c.readFinals(t)
 	for _, h := range t.book.Hosts() {
 		c.probe(t, h)
 	}
@@ -340,6 +341,24 @@
 	t.dirty = true
 }
 
+// readFinals reads which jobs are over, so that questions about them need no
+// lookup each: many users still ask when a leader is new.
+func (c *Controller) readFinals(t *term) {
+	c.list(prioNormal, bookkeeping.FinalPrefix, func(e protocol.Entry) {
+		if p, n, err := bookkeeping.DecodeFinal(e.Value); err == nil && len(c.finals) < mostFinals {
+			c.remember(strings.TrimPrefix(e.Key, bookkeeping.FinalPrefix), final{p, n})
+		}
+	}, func(_ uint64, ok bool) {
+		if !ok && c.term == t {
+			c.after(5*protocol.Second, func() {
+				if c.term == t {
+					c.readFinals(t)
+				}
+			})
+		}
+	})
+}
+
 // dropOrphans removes records that belong to nothing, a transaction at a time.
 // One that is left over only costs its reader a look.
 func (c *Controller) dropOrphans() {
@@ -745,12 +764,15 @@
 	t.dirty = true
 }
 
+// mostFinals is how many jobs that are over are remembered.
+const mostFinals = 50_000
+
 // remember keeps the last phase of a job that is over.
 func (c *Controller) remember(ref string, f final) {
-	if len(c.finals) > 50000 {
+	if len(c.finals) > mostFinals {
 		for k := range c.finals { // any of them: the state service has them all
 			delete(c.finals, k)
-			if len(c.finals) < 45000 {
+			if len(c.finals) < mostFinals*9/10 {
 				break
 			}
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -415,7 +415,14 @@
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
-	c.lookUp(to, ref, func() {})
+	// Lookups come second to what the leader has to write and read itself: a
+	// storm of questions about jobs that nobody knows would use up the rate.
+	if float64(c.looking) >= max(4, c.platform.StateRate*ReadShare(len(c.platform.Siblings)+1, true)/2*directWait.Seconds()) {
+		c.unavailable(to, "too many questions")
+		return
+	}
+	c.looking++
+	c.lookUp(to, ref, func() { c.looking-- })
 }
 
 // cancel ends a job: durable first, then the answer, then its tasks are
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -439,6 +439,9 @@
 	case path == "/machines" && method == "GET":
 		var items []string
 		for _, m := range w.sortedMachines() {
+			if w.now-m.rented < w.listLag {
+				continue
+			}
 			items = append(items, fmt.Sprintf(`{"ref":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
 				m.name, m.name, m.typ, m.zone, m.spot, m.phase, (w.now-m.rented).Seconds()))
 		}
@@ -470,7 +473,10 @@
 		for range count {
 			m := w.addMachine(fmt.Sprintf("n-%06d", 500000+len(w.machines)+w.removed), fastjson.GetString(body, "flavor"), fastjson.GetString(body, "region"),
 				fastjson.GetBool(body, "reclaimable"))
-			m.phase, m.up = "booting", w.now+w.typeOf(m).Boot
+			m.phase, m.up = "booting", w.now+micros(float64(w.typeOf(m).Boot)*w.boots)
+			if w.boots == 0 {
+				m.up = protocol.Forever
+			}
 			names = append(names, fmt.Sprintf("%q", m.name))
 		}
 		w.claims[claim] = `{"hosts":[` + strings.Join(names, ",") + `]}`
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -246,6 +246,19 @@
 			return err
 		}
 		w.backlog = n
+	case "boots": // boots FACTOR: of machines rented from now on; 0: they never come up
+		w.boots = number(options([]string{"x=" + words[1]}), "x", 1)
+	case "cloud-slow": // rental requests are answered so many seconds later
+		w.cloudSlow = protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0))
+	case "list-lag":
+		w.listLag = protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0))
+	case "storm": // storm COUNT: so many questions at once, to one node after another, about
+		// all jobs and as many that nobody submitted
+		count, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.storm(count)
 	case "cut-zone": // from everything outside, messages are held
 		w.cutZone = words[1]
 	case "heal-zone":
@@ -406,6 +419,8 @@
 		switch words[2] {
 		case "questions":
 			got = w.questions - w.asked
+		case "in-vain": // questions of storms that got no answer
+			got = w.inVain
 		case "tries": // at-most N tries REF
 			got = w.jobs[words[3]].tries
 		}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -35,6 +35,10 @@
 	jobs           map[string]*userJob
 	claims         map[string]string
 	cloudDown      bool
+	cloudSlow      micros         // how much later the cloud answers rental requests
+	boots          float64        // boot times are so many times as long, 0: machines never come up
+	listLag        micros         // machines younger than that are not listed
+	inVain         int            // questions of a storm that got neither 200 nor 404
 	cutZone        string         // is cut off from everything outside; inside, all goes on
 	mail           []func()       // messages held at the cut, in order
 	quiet          bool           // no log is kept
@@ -114,7 +118,7 @@
 func NewWorld(n int) *World {
 	w := &World{Operator: protocol.DefaultOperator(), machines: make(map[string]*machine), jobs: make(map[string]*userJob),
 		claims: make(map[string]string), answers: make(map[uint64]func(int, []byte)),
-		Logger: slog.New(slog.NewTextHandler(io.Discard, nil))}
+		Logger: slog.New(slog.NewTextHandler(io.Discard, nil)), boots: 1}
 	w.Platform = protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
 		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
 		Cancel: 50 * protocol.Second, StateRate: 200, StateWriteRate: 50, ValueBytes: 8192, TxnOps: 12, CloudRate: 5,
@@ -333,7 +337,11 @@
 		case coordination.ToCloud:
 			w.cross(n.zone, "", func() {
 				status, body := w.serveCloud(c.Method, c.Path, c.Body)
-				backFrom("")(status, body)
+				slow := micros(0)
+				if c.Path == "/machines" {
+					slow = w.cloudSlow
+				}
+				w.after(slow, func() { backFrom("")(status, body) })
 			})
 		case coordination.ToPeer:
 			for _, o := range w.nodes {
@@ -489,6 +497,38 @@
 	}
 }
 
+// storm asks many questions at once.
+func (w *World) storm(count int) {
+	refs := make([]string, 0, len(w.jobs))
+	for r := range w.jobs {
+		refs = append(refs, r)
+	}
+	sort.Strings(refs)
+	for i := range count {
+		n := w.upNode()
+		if n == nil {
+			return
+		}
+		ref := fmt.Sprintf("req-%06d", 900000+i)
+		known := i%2 == 0 && len(refs) > 0
+		if known {
+			ref = refs[i/2%len(refs)]
+		}
+		w.request(n, "query", ref, func(status int, body []byte) {
+			switch {
+			case status == 200 && known:
+				w.heard(w.jobs[ref], fastjson.GetString(body, "phase"))
+			case status == 200:
+				w.broken("invented: %s", ref)
+			case status == 404 && known && w.jobs[ref].accepted:
+				w.broken("forgotten: %s", ref)
+			case status != 404:
+				w.inVain++
+			}
+		})
+	}
+}
+
 // heard checks what a user is told.
 func (w *World) heard(j *userJob, phase string) {
 	ref := j.spec.Ref
