--- /dev/null
+++ b/internal/coordination/relay_test.go
@@ -0,0 +1,103 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/protocol"
+)
+
+// follower is a node that knows that n1 leads under epoch 3.
+func follower(t *testing.T) *Controller {
+	t.Helper()
+	p := &protocol.Platform{Node: "n0", Siblings: []protocol.Sibling{{Name: "n1", Address: "n1:1"}}, StateRate: 100, StateWriteRate: 20,
+		WorkerLease: 24 * protocol.Second}
+	c := New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	first := c.Start(now{})
+	c.Step(now{Steady: 1000}, CallDone{ID: first[0].(Call).ID, Status: 200,
+		Body: []byte(`{"path":"lead","data":{"node":"n1","epoch":3,"lease":1,"answer_on":1},"stamp":9,"hold":1}`)})
+	return c
+}
+
+// report is what a worker says to it, and what it does then: it calls the leader,
+// or answers.
+func report(c *Controller, at micros, host string, epoch int) (call *Call, answer *Reply) {
+	body := fmt.Sprintf(`{"host":%q,"addr":"w:9","flavor":"f","region":"z","reclaimable":false,"tenure":1,"tick":1,"epoch":%d,"shards":[]}`, host, epoch)
+	for _, e := range c.Step(now{Steady: at}, WorkerReport{Body: []byte(body)}) {
+		switch e := e.(type) {
+		case Call:
+			if e.Target == ToPeer {
+				call = &e
+			}
+		case Reply:
+			answer = &e
+		}
+	}
+	return call, answer
+}
+
+func peerFrame(m *protocol.PeerMessage) []byte {
+	frame, _, _ := protocol.SplitPeer(protocol.AppendPeer(nil, m))
+	return frame
+}
+
+// A worker that is new to the leader is sent there. One that has served under it
+// has lost it, and its report is passed on; so is that of one that was sent there
+// and comes back. The leader's answer goes back as it is.
+func TestReportsArePassedOn(t *testing.T) {
+	c := follower(t)
+	sec := protocol.Second
+	if call, answer := report(c, sec, "new", 2); call != nil || answer == nil || answer.Status != 421 {
+		t.Errorf("a worker of an earlier epoch: %+v %+v", call, answer)
+	}
+	call, answer := report(c, sec, "lost", 3)
+	if call == nil || answer != nil {
+		t.Fatalf("a worker that lost the leader: %+v %+v", call, answer)
+	}
+	var got *Reply
+	for _, e := range c.Step(now{Steady: sec + 1}, CallDone{ID: call.ID, Status: 200,
+		Body: peerFrame(&protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: 200, Body: []byte(`{"epoch":3,"orders":[]}`)})}) {
+		if r, ok := e.(Reply); ok {
+			got = &r
+		}
+	}
+	if got == nil || got.Status != 200 || string(got.Body) != `{"epoch":3,"orders":[]}` {
+		t.Errorf("%+v", got)
+	}
+	// It is asked to try the leader next, and passed on again if it comes back.
+	if call, answer := report(c, 6*sec, "lost", 3); call != nil || answer == nil || answer.Status != 421 {
+		t.Errorf("%+v %+v", call, answer)
+	}
+	if call, _ := report(c, 11*sec, "lost", 3); call == nil {
+		t.Error("a worker that came back is sent away once more")
+	}
+	if call, _ := report(c, 11*sec, "new", 2); call == nil {
+		t.Error("a worker that never reached the leader is sent away once more")
+	}
+}
+
+// A controller of the version before knows no reports from others: it answers as
+// to any message that it does not know. The worker is then sent to it as before,
+// and for a while no others are passed on.
+func TestReportsAreNotPassedToAnOlderController(t *testing.T) {
+	c := follower(t)
+	call, _ := report(c, protocol.Second, "lost", 3)
+	if call == nil {
+		t.Fatal("not passed on")
+	}
+	var got *Reply
+	for _, e := range c.Step(now{Steady: protocol.Second + 1}, CallDone{ID: call.ID, Status: 200, Body: peerFrame(&protocol.PeerMessage{Kind: protocol.PeerAnswer})}) {
+		if r, ok := e.(Reply); ok {
+			got = &r
+		}
+	}
+	if got == nil || got.Status != 421 || !strings.Contains(string(got.Body), "n1") {
+		t.Errorf("%+v", got)
+	}
+	if call, answer := report(c, 2*protocol.Second, "other", 3); call != nil || answer == nil || answer.Status != 421 {
+		t.Errorf("%+v %+v", call, answer)
+	}
+}
--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -21,7 +21,7 @@
 	w.Platform.ReportEvery = 5 * protocol.Second
 	w.Platform.StateWriteRate = 35
 	var b strings.Builder
-	fmt.Fprintf(&b, "team red\nno-capacity\naim wait pick within=12\n")
+	fmt.Fprintf(&b, "team red\nteam guests\nno-capacity\naim wait pick within=12\n")
 	fmt.Fprintf(&b, "type small cpus=12 gpus=2 mem=48 boot=25 fetch=0.4 zones=a,b\ntype large cpus=32 gpus=4 mem=128 boot=35 fetch=0.4 zones=a,b,c\n")
 	for i := range fleetSize {
 		fmt.Fprintf(&b, "machine n-%06d %s %s\n", i+1, []string{"small", "large"}[i%2], []string{"a", "b", "c"}[i%3/(2-i%2)])
@@ -161,3 +161,52 @@
 		}
 	}
 }
+
+// longArray is one array of 25,000 short tasks, all alike, on twelve machines.
+func longArray(tb testing.TB) *World {
+	tb.Helper()
+	w := NewWorld(1)
+	w.quiet = true
+	text := "team red\nteam guests\nno-capacity\ntype wide cpus=32 gpus=4 mem=256 boot=10 zones=a\n"
+	for i := range 12 {
+		text += fmt.Sprintf("machine n-%06d wide a\n", i+1)
+	}
+	text += "at 3 submit req-000001 array team=guests rank=low tasks=25000 gpus=0 cpus=0.25 mem=0.1 run=4 estimate=4 size=0.5\n"
+	if err := w.play(text); err != nil {
+		tb.Fatal(err)
+	}
+	w.Run(10 * protocol.Second)
+	return w
+}
+
+// BenchmarkLongArray is a second in the middle of an array of 25,000 short tasks,
+// with all stand-ins: about three hundred launches and as many completions.
+func BenchmarkLongArray(b *testing.B) {
+	b.ReportAllocs()
+	var w *World
+	for i := range b.N {
+		if i%30 == 0 { // it is over after a minute
+			b.StopTimer()
+			w = longArray(b)
+			b.StartTimer()
+		}
+		w.Run(w.now + protocol.Second)
+	}
+}
+
+// BenchmarkBurst is a second of a burst of small jobs, ten of one task each, on a
+// fleet of full size, with all stand-ins.
+func BenchmarkBurst(b *testing.B) {
+	w := grown(b, 1)
+	w.limited = true
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		for k := range 10 {
+			if err := w.actSubmit(strings.Fields(fmt.Sprintf("submit req-%06d array team=guests rank=low tasks=1 gpus=0 cpus=0.25 mem=0.1 run=150 size=0.5", 500000+i*10+k))); err != nil {
+				b.Fatal(err)
+			}
+		}
+		w.Run(w.now + protocol.Second)
+	}
+}
