--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -112,16 +112,16 @@
 // An epoch of the form before is read; a controller of that form can't read
 // ours and so can't lead without seeing the hosts that share a record.
 func TestEpochRecord(t *testing.T) {
-	for text, want := range map[string]uint64{"7": 7, string(EncodeEpoch(8)): 8} {
-		if got, err := DecodeEpoch([]byte(text)); err != nil || got != want {
+	for text, want := range map[string]uint64{"7": 7, string(EncodeEpoch(8, false)): 8, string(EncodeEpoch(9, true)): 9} {
+		if got, unlisted, err := DecodeEpoch([]byte(text)); err != nil || got != want || unlisted != (want != 8) {
 			t.Errorf("%s: %d %v", text, got, err)
 		}
 	}
-	if _, err := strconv.ParseUint(string(EncodeEpoch(8)), 10, 64); err == nil {
+	if _, err := strconv.ParseUint(string(EncodeEpoch(8, false)), 10, 64); err == nil {
 		t.Error("the form before would read it")
 	}
 	for _, bad := range []string{`{"form":3,"epoch":9}`, `{"form":2}`, `"7"`, `-1`, ``} {
-		if n, err := DecodeEpoch([]byte(bad)); err == nil {
+		if n, _, err := DecodeEpoch([]byte(bad)); err == nil {
 			t.Errorf("%s: read as %d", bad, n)
 		}
 	}
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -57,24 +57,31 @@
 }
 
 // EncodeEpoch writes the counter of epochs.
-func EncodeEpoch(n uint64) []byte {
-	return append(strconv.AppendUint(begin("epoch"), n, 10), '}')
+//
+// unlisted says that launches of an earlier epoch may be in no record, because a
+// leader of form 1 came before and not all of its hosts have been heard of since.
+func EncodeEpoch(n uint64, unlisted bool) []byte {
+	b := strconv.AppendUint(begin("epoch"), n, 10)
+	if unlisted {
+		b = append(b, `,"unlisted":true`...)
+	}
+	return append(b, '}')
 }
 
 // DecodeEpoch reads the counter of epochs, also that of form 1.
-func DecodeEpoch(value []byte) (uint64, error) {
+func DecodeEpoch(value []byte) (n uint64, unlisted bool, err error) {
 	if n, err := strconv.ParseUint(string(value), 10, 64); err == nil {
-		return n, nil
+		return n, true, nil
 	}
 	v, err := open(value)
 	if err != nil {
-		return 0, err
+		return 0, false, err
 	}
-	n, err := protocol.Member(v, "epoch").Uint64()
+	n, err = protocol.Member(v, "epoch").Uint64()
 	if err != nil {
-		return 0, errForm
+		return 0, false, errForm
 	}
-	return n, nil
+	return n, v.GetBool("unlisted"), nil
 }
 
 // ChunkTasks is how many tasks of an array one record of completions holds.
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -16,7 +16,7 @@
 	renewing    bool
 	nextRenew   micros
 	predAnswers micros // until then a predecessor may answer workers
-	oldForm     bool   // the epoch's record was of form 1
+	unlisted    bool   // launches of earlier epochs may be in no record
 }
 
 // become is the one place where the role changes.
@@ -176,7 +176,7 @@
 		}
 		var last uint64
 		if found {
-			n, err := bookkeeping.DecodeEpoch(e.Value)
+			n, unlisted, err := bookkeeping.DecodeEpoch(e.Value)
 			if err != nil {
 				// Records of a form that this program does not know: it must
 				// not lead without seeing what they say.
@@ -185,13 +185,13 @@
 				return
 			}
 			last = n
-			c.seat.oldForm = e.Value[0] != '{'
+			c.seat.unlisted = unlisted
 		}
 		epoch := last + 1
 		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
 		when := []protocol.Condition{{Key: bookkeeping.KeyLeader}, {Key: bookkeeping.KeyEpoch, Stamp: e.Stamp}}
 		then := []protocol.Change{
-			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch)},
+			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch, c.seat.unlisted)},
 			{Key: bookkeeping.KeyLeader, Value: bookkeeping.EncodeLeader(lead), Lease: c.seat.lease},
 		}
 		pred := c.leader
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -42,7 +42,7 @@
 	donePages    *pages
 	launchPages  *pages
 	launches     map[string]*bookkeeping.Attempt // by task, those that a record names or will
-	unlisted     bool                            // earlier launches may be in no record: a leader of form 1 came before
+	unlisted     bool                            // earlier launches may be in no record, see EncodeEpoch
 	chunks       chunkWriter
 
 	toCall  []*bookkeeping.Host // hosts that commands wait for
@@ -71,7 +71,7 @@
 	t.donePages = c.newPages(bookkeeping.CompletionPages, c.doneRecord)
 	t.launchPages = c.newPages(bookkeeping.LaunchPages, c.launchRecord)
 	t.launches = make(map[string]*bookkeeping.Attempt)
-	t.unlisted = c.seat.oldForm
+	t.unlisted = c.seat.unlisted
 	launches := make(map[string]recordedLaunch)
 	c.term = t
 	bookings := make(map[string]micros)
@@ -341,6 +341,28 @@
 	t.dirty = true
 }
 
+// allListed notes in the epoch's record that every launch that may be on a host
+// is in a record. Until then a successor must not rely on that: a leader of form 1
+// may have made launches that nobody recorded, on hosts not heard of since.
+func (c *Controller) allListed(t *term) {
+	if !t.unlisted || c.term != t {
+		return
+	}
+	for _, a := range t.launches {
+		if !a.Recorded && a.State.MayRun() {
+			c.after(protocol.Second, func() { c.allListed(t) })
+			return
+		}
+	}
+	c.lead(prioUrgent, nil, []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(t.epoch, false)}}, func(o txnOutcome, _ protocol.TxnResult) {
+		if o != txnApplied {
+			c.after(protocol.Second, func() { c.allListed(t) })
+			return
+		}
+		t.unlisted = false
+	})
+}
+
 // readFinals reads which jobs are over, so that questions about them need no
 // lookup each: many users still ask when a leader is new.
 func (c *Controller) readFinals(t *term) {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -756,6 +756,7 @@
 	if unproven == 0 && !t.recovered {
 		t.recovered = true
 		t.dirty = true
+		c.allListed(t)
 		c.log.Info("all hosts accounted for", "epoch", t.epoch, "took_ms", int64((at-t.started)/protocol.Millisecond), "hosts", len(t.book.Hosts()))
 	}
 }
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 
+	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
 )
 
@@ -263,6 +264,17 @@
 		w.cutZone = words[1]
 	case "heal-zone":
 		w.heal()
+	case "forget-launches": // the records become those of form 1: an epoch that is a number, no launches
+		epoch, _, err := bookkeeping.DecodeEpoch([]byte(w.store.keys[bookkeeping.KeyEpoch].value))
+		if err != nil {
+			return err
+		}
+		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch, 10)
+		for key := range w.store.keys {
+			if strings.HasPrefix(key, bookkeeping.LaunchPages) {
+				delete(w.store.keys, key)
+			}
+		}
 	case "state":
 		w.store.setDown(words[1] == "down")
 	case "cloud":
