--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -34,7 +34,7 @@
 	fetchFactor map[string]float64
 	needed      map[*slottable.Machine]bool // that the last plan counted on
 	next        micros
-	nextSpare   micros // room to spare is not rented before
+	nextSpare   map[string]micros // by class: room to spare is not rented before
 	nextLog     micros
 	releasing   bool
 	answering   bool // the cloud answered the last request for its list
@@ -44,7 +44,7 @@
 func (r *rental) init() {
 	*r = rental{refused: make(map[kind]micros), backoff: make(map[kind]micros), open: make(map[kind]int),
 		bootFactor: make(map[string]float64), fetchFactor: make(map[string]float64),
-		needed: make(map[*slottable.Machine]bool)}
+		needed: make(map[*slottable.Machine]bool), nextSpare: make(map[string]micros)}
 }
 
 func (r *rental) booted(h *bookkeeping.Host, at micros) {
@@ -356,22 +356,24 @@
 	// Classes seldom burst together: each looks for its spare room by itself,
 	// so the same room may serve several.
 	spares := make(map[int]int)
-	for _, s := range c.spare() {
+	for _, name := range c.classNames() {
+		s := c.spare(name)
+		if s == nil {
+			continue
+		}
 		more, needed := t.table.Rent([]*slottable.Request{s}, offers, rentalSlack, most, rentalWork)
+		note(needed)
+		// What was rented to spare is of no use before it is up. Until then each
+		// plan would find the same room missing, and rent it once more: it is paced.
+		if at < r.nextSpare[name] {
+			continue
+		}
 		for i, n := range more {
 			spares[i] = max(spares[i], n)
+			r.nextSpare[name] = max(r.nextSpare[name], at+offers[i].Boot/sparePaces)
 		}
-		note(needed)
 	}
-	// What was rented to spare is of no use before it is up. Until then each plan
-	// would find the same room missing, and rent it once more: it is paced.
-	if at < r.nextSpare {
-		clear(spares)
-	}
-	for i, o := range offers {
-		if n := spares[i]; n > 0 {
-			r.nextSpare = max(r.nextSpare, at+o.Boot/sparePaces)
-		}
+	for i := range offers {
 		if n := rent[i] + spares[i]; n > 0 {
 			c.rent(kinds[i], n)
 		}
@@ -432,35 +434,31 @@
 	}
 }
 
-// spare lists requests for room that is kept for what arrives most often.
-func (c *Controller) spare() []*slottable.Request {
+// spare is a request for room that is kept for what arrives of a class, or nil.
+func (c *Controller) spare(name string) *slottable.Request {
 	t := c.term
-	var list []*slottable.Request
-	for _, name := range c.classNames() {
-		k := t.classes[name]
-		if k.last == nil || c.startWithin(name) == 0 {
-			continue
-		}
-		s := k.last
-		var boot micros
-		for _, typ := range c.types {
-			if typ.Offer.Holds(s.Need) && s.AllowsType(typ.Name) {
-				if b := c.bootTime(typ) + c.fetchTime(typ, s.ImageSize); boot == 0 || b < boot {
-					boot = b
-				}
+	k := t.classes[name]
+	if k.last == nil || c.startWithin(name) == 0 {
+		return nil
+	}
+	s := k.last
+	var boot micros
+	for _, typ := range c.types {
+		if typ.Offer.Holds(s.Need) && s.AllowsType(typ.Name) {
+			if b := c.bootTime(typ) + c.fetchTime(typ, s.ImageSize); boot == 0 || b < boot {
+				boot = b
 			}
 		}
-		n := int(math.Ceil(k.during(c.at.Steady, t.started, boot) * c.operator.WarmSpare))
-		if n == 0 {
-			continue
-		}
-		list = append(list, &slottable.Request{Tasks: min(n, 8), Limit: min(n, 8), Need: s.Need, Image: s.Image, ImageSize: s.ImageSize,
-			Types: s.Types, Spot: s.Spot, Length: 30 * protocol.Second, Spare: true,
-			// Room is missing only if a job that came now would start too late:
-			// a machine that is soon free does as well as an empty one.
-			Patient: c.at.Steady + c.startWithin(name)*7/10})
 	}
-	return list
+	n := int(math.Ceil(k.during(c.at.Steady, t.started, boot) * c.operator.WarmSpare))
+	if n == 0 {
+		return nil
+	}
+	return &slottable.Request{Tasks: min(n, 8), Limit: min(n, 8), Need: s.Need, Image: s.Image, ImageSize: s.ImageSize,
+		Types: s.Types, Spot: s.Spot, Length: 30 * protocol.Second, Spare: true,
+		// Room is missing only if a job that came now would start too late:
+		// a machine that is soon free does as well as an empty one.
+		Patient: c.at.Steady + c.startWithin(name)*7/10}
 }
 
 func (c *Controller) classNames() []string {
