--- a/internal/coordination/faults.go
+++ b/internal/coordination/faults.go
@@ -41,7 +41,9 @@
 		j.Failures = make(map[string]int)
 	}
 	j.Failures[h.Name]++
-	c.log.Info("task failed", "task", a.Name.TaskName.String(), "host", h.Name, "on_host", j.Failures[h.Name], "hosts", len(j.Failures), "suspect", j.Suspect)
+	defer func() {
+		c.log.Info("task failed", "task", a.Name.TaskName.String(), "host", h.Name, "on_host", j.Failures[h.Name], "hosts", len(j.Failures), "suspect", j.Suspect)
+	}()
 	switch {
 	case c.sound(j):
 		c.condemn(h)
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -60,15 +60,9 @@
 	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerReport, Returned: returned, Body: e.Body})
 	c.callAddr(ToPeer, "", addr, "", frame, relayTimeout, func(d CallDone) {
 		c.relaying--
-		if d.Status == 200 {
-			m, err := protocol.ParsePeer(d.Body)
-			if err == nil && m.Kind == protocol.PeerAnswer && m.Status != 0 {
-				c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
-				return
-			}
-			if err != nil {
-				c.malformed("controller", err)
-			}
+		if m := c.peerAnswer(d); m != nil && m.Status != 0 {
+			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
+			return
 		}
 		// It does not lead any more, or can't be reached from here either.
 		c.relayAfter = c.at.Steady + relayAgain
@@ -103,6 +97,23 @@
 	return n
 }
 
+// peerAnswer reads what another controller answered to a call, a report or a
+// probe, nil: nothing that can be used. Status 0 says that it did not serve it.
+func (c *Controller) peerAnswer(d CallDone) *protocol.PeerMessage {
+	if d.Status != 200 {
+		return nil
+	}
+	m, err := protocol.ParsePeer(d.Body)
+	if err != nil {
+		c.malformed("controller", err)
+		return nil
+	}
+	if m.Kind != protocol.PeerAnswer {
+		return nil
+	}
+	return m
+}
+
 // addressOf finds a controller's address, "" if it is unknown or this node.
 func (c *Controller) addressOf(node string) string {
 	for _, s := range c.platform.Siblings {
@@ -134,13 +145,9 @@
 		t.probes.through += i + 1
 		frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerProbe, Addr: h.Addr, Body: body})
 		c.callAddr(ToPeer, "", s.Address, "", frame, callTimeout, func(d CallDone) {
-			if d.Status == 200 {
-				m, err := protocol.ParsePeer(d.Body)
-				if err == nil && m.Kind == protocol.PeerAnswer {
-					done(CallDone{Status: int(m.Status), Body: m.Body})
-					return
-				}
-				c.malformed("controller", err)
+			if m := c.peerAnswer(d); m != nil {
+				done(CallDone{Status: int(m.Status), Body: m.Body})
+				return
 			}
 			done(CallDone{})
 		})
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -67,15 +67,9 @@
 	epoch := c.leader.Epoch
 	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
 	c.callAddr(ToPeer, "", addr, "", frame, forwardTimeout, func(r CallDone) {
-		if r.Status == 200 {
-			m, err := protocol.ParsePeer(r.Body)
-			if err == nil && m.Kind == protocol.PeerAnswer && m.Status != 0 {
-				c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
-				return
-			}
-			if err != nil {
-				c.malformed("controller", err)
-			}
+		if m := c.peerAnswer(r); m != nil && m.Status != 0 {
+			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
+			return
 		}
 		c.recheck()
 		if c.leader.Epoch == epoch && r.Status != 200 {
