--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -54,6 +54,7 @@
 	Tick         uint64
 	Heard        micros // last report
 	Answered     micros // latest time at which anyone may have answered it
+	PassedOn     micros // when another node last passed a report on, 0: it comes by itself
 	Unreached    micros // it can't reach the leader: when another node last passed a report on, 0: it can
 	Since        micros // rented, or first known
 	Listed       bool
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -67,9 +67,12 @@
 		return
 	}
 	if !e.Reply.Peer {
-		h.Unreached = 0
-	} else if e.Returned {
-		h.Unreached = c.at.Steady
+		h.Unreached, h.PassedOn = 0, 0
+	} else {
+		h.PassedOn = c.at.Steady
+		if e.Returned {
+			h.Unreached = c.at.Steady
+		}
 	}
 	c.takeReport(h, r, false)
 	cmds := c.commands(h)
@@ -718,6 +721,11 @@
 			// hosts do not all come back at the same instant.
 			limit = max(limit, cutPatience*lease)
 		}
+		if h.PassedOn > 0 && at-h.PassedOn < lease {
+			// It is asked to try this node now and then, and comes round to the one
+			// that passes its reports on only after that.
+			limit = max(limit, returnsIn)
+		}
 		expired := c.expired(h)
 		switch h.State {
 		case bookkeeping.HostReady, bookkeeping.HostBooting:
