Slot table: places are found best first from an index, not by a look at every row

Cause: with 25 to 155 jobs waiting on 1,300 machines a pass looked at 80,000 to 965,000 rows where a round has room for 78,000, so the end of the queue was reached seconds late. All three stages (planning, preemption, rental) went through every row for every job. Change: rows are indexed by group, level of free GPUs and image; a search looks at rows in the order of a bound on their cost and stops when none can win. Free room against time is kept in steps, refusals are remembered for a pass, a lost booking has its own task searched anew only.

--- /dev/null
+++ b/internal/coordination/pass_test.go
@@ -0,0 +1,198 @@
+package coordination
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// busyLeader leads a fleet on which nearly every GPU is in use, by services,
+// short tasks and longer ones, each machine with a few of thirty images. Jobs of
+// four classes wait, more than can have a place.
+func busyLeader(tb testing.TB, machines, waiting int) *Controller {
+	tb.Helper()
+	const sec = protocol.Second
+	rng := rand.New(rand.NewPCG(7, uint64(machines)))
+	zones := []string{"a", "b", "c", "d"}
+	small := &protocol.MachineType{Name: "small", Offer: protocol.Resources{CPU: 12_000, GPU: 2000, Mem: 48_000}, Cache: 80_000, FetchRate: 0.0004,
+		Price: 4, SpotPrice: 1.6, Boot: 25 * sec, Zones: zones[:3]}
+	large := &protocol.MachineType{Name: "large", Offer: protocol.Resources{CPU: 32_000, GPU: 4000, Mem: 128_000}, Cache: 100_000, FetchRate: 0.0004,
+		Price: 11, SpotPrice: 4.6, Boot: 35 * sec, Zones: zones}
+	p := &protocol.Platform{Node: "n0", Zone: "a", StateRate: 180, StateWriteRate: 40, TxnOps: 12, ValueBytes: 8192, CloudRate: 5,
+		CPUShare: 0.324, ReportEvery: 5 * sec, WorkerLease: 24 * sec, Cancel: 54 * sec, Teams: map[string]protocol.Team{}}
+	for _, o := range []protocol.Objective{
+		{Kind: "wait", Class: "serve", Within: 12 * sec}, {Kind: "deadline", Class: "rerun"},
+		{Kind: "wait", Class: "small-train", Within: 25 * sec}, {Kind: "finished", Class: "small-train", Within: 250 * sec},
+		{Kind: "wait", Class: "large-train", Within: 50 * sec}, {Kind: "finished", Class: "large-train", Within: 350 * sec},
+	} {
+		p.Objectives = append(p.Objectives, o)
+	}
+	for i := range 16 {
+		p.Teams[fmt.Sprint("team-", i)] = protocol.Team{}
+	}
+	c := New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.at = now{Steady: 1000 * sec, Wall: 1000 * sec}
+	c.role, c.seat.until, c.seat.epoch = Leading, protocol.Forever, 3
+	c.types = []*protocol.MachineType{small, large}
+	c.typeByName = map[string]*protocol.MachineType{"small": small, "large": large}
+	c.term = c.newTerm()
+	t := c.term
+	t.recovered = true
+	next := 0
+	job := func(spec protocol.JobSpec, age micros) *bookkeeping.Job {
+		next++
+		spec.Ref = fmt.Sprintf("req-%06d", next)
+		spec.Team = fmt.Sprint("team-", next%16)
+		j := bookkeeping.NewJob(&spec)
+		j.SubmittedWall = c.at.Wall - age
+		c.enter(j)
+		return j
+	}
+	// What runs: one job of many tasks for each class, so that its tasks can be
+	// put anywhere.
+	running := map[string]*bookkeeping.Job{}
+	specs := map[string]protocol.JobSpec{
+		"serve": {Class: "serve", Kind: protocol.Service, Rank: protocol.Critical, Need: protocol.Resources{CPU: 4000, GPU: 1000, Mem: 14_000}},
+		"rerun": {Class: "rerun", Kind: protocol.Array, Rank: protocol.Standard, Need: protocol.Resources{CPU: 5000, GPU: 1000, Mem: 18_000}, Estimate: 300 * sec, Spot: true},
+		"small-train": {Class: "small-train", Kind: protocol.Array, Rank: protocol.High, Need: protocol.Resources{CPU: 5000, GPU: 1000, Mem: 19_000},
+			Estimate: 600 * sec},
+	}
+	for _, name := range []string{"serve", "rerun", "small-train"} {
+		s := specs[name]
+		s.Tasks, s.Image = 4*machines, "img-0"
+		running[name] = job(s, 300*sec)
+	}
+	used := map[string]int{}
+	for i := range machines {
+		typ := c.types[i%2]
+		h := bookkeeping.NewHost(c.at.Steady, fmt.Sprintf("n-%06d", i+1), typ.Name, typ.Zones[i/2%len(typ.Zones)], i%5 == 0)
+		h.Type, h.Proven, h.Heard, h.Recorded = typ, true, c.at.Steady, true
+		h.To(bookkeeping.HostReady)
+		t.book.AddHost(h)
+		for range 8 {
+			h.SawImage(c.at.Steady, fmt.Sprint("img-", rng.IntN(30)), 6000)
+		}
+		for range typ.Offer.GPU / 1000 {
+			name := []string{"serve", "rerun", "rerun", "rerun", "small-train"}[rng.IntN(5)]
+			if rng.IntN(200) == 0 {
+				continue // a GPU that is free
+			}
+			j := running[name]
+			a := t.book.Attach(c.at.Steady, j, h, protocol.AttemptName{TaskName: protocol.TaskName{Job: j.Spec.Ref, Index: used[name]}, Number: 1})
+			used[name]++
+			a.Recorded = true
+			t.book.Move(c.at.Steady, a, bookkeeping.AttemptLaunched)
+			t.book.Move(c.at.Steady, a, bookkeeping.AttemptRunning)
+			a.Started = c.at.Steady - micros(rng.IntN(300_000))*protocol.Millisecond
+		}
+	}
+	for _, j := range running {
+		for i := range j.Tasks {
+			if j.Tasks[i].State == bookkeeping.TaskQueued {
+				j.Complete(i, true)
+			}
+		}
+	}
+	for i := range waiting {
+		s := protocol.JobSpec{Image: fmt.Sprint("img-", rng.IntN(30)), ImageSize: 6000, Tasks: 1}
+		switch i % 10 {
+		case 0:
+			s.Class, s.Kind, s.Rank, s.Spread = "serve", protocol.Service, protocol.Critical, true
+			s.Need, s.Tasks = specs["serve"].Need, 2+rng.IntN(3)
+		case 1, 2:
+			s.Class, s.Kind, s.Rank, s.OneZone, s.Estimate = "large-train", protocol.Gang, protocol.High, true, 100*sec
+			s.Need, s.Tasks = protocol.Resources{CPU: 28_000, GPU: 4000, Mem: 100_000}, 1<<rng.IntN(5)
+		case 3, 4, 5:
+			s.Class, s.Kind, s.Rank, s.OneZone, s.Estimate = "small-train", protocol.Gang, protocol.High, true, 80*sec
+			s.Need, s.Tasks = specs["small-train"].Need, 1<<rng.IntN(3)
+			s.CheckpointEvery, s.Saves = 30*sec, 5*sec
+		default:
+			s.Class, s.Kind, s.Rank, s.Spot, s.Estimate = "rerun", protocol.Array, protocol.Standard, true, micros(20+rng.IntN(40))*sec
+			s.Need, s.Tasks = protocol.Resources{CPU: int64(4000 + rng.IntN(2000)), GPU: 1000, Mem: 18_000}, 5+rng.IntN(60)
+			s.Deadline = 3*s.Estimate + micros(rng.IntN(300))*sec
+		}
+		job(s, micros(rng.IntN(60))*sec)
+	}
+	return c
+}
+
+// runPass plays rounds until a pass over the whole queue is over, and returns
+// the rows that it looked at and the rounds that it took.
+func runPass(c *Controller) (rows, rounds int) {
+	c.term.dirty = true
+	for {
+		rounds++
+		c.round()
+		rows += c.term.table.Work
+		if c.term.pass == nil {
+			c.effects = nil
+			return rows, rounds
+		}
+		c.at.Steady += c.operator.RoundGap
+	}
+}
+
+// passOver lets two seconds go by: what was stopped is gone, what was assigned
+// runs, and tasks end when they are expected to.
+func passOver(c *Controller) {
+	t := c.term
+	c.at.Steady += 2 * protocol.Second
+	c.at.Wall += 2 * protocol.Second
+	for _, h := range t.book.Hosts() {
+		h.Heard = c.at.Steady
+		for _, a := range h.Attempts() {
+			switch {
+			case a.Stop:
+				t.book.Move(c.at.Steady, a, bookkeeping.AttemptGone)
+			case a.State == bookkeeping.AttemptAssigned:
+				t.book.Move(c.at.Steady, a, bookkeeping.AttemptLaunched)
+				t.book.Move(c.at.Steady, a, bookkeeping.AttemptRunning)
+			case a.Job != nil && a.Job.Spec.Kind == protocol.Array && c.at.Steady-a.Started >= a.Job.Spec.Estimate:
+				a.Job.Complete(a.Name.Index, true)
+				t.book.Move(c.at.Steady, a, bookkeeping.AttemptGone)
+			}
+		}
+	}
+}
+
+// BenchmarkPass is a pass over a queue that can't be served, on a fleet that is
+// nearly full, two seconds after the one before. rows/op counts what was looked
+// at, rounds/op in how many rounds. kind=first is a new leader's, in which every
+// job is looked at for the first time.
+func BenchmarkPass(b *testing.B) {
+	for _, machines := range []int{1400, 14000} {
+		for _, waiting := range []int{150, 1000} {
+			for _, kind := range []string{"next", "first"} {
+				b.Run(fmt.Sprintf("machines=%d/waiting=%d/kind=%s", machines, waiting, kind), func(b *testing.B) {
+					rows, rounds := 0, 0
+					var c *Controller
+					b.ReportAllocs()
+					for i := range b.N {
+						b.StopTimer()
+						if c == nil || kind == "first" || i%5 == 0 {
+							c = busyLeader(b, machines, waiting)
+							if kind == "next" {
+								runPass(c)
+								passOver(c)
+								runPass(c)
+							}
+						}
+						if kind == "next" {
+							passOver(c)
+						}
+						b.StartTimer()
+						n, r := runPass(c)
+						rows, rounds = rows+n, rounds+r
+					}
+					b.ReportMetric(float64(rows)/float64(b.N), "rows/op")
+					b.ReportMetric(float64(rounds)/float64(b.N), "rounds/op")
+				})
+			}
+		}
+	}
+}
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -7,12 +7,41 @@
 	"sort"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/coordination/slottable"
 	"mapleslip/internal/protocol"
 )
 
-// mostVictims bounds the hosts on which a job looks for work to stop, among
-// those that have its image and among the others.
-const mostVictims = 24
+// mostVictims bounds the hosts of a zone on which a job looks for work to stop.
+// Those that have its image come first.
+const mostVictims = 12
+
+// hopeless is a job for which no room could be made: too little may give way. In
+// the same pass it is no better for one that asks for as much, and may take no
+// more from others.
+type hopeless struct {
+	need          protocol.Resources
+	tasks         int
+	rank          protocol.Rank
+	zone          string
+	types         []string
+	oneZone, spot bool
+}
+
+func (h *hopeless) covers(s *protocol.JobSpec, tasks int) bool {
+	return s.Need.Holds(h.need) && tasks >= h.tasks && s.Rank >= h.rank && (h.zone == "" || h.zone == s.Zone) &&
+		(!h.oneZone || s.OneZone || tasks == 1) && (h.spot || !s.Spot) && slices.Equal(h.types, s.Types)
+}
+
+// giveUp remembers that no room can be made for some tasks of a job.
+func (p *pass) giveUp(s *protocol.JobSpec, tasks int) {
+	if len(p.hopeless) < 64 {
+		p.hopeless = append(p.hopeless, hopeless{s.Need, tasks, s.Rank, s.Zone, s.Types, s.OneZone && tasks > 1, s.Spot})
+	}
+}
+
+func (p *pass) isHopeless(s *protocol.JobSpec, tasks int) bool {
+	return slices.ContainsFunc(p.hopeless, func(h hopeless) bool { return h.covers(s, tasks) })
+}
 
 // preempt makes room for a job of higher rank, where no place comes free soon:
 // of the hosts that could give it those where the least work is lost.
@@ -134,28 +163,31 @@
 	s := j.Spec
 	var best []*bookkeeping.Attempt
 	var bestLoss float64
-	looked := [2]int{}
-	t.table.Work += len(t.book.Hosts())
-	for _, h := range t.book.Hosts() {
-		if need.taken[h] || !c.mayTake(h, s) {
-			continue
+	if p.isHopeless(s, 1) {
+		return false
+	}
+	some := false
+	t.table.Making(w.request, 1, mostVictims, func(m *slottable.Machine) bool {
+		h := t.book.Host(m.Name)
+		if h == nil || need.taken[h] || !c.mayTake(h, s) {
+			some = some || h != nil && need.taken[h]
+			return false
 		}
 		if s.Spread && zones[h.Zone] >= w.request.ZoneCap || s.OneZone && len(w.request.ZoneUsed) > 0 && w.request.ZoneUsed[h.Zone] == 0 {
-			continue
+			some = true
+			return false
 		}
 		if !h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Holds(s.Need) {
-			continue
+			return false
 		}
+		some = true
 		ready := at + protocol.Second
-		kind := 0
 		if _, ok := h.Images[s.Image]; !ok {
 			ready += c.fetchTime(h.Type, s.ImageSize)
-			kind = 1
 		}
-		if ready+need.gain() > need.soonest || need.due > 0 && ready > need.due || looked[kind] >= mostVictims {
-			continue
+		if ready+need.gain() > need.soonest || need.due > 0 && ready > need.due {
+			return false
 		}
-		looked[kind]++
 		t.table.Work += 16
 		victims, loss := c.victims(h, j, 1)
 		saved := ready
@@ -165,14 +197,18 @@
 			}
 		}
 		if saved+need.gain() > need.soonest || need.due > 0 && saved > need.due {
-			continue
+			return true
 		}
 		loss += (saved - at).Seconds()
 		if victims != nil && (best == nil || loss < bestLoss) {
 			best, bestLoss = victims, loss
 		}
-	}
+		return true
+	})
 	if best == nil {
+		if !some {
+			p.giveUp(s, 1)
+		}
 		return false
 	}
 	h := best[0].Host
@@ -218,13 +254,19 @@
 	}
 	zones := make(map[string][]room)
 	have := make(map[string]int)
-	for _, h := range t.book.Hosts() {
-		if !c.mayTake(h, s) {
-			continue
+	if p.isHopeless(s, len(w.tasks)) {
+		j.NoRoomUntil = at + unviableFor
+		return false
+	}
+	late := false
+	t.table.Making(w.request, 1, mostVictims+2*len(w.tasks), func(m *slottable.Machine) bool {
+		h := t.book.Host(m.Name)
+		if h == nil || !c.mayTake(h, s) {
+			return false
 		}
 		n := h.Type.Offer.Add(h.Used(), -1).Add(c.yielding(p, h), 1).Times(s.Need)
 		if n < 1 {
-			continue
+			return false
 		}
 		t.table.Work += 8
 		r := room{h: h, tasks: min(int(n), len(w.tasks)), ready: at + protocol.Second}
@@ -241,7 +283,8 @@
 		}
 		r.ready += saves
 		if r.ready+need.gain() > need.soonest {
-			continue
+			late = true
+			return true
 		}
 		r.cost = (loss + (r.ready - at).Seconds()) / float64(r.tasks)
 		zone := h.Zone
@@ -250,7 +293,8 @@
 		}
 		zones[zone] = append(zones[zone], r)
 		have[zone] += r.tasks
-	}
+		return true
+	})
 	var best []room
 	var bestCost float64
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
@@ -273,6 +317,9 @@
 		}
 	}
 	if best == nil {
+		if !late && len(w.request.ZoneUsed) == 0 {
+			p.giveUp(s, len(w.tasks))
+		}
 		j.NoRoomUntil = at + unviableFor // nothing to be had, for a while
 		return false
 	}
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"reflect"
 	"sort"
 	"strconv"
 
@@ -80,16 +81,26 @@
 		c.malformed("machine types", err)
 		return
 	}
-	c.types = types
-	for _, t := range types {
-		c.typeByName[t.Name] = t
+	for i, t := range types {
+		// Mostly prices have moved and nothing else. Then the type stays the one
+		// that hosts and rows know, and no row has to be made anew.
+		if old := c.typeByName[t.Name]; old != nil {
+			same := *old
+			same.Price, same.SpotPrice = t.Price, t.SpotPrice
+			if reflect.DeepEqual(&same, t) {
+				*old = same
+				types[i] = old
+			}
+		}
+		c.typeByName[types[i].Name] = types[i]
 	}
+	c.types = types
 	if c.term != nil {
 		for _, h := range c.term.book.Hosts() {
 			// Types stay what they are; only their prices move.
 			if typ := c.typeByName[h.TypeName]; typ != h.Type {
 				h.Type, h.Changed = typ, true
-				delete(c.term.rows, h)
+				c.term.dropRow(h)
 			}
 		}
 	}
@@ -260,7 +271,7 @@
 			h.Proven = true
 			t.gone[name] = c.at.Steady
 			t.book.RemoveHost(h)
-			delete(t.rows, h)
+			t.dropRow(h)
 			// A record left over would only make a successor release the name
 			// once more, and wait for that.
 			t.hostPages.drop(name, c.at.Steady+protocol.Second)
@@ -275,8 +286,11 @@
 // rentalSlack is how much sooner work has to be ready for a machine to be rented.
 const rentalSlack = 3 * protocol.Second
 
-// rentalWork bounds what a plan for rental looks at, in rows of the table.
-const rentalWork = 400_000
+// rentalRounds bounds what a plan for rental looks at, in rounds' worth. It comes
+// once a second and can't be carried on later: what is not looked at is rented a
+// second later. A bound of one round had arrays wait for their machines when a
+// deployment starts with none (himal-members-fleet restart 0.83/0.73).
+const rentalRounds = 4
 
 // planRental finds what to rent so that waiting work starts sooner, with room
 // to spare for what arrives, and returns what is idle.
@@ -351,7 +365,7 @@
 			r.needed[m] = true
 		}
 	}
-	rent, needed := t.table.Rent(requests, offers, rentalSlack, most, rentalWork)
+	rent, needed := t.table.Rent(requests, offers, rentalSlack, most, rentalRounds*c.roundWork())
 	note(needed)
 	// Classes seldom burst together: each looks for its spare room by itself,
 	// so the same room may serve several.
@@ -361,7 +375,7 @@
 		if s == nil {
 			continue
 		}
-		more, needed := t.table.Rent([]*slottable.Request{s}, offers, rentalSlack, most, rentalWork)
+		more, needed := t.table.Rent([]*slottable.Request{s}, offers, rentalSlack, most, c.roundWork()/4)
 		note(needed)
 		// What was rented to spare is of no use before it is up. Until then each
 		// plan would find the same room missing, and rent it once more: it is paced.
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -46,6 +46,7 @@
 	unproven protocol.Resources            // that tasks on hosts not heard of yet may use
 	unknown  bool                          // some of those hosts are of a type not known
 	yields   map[*bookkeeping.Host]protocol.Resources
+	hopeless []hopeless
 	rounds   int
 	work     int
 }
@@ -171,12 +172,11 @@
 	t := c.term
 	at := c.at.Steady
 	t.table.Now = at
-	rows := t.table.Machines()[:0]
 	for _, h := range t.book.Hosts() {
 		if h.Type == nil || h.State == bookkeeping.HostGone || h.State == bookkeeping.HostReleasing {
 			if t.rows[h] != nil {
 				c.dropStale(h)
-				delete(t.rows, h)
+				t.dropRow(h)
 			}
 			continue
 		}
@@ -188,6 +188,7 @@
 			m = &slottable.Machine{Name: h.Name, Type: h.TypeName, Zone: h.Zone, Spot: h.Spot, Offer: typ.Offer,
 				Fetch: func(size int64) micros { return c.fetchTime(typ, size) }}
 			t.rows[h] = m
+			t.table.Add(m)
 			h.Changed = true
 		}
 		if !usable && !m.Blocked {
@@ -196,9 +197,15 @@
 		if h.Changed || booting || m.Blocked == usable || m.NextEnd() <= at {
 			c.fill(h, m, usable, booting)
 		}
-		rows = append(rows, m)
 	}
-	t.table.SetMachines(rows)
+}
+
+// dropRow takes a host's row out of the table.
+func (t *term) dropRow(h *bookkeeping.Host) {
+	if m := t.rows[h]; m != nil {
+		t.table.Remove(m)
+		delete(t.rows, h)
+	}
 }
 
 // dropStale takes back assignments whose host can't be reached or is leaving.
@@ -241,6 +248,7 @@
 	for name := range h.Images {
 		table.AddImage(m, name, 0)
 	}
+	var gives protocol.Resources
 	for _, a := range h.Attempts() {
 		if !a.State.Occupies() || a.Job == nil {
 			continue
@@ -259,12 +267,18 @@
 			till = max(at, a.ExpectedReady) + k.length(s)
 		}
 		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need, Guest: guest(s)})
+		if a.Stop || c.yields(s) {
+			gives = gives.Add(s.Need, 1)
+		}
 		if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching {
 			if !table.HasImage(m, s.Image) {
 				table.AddImage(m, s.Image, max(a.ExpectedReady, at+protocol.Second))
 			}
 		}
 	}
+	if usable {
+		m.Makes = h.Type.Offer.Add(h.Used(), -1).Add(gives, 1)
+	}
 	table.Update(m)
 }
 
@@ -419,15 +433,14 @@
 	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool {
 		return c.at.Steady >= m.Until || t.rows[m.Host] == nil || !c.usable(m.Host)
 	})
-	names := make(map[string]bool, len(j.Rooms))
 	waiting := 0
 	for _, m := range j.Rooms {
-		names[m.Host.Name] = true
-		if !t.rows[m.Host].Free().Holds(r.Need) {
+		row := t.rows[m.Host]
+		r.Preferred = append(r.Preferred, row)
+		if !row.Free().Holds(r.Need) {
 			waiting++
 		}
 	}
-	r.Prefer = func(name string) bool { return names[name] }
 	w.tasks = w.tasks[:max(0, len(w.tasks)-waiting)]
 	r.Tasks = len(w.tasks)
 	return r.Tasks > 0
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -1,7 +1,6 @@
 package slottable
 
 import (
-	"container/heap"
 	"slices"
 
 	"mapleslip/internal/protocol"
@@ -38,6 +37,9 @@
 		needed = append(needed, t.undo...)
 		return false
 	})
+	for _, m := range t.rented {
+		t.drop(m)
+	}
 	t.rented = t.rented[:0]
 	return rent, needed
 }
@@ -48,12 +50,14 @@
 		return 0 // nothing to find out: it keeps no machine either
 	}
 	r.image = t.Image(r.Image)
+	t.refresh()
 	z := newZones(r)
-	t.gatherLater(r, z, "", false)
+	s := &t.any
+	s.begin(t, r, z, "", true, false)
 	total := 0
 	n := min(r.Tasks, r.Limit, maxBooked)
 	for i := 0; i < n; i++ {
-		c, ok := t.any.top(z)
+		c, ok := s.top()
 		p := c.place
 		best := -1
 		var bestCost float64
@@ -82,8 +86,9 @@
 		if best >= 0 {
 			o := offers[best]
 			m := &Machine{Name: "+" + o.Type, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Offer: o.Resources,
-				From: t.Now + o.Boot, Fetch: o.Fetch, order: len(t.machines) + len(t.rented)}
+				From: t.Now + o.Boot, Fetch: o.Fetch}
 			m.settle(t.Now)
+			t.take(m)
 			t.rented = append(t.rented, m)
 			rent[best]++
 			total++
@@ -93,13 +98,7 @@
 		}
 		z.add(p.Machine.Zone)
 		t.mark(r, p, protocol.End(p.Ready, r.Length))
-		if best >= 0 {
-			if c, ok := t.laterOn(r, p.Machine); ok {
-				heap.Push(&t.any, c)
-			}
-		} else {
-			t.again(&t.any, r, p.Machine, t.laterOn)
-		}
+		s.again(p.Machine)
 	}
 	return total
 }
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -12,7 +12,7 @@
 package slottable
 
 import (
-	"container/heap"
+	"slices"
 
 	"mapleslip/internal/protocol"
 )
@@ -56,18 +56,27 @@
 	images           []cached                // known to be there, or on their way
 	spans            []Span                  // what is on the machine
 	marks            []mark                  // what passes planned for it
+	profile          profile                 // both against time, guests not counted
 	free             resources               // now, beside spans and marks that have begun, guests not counted
 	guests           resources               // what guests take now
 	heldTill         micros                  // when the last of what is not a guest ends
 	Unheld           bool                    // it costs the full price and nothing but guests is on it
 	next             micros                  // when a span ends by its estimate
 	touched          bool                    // is in the table's list of marked rows
-	order            int                     // in the table
+	Makes            resources               // free if all gives way that may, see Making
+	order            int                     // in which it was added
+	pos              int                     // among the table's rows
+	in               bool                    // is in the table
+	stale            bool                    // the index is to be brought up to date
+	indexed          int                     // marks that the index knew of
+	entry            entry                   // where the index has it
+	seen             [2]uint32               // stamps of the searches that looked at it last
 }
 
 // Reset empties a row, to be filled again.
 func (m *Machine) Reset() {
 	m.spans, m.images, m.FetchDone, m.Penalty, m.Blocked, m.Unheld = m.spans[:0], m.images[:0], 0, 0, false, false
+	m.Makes = resources{}
 	// What began in an earlier pass is among the machine's own spans by now.
 	rest := m.marks[:0]
 	for _, k := range m.marks {
@@ -90,10 +99,17 @@
 // settle computes what is derived from the spans.
 func (m *Machine) settle(now micros) {
 	m.free, m.guests, m.next, m.heldTill = m.Offer, resources{}, protocol.Forever, 0
+	m.profile = m.profile.reset(m.Offer)
+	for i := range m.marks {
+		if k := &m.marks[i]; !k.Guest {
+			m.profile = m.profile.add(k.From, k.To, k.Need, 1)
+		}
+	}
 	for i := range m.spans {
 		s := &m.spans[i]
 		if !s.Guest {
 			m.heldTill = max(m.heldTill, s.To)
+			m.profile = m.profile.add(s.From, s.To, s.Need, 1)
 		}
 		if s.From <= now && now < s.To {
 			m.take(s, 1)
@@ -127,8 +143,11 @@
 	return m.free
 }
 
-// fits reports whether need is free during [from, to).
+// fits reports whether need is free during [from, to). Guests see all spans.
 func (m *Machine) fits(r *Request, from, to micros) bool {
+	if !r.Guest {
+		return m.profile.fits(r.Need, from, to)
+	}
 	if !m.freeAt(r, from) {
 		return false
 	}
@@ -166,6 +185,9 @@
 		return 0, false
 	}
 	after = max(after, m.From)
+	if !r.Guest {
+		return m.profile.room(r.Need, after, min(length, protocol.Forever-after))
+	}
 	if m.fits(r, after, protocol.End(after, length)) {
 		return after, true
 	}
@@ -239,14 +261,14 @@
 	Length    micros // run time without the fetch
 	Deadline  micros // latest end, 0: none
 	Avoid     func(machine string) bool
-	Prefer    func(machine string) bool // room was made for it there
-	Spare     bool                      // room to keep, not work
-	Guest     bool                      // of the lowest rank: takes what all others leave
-	Frugal    bool                      // neither keeps a machine at the full price nor has one rented
-	Patient   micros                    // no machine is rented for what is ready by then
-	Kept      []Place                   // its booking of the pass before
-	Hold      bool                      // room was made for it: Kept holds though it is not the first that can't start
-	NoBooking bool                      // it was found lately that a booking can't meet the deadline
+	Preferred []*Machine // room was made for it there
+	Spare     bool       // room to keep, not work
+	Guest     bool       // of the lowest rank: takes what all others leave
+	Frugal    bool       // neither keeps a machine at the full price nor has one rented
+	Patient   micros     // no machine is rented for what is ready by then
+	Kept      []Place    // its booking of the pass before
+	Hold      bool       // room was made for it: Kept holds though it is not the first that can't start
+	NoBooking bool       // it was found lately that a booking can't meet the deadline
 
 	image int32
 }
@@ -294,33 +316,37 @@
 	Now      micros
 	Work     int // what was looked at since the caller last set it to 0
 	machines []*Machine
+	added    int
 	rented   []*Machine // that a plan for rental would rent
-	open     []*Machine // rows with room now, of this pass
 	touched  []*Machine // rows with marks
 	ids      map[string]int32
 	undo     []*Machine // rows marked since a trial began, a row for each mark
 	trying   bool
-	now, any candidates
 	blocked  bool // this pass has its first job that can't start
+
+	groups  map[groupKey]*group
+	all     []*group
+	byZone  map[string][]*group
+	zones   []string   // in the order in which they were first seen
+	holders [][]slot   // rows by the number of an image that they have, see hold
+	stale   []*Machine // rows that the index is behind of
+	late    []late
+
+	now, any search
+	stamps   uint32
+	refusals []refusal
+	walk     []cursor // of Making
+	ids32    []int32
 }
 
 // What it costs to look at a row for a start now, and to search it for room.
+// To see whether a group has anything for a request costs like a row.
 const (
 	workLook = 1
 	workRoom = 8
+	workNext = 2 // for one task more, from the place of the last on
 )
 
-// Machines are the rows, in the order of their names.
-func (t *Table) Machines() []*Machine { return t.machines }
-
-// SetMachines says which rows there are.
-func (t *Table) SetMachines(list []*Machine) {
-	t.machines = list
-	for i, m := range list {
-		m.order = i
-	}
-}
-
 // Image gives an image its number.
 func (t *Table) Image(name string) int32 {
 	id, ok := t.ids[name]
@@ -348,7 +374,11 @@
 
 // Update computes what follows from a row's spans. It is called after the row
 // was filled, and for every row whose estimate ran out.
-func (t *Table) Update(m *Machine) { m.settle(t.Now) }
+func (t *Table) Update(m *Machine) {
+	m.settle(t.Now)
+	t.outdate(m)
+	t.refusals = t.refusals[:0]
+}
 
 // Begin starts a pass over the whole queue: bookings of the last one are
 // planned anew, in their turn.
@@ -356,6 +386,9 @@
 	for _, m := range t.touched {
 		m.marks, m.touched = m.marks[:0], false
 		m.settle(t.Now)
+		if m.indexed > 0 {
+			t.outdate(m)
+		}
 	}
 	t.touched = t.touched[:0]
 	t.blocked = false
@@ -363,38 +396,7 @@
 }
 
 // Resume goes on with a pass that was cut short, after rows were updated.
-func (t *Table) Resume() {
-	t.open = t.open[:0]
-	for _, m := range t.machines {
-		if !m.Blocked && m.From <= t.Now && (m.free.GPU > 0 || m.Offer.GPU == 0) && m.free.CPU > 0 {
-			t.open = append(t.open, m)
-		}
-	}
-}
-
-// candidate is a place that one more task of the request could have.
-type candidate struct {
-	place Place
-	cost  micros
-}
-
-type candidates []candidate
-
-func (c candidates) Len() int { return len(c) }
-func (c candidates) Less(a, b int) bool {
-	if c[a].cost != c[b].cost {
-		return c[a].cost < c[b].cost
-	}
-	return c[a].place.Machine.order < c[b].place.Machine.order
-}
-func (c candidates) Swap(a, b int) { c[a], c[b] = c[b], c[a] }
-func (c *candidates) Push(x any)   { *c = append(*c, x.(candidate)) }
-func (c *candidates) Pop() any {
-	old := *c
-	x := old[len(old)-1]
-	*c = old[:len(old)-1]
-	return x
-}
+func (t *Table) Resume() { t.refusals = t.refusals[:0] }
 
 // zones counts a request's tasks by zone while places are chosen.
 type zones struct {
@@ -443,22 +445,22 @@
 		return candidate{}, false
 	}
 	p := Place{m, t.Now, t.Now + fetch}
-	return candidate{p, t.cost(r, p)}, true
+	return candidate{place: p, cost: t.cost(r, p)}, true
 }
 
-// laterOn is the earliest place that a machine has for a task.
-func (t *Table) laterOn(r *Request, m *Machine) (candidate, bool) {
+// laterOn is the earliest place from a time on that a machine has for a task.
+func (t *Table) laterOn(r *Request, m *Machine, from micros) (candidate, bool) {
 	length := protocol.End(m.fetch(t.Now, r), r.Length)
-	at, ok := m.room(r, t.Now, length)
+	at, ok := m.room(r, from, length)
 	if !ok {
 		return candidate{}, false
 	}
 	p := Place{m, at, at + m.fetch(at, r)}
-	return candidate{p, t.cost(r, p)}, true
+	return candidate{place: p, cost: t.cost(r, p)}, true
 }
 
 func (t *Table) cost(r *Request, p Place) micros {
-	if p.Begin == t.Now && r.Prefer != nil && r.Prefer(p.Machine.Name) {
+	if p.Begin == t.Now && len(r.Preferred) > 0 && slices.Contains(r.Preferred, p.Machine) {
 		return -1
 	}
 	cost := p.Ready + p.Machine.Penalty + t.waste(r, p.Machine)
@@ -468,111 +470,49 @@
 	return cost
 }
 
+// What a place costs for what it leaves broken up, see waste.
+const (
+	wasteTask = 300 * protocol.Millisecond // for each further task that it could take
+	wasteMost = 5 * protocol.Second
+	wasteGPU  = 6 * protocol.Second
+	wasteSpot = 6 * protocol.Second
+)
+
 // waste makes a task prefer the machine that it leaves least broken up: a
 // larger machine, or a free one, is kept for what needs it.
 func (t *Table) waste(r *Request, m *Machine) micros {
 	free := m.freeFor(r)
-	w := micros(free.Times(r.Need)) * 300 * protocol.Millisecond
-	w = min(w, 5*protocol.Second)
+	w := min(micros(free.Times(r.Need))*wasteTask, wasteMost)
 	if r.Need.GPU == 0 && free.GPU > 0 {
 		// What needs no GPU goes where it is in the way of nothing that does.
-		return w + 6*protocol.Second
+		return w + wasteGPU
 	}
 	if !r.Guest && !free.Add(m.guests, -1).Holds(r.Need) {
 		w += 3 * protocol.Second // a guest's work would be lost
 	}
 	if r.Spot && !m.Spot {
 		// Spot machines are of use to few; the others are kept for the rest.
-		w += 6 * protocol.Second
+		w += wasteSpot
 	}
 	return w
 }
 
-// gather collects the places that tasks of a request could have at once, in
-// one zone or in all.
-func (t *Table) gather(r *Request, z *zones, zone string) {
-	t.now = t.now[:0]
-	rows := t.open
-	if r.Need.GPU == 0 {
-		rows = t.machines // those whose GPUs are all in use have room for it
-	}
-	t.Work += workLook * len(rows)
-	for _, m := range rows {
-		if !m.freeFor(r).Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
-			continue
-		}
-		if c, ok := t.nowOn(r, m); ok {
-			t.now = append(t.now, c)
-		}
-	}
-	heap.Init(&t.now)
-}
-
-// gatherLater collects the earliest places, at whatever time. With image it
-// looks only at machines that have the image or fetch it.
-func (t *Table) gatherLater(r *Request, z *zones, zone string, image bool) {
-	t.any = t.any[:0]
-	for i := range len(t.machines) + len(t.rented) {
-		var m *Machine
-		if i < len(t.machines) {
-			m = t.machines[i]
-		} else {
-			m = t.rented[i-len(t.machines)]
-		}
-		if m.Blocked || !m.Offer.Holds(r.Need) || zone != "" && m.Zone != zone || !r.allows(m) || !z.allows(m.Zone) {
-			continue
-		}
-		if image {
-			t.Work += workLook
-			if _, ok := m.readyAt(r.image); !ok {
-				continue
-			}
-		}
-		t.Work += workRoom
-		if c, ok := t.laterOn(r, m); ok {
-			t.any = append(t.any, c)
-		}
-	}
-	heap.Init(&t.any)
-}
-
-// top is the best candidate whose zone still allows a task.
-func (c *candidates) top(z *zones) (candidate, bool) {
-	for len(*c) > 0 {
-		if z.allows((*c)[0].place.Machine.Zone) {
-			return (*c)[0], true
-		}
-		heap.Pop(c)
-	}
-	return candidate{}, false
-}
-
-// again brings the candidates up to date after a mark on a machine, which is
-// at the top of one of them.
-func (t *Table) again(list *candidates, r *Request, m *Machine, on func(*Request, *Machine) (candidate, bool)) {
-	for i := range *list {
-		if (*list)[i].place.Machine != m {
-			continue
-		}
-		if c, ok := on(r, m); ok {
-			(*list)[i] = c
-			heap.Fix(list, i)
-		} else {
-			heap.Remove(list, i)
-		}
-		return
-	}
-}
-
 func (t *Table) mark(r *Request, p Place, till micros) {
 	m := p.Machine
 	k := mark{Span: Span{p.Begin, till, r.Need, r.Guest}, start: p.Begin <= t.Now, image: -1}
 	if _, ok := m.readyAt(r.image); !ok {
 		k.image, k.ready = r.image, p.Ready
+		t.outdate(m) // it belongs to the rows that have the image from now on
+		// What was refused because of the time to fetch it may fit now.
+		t.refusals = slices.DeleteFunc(t.refusals, func(f refusal) bool { return f.image == r.image })
 	}
 	m.marks = append(m.marks, k)
 	if k.start {
 		m.take(&k.Span, 1)
+		t.outdate(m) // it moves to another shelf, with other bounds
+	}
+	if !k.Guest {
+		m.profile = m.profile.add(k.From, k.To, k.Need, 1)
 	}
 	if !m.touched {
 		m.touched = true
@@ -597,6 +537,12 @@
 			if k.start {
 				m.take(&k.Span, -1)
 			}
+			if !k.Guest {
+				m.profile = m.profile.add(k.From, k.To, k.Need, -1)
+			}
+			if m.indexed > len(m.marks) {
+				t.outdate(m) // the index has it as busier than it is
+			}
 		}
 		t.undo = t.undo[:from]
 	}
@@ -608,49 +554,64 @@
 
 // Try starts what it can of a request now, and books the rest if asked to.
 // For a gang it is all or none.
-func (t *Table) Try(r *Request, book bool) Result {
+func (t *Table) Try(r *Request, book bool) Result { return t.attempt(r, book, false) }
+
+// attempt is Try. With strict it may stop as soon as it is found that the
+// deadline can't be met: the caller takes back what was marked.
+func (t *Table) attempt(r *Request, book, strict bool) Result {
 	r.image = t.Image(r.Image)
+	t.refresh()
 	if r.Gang {
-		return t.tryGang(r, book)
+		return t.tryGang(r, book, strict)
 	}
 	res := Result{Request: r, Viable: true}
 	z := newZones(r)
 	n := min(r.Tasks, r.Limit, maxStarted)
-	t.gather(r, z, "")
-	t.any = t.any[:0]
+	now, later := &t.now, &t.any
+	now.begin(t, r, z, "", false, false)
+	later.stop()
+	limit := protocol.Forever
+	if strict {
+		limit = r.Deadline - r.Length
+	}
 	searched, searchedImage := false, false
 	kept := r.Kept
 	for i := 0; i < n; i++ {
-		now, okNow := t.now.top(z)
+		cNow, okNow := now.top()
 		switch {
 		case !book || i >= maxBooked || searched || len(kept) > 0:
 		case !okNow:
-			t.gatherLater(r, z, "", false)
+			later.begin(t, r, z, "", true, false)
+			later.limit = limit
+			later.meet(res)
 			searched = true
-		case now.place.Ready > t.Now+patience && !searchedImage:
+		case cNow.place.Ready > t.Now+patience && !searchedImage:
 			// Where a machine is free, a busy one is worth waiting for only if
 			// it has the image.
-			t.gatherLater(r, z, "", true)
+			later.begin(t, r, z, "", true, true)
+			later.limit = limit
+			later.meet(res)
 			searchedImage = true
 		}
 		var p Place
-		later, okLater := t.any.top(z)
+		cLater, okLater := later.top()
 		switch {
-		case okNow && (!okLater || now.place.Ready <= later.place.Ready+patience):
-			p = now.place
+		case okNow && (!okLater || cNow.place.Ready <= cLater.place.Ready+patience):
+			p = cNow.place
 		case okLater && book && i < maxBooked:
-			p = later.place
+			p = cLater.place
 		case !okNow && len(kept) > 0:
 			// The booking of the pass before holds if its room is still free.
 			p = kept[0]
 			kept = kept[1:]
+			t.Work += workLook
 			if p.Begin <= t.Now || p.Machine.Blocked || !z.allows(p.Machine.Zone) || !r.allows(p.Machine) ||
 				!p.Machine.fits(r, p.Begin, protocol.End(p.Ready, r.Length)) {
-				kept = nil
-				i--
+				i-- // that task is found another place when no kept one is left
 				continue
 			}
 		default:
+			res.Viable = res.Viable && !later.beyond
 			return res
 		}
 		if p.Begin > t.Now {
@@ -661,34 +622,46 @@
 		z.add(p.Machine.Zone)
 		till := protocol.End(p.Ready, r.Length)
 		t.mark(r, p, till)
-		t.again(&t.now, r, p.Machine, t.nowOn)
-		t.again(&t.any, r, p.Machine, t.laterOn)
+		now.again(p.Machine)
+		later.again(p.Machine)
 		if r.Deadline > 0 && till > r.Deadline {
 			res.Viable = false
+			if strict {
+				return res
+			}
 		}
 	}
 	return res
 }
 
-func (t *Table) tryGang(r *Request, book bool) Result {
+func (t *Table) tryGang(r *Request, book, strict bool) Result {
 	res := Result{Request: r, Viable: true}
 	if r.Limit < r.Tasks {
 		return res
 	}
 	var best []Place
 	var bestStart micros
-	choose := func(zone string, list *candidates, on func(*Request, *Machine) (candidate, bool)) {
+	beyond := false
+	choose := func(s *search, zone string, later, image bool) {
 		var places []Place
 		var start micros
 		t.try(func() bool {
 			z := newZones(r)
+			s.begin(t, r, z, zone, later, image)
+			if strict && later && !image {
+				s.limit = r.Deadline - r.Length
+			}
+			defer func() { beyond = beyond || s.beyond }()
 			if zone != "" {
 				z.one = zone
 			}
 			for i := 0; i < r.Tasks; i++ {
-				c, ok := list.top(z)
-				if !ok {
-					return false
+				c, ok := s.top()
+				if !ok || best != nil && c.place.Ready >= bestStart {
+					return false // none, or no better than another zone's
+				}
+				if places == nil {
+					places = make([]Place, 0, r.Tasks)
 				}
 				p := c.place
 				t.mark(r, p, protocol.End(p.Ready, r.Length))
@@ -696,12 +669,12 @@
 				start = max(start, p.Ready)
 				places = append(places, p)
 				if i+1 < r.Tasks {
-					t.again(list, r, p.Machine, on)
+					s.again(p.Machine)
 				}
 			}
 			return false
 		})
-		if len(places) == r.Tasks && (best == nil || start < bestStart) {
+		if len(places) == r.Tasks {
 			best, bestStart = places, start
 		}
 	}
@@ -713,24 +686,18 @@
 		} else if r.Zone != "" {
 			do(r.Zone)
 		} else {
-			for _, zone := range t.zoneNames() {
+			for _, zone := range t.zones {
 				do(zone)
 			}
 		}
 	}
-	each(func(zone string) {
-		t.gather(r, newZones(r), zone)
-		if len(t.now) > 0 {
-			choose(zone, &t.now, t.nowOn)
-		}
-	})
+	each(func(zone string) { choose(&t.now, zone, false, false) })
 	if best != nil && r.Tasks == 1 && bestStart > t.Now+patience {
 		// It has to fetch: a machine that is busy but has the image may be
 		// ready sooner.
 		now, nowStart := best, bestStart
 		best = nil
-		t.gatherLater(r, newZones(r), "", true)
-		choose("", &t.any, t.laterOn)
+		choose(&t.any, "", true, true)
 		if best == nil || nowStart <= bestStart+patience {
 			best, bestStart = now, nowStart
 		} else if !book {
@@ -744,13 +711,11 @@
 				bestStart = max(bestStart, p.Ready)
 			}
 		} else if book {
-			each(func(zone string) {
-				t.gatherLater(r, newZones(r), zone, false)
-				choose(zone, &t.any, t.laterOn)
-			})
+			each(func(zone string) { choose(&t.any, zone, true, false) })
 		}
 	}
 	if best == nil {
+		res.Viable = !beyond
 		return res
 	}
 	now := true
@@ -760,6 +725,9 @@
 	till := protocol.End(bestStart, r.Length)
 	if r.Deadline > 0 && till > r.Deadline {
 		res.Viable = false
+		if strict {
+			return res
+		}
 	}
 	for _, p := range best {
 		if !now && p.Begin <= t.Now {
@@ -803,25 +771,6 @@
 	return ok
 }
 
-func (t *Table) zoneNames() []string {
-	var names []string
-	last := ""
-	for _, m := range t.machines {
-		if m.Zone == last {
-			continue
-		}
-		last = m.Zone
-		known := false
-		for _, n := range names {
-			known = known || n == m.Zone
-		}
-		if !known {
-			names = append(names, m.Zone)
-		}
-	}
-	return names
-}
-
 // Next tries one request in its turn. A deadline job whose end fits is booked,
 // as is the first job that cannot start now; the others start only where they
 // fit without moving a booking (aggressive backfilling).
@@ -837,7 +786,7 @@
 			late = true
 		} else {
 			late = !t.try(func() bool {
-				res = t.Try(r, true)
+				res = t.attempt(r, true, true)
 				return res.Viable
 			})
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -57,10 +57,8 @@
 	cutLog, budgetLog micros // when what they are about was last logged
 }
 
-// load reads the records of jobs, hosts and bookings.
-func (c *Controller) load() {
-	c.become(Loading)
-	c.seat.nextRenew = c.at.Steady
+// newTerm is what a leader of the seat's epoch knows before it has read anything.
+func (c *Controller) newTerm() *term {
 	t := &term{book: bookkeeping.NewBook(), epoch: c.seat.epoch, started: c.at.Steady,
 		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]micros),
 		classes: make(map[string]*class), others: make(map[string]stand), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
@@ -72,6 +70,14 @@
 	t.launchPages = c.newPages(bookkeeping.LaunchPages, c.launchRecord)
 	t.launches = make(map[string]*bookkeeping.Attempt)
 	t.unlisted = c.seat.unlisted
+	return t
+}
+
+// load reads the records of jobs, hosts and bookings.
+func (c *Controller) load() {
+	c.become(Loading)
+	c.seat.nextRenew = c.at.Steady
+	t := c.newTerm()
 	launches := make(map[string]recordedLaunch)
 	c.term = t
 	bookings := make(map[string]micros)
