Take-over: records decoded from the page, parsers kept; traces of leaders that end loading

Change: a page's values are slices of it, a job is read from its parsed record, a few parsers are kept; the stand-in machines no longer sort their tasks each tick.

--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -39,9 +39,9 @@
 
 var errForm = errors.New("record of an unknown form")
 
-// open reads a record of this form.
-func open(value []byte) (*fastjson.Value, error) {
-	v, err := fastjson.ParseBytes(value)
+// open reads a record of this form. It is good until the parser is put back.
+func open(p *fastjson.Parser, value []byte) (*fastjson.Value, error) {
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +73,9 @@
 	if n, err := strconv.ParseUint(string(value), 10, 64); err == nil {
 		return n, true, nil
 	}
-	v, err := open(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := open(p, value)
 	if err != nil {
 		return 0, false, err
 	}
@@ -103,11 +105,17 @@
 
 // DecodeJob reads a job's record.
 func DecodeJob(value []byte) (*Job, error) {
-	v, err := fastjson.ParseBytes(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return nil, err
 	}
-	spec, err := protocol.ParseJob(protocol.Member(v, "job").MarshalTo(nil))
+	job := protocol.Member(v, "job")
+	if job.Type() != fastjson.TypeObject {
+		return nil, errors.New("job: invalid")
+	}
+	spec, err := protocol.JobFrom(job)
 	if err != nil {
 		return nil, err
 	}
@@ -128,15 +136,17 @@
 
 // DecodeFinal reads what is kept of a job that is over.
 func DecodeFinal(value []byte) (protocol.Phase, int, error) {
-	v, err := fastjson.ParseBytes(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return "", 0, err
 	}
-	p := protocol.Phase(v.GetStringBytes("phase"))
-	if p != protocol.Done && p != protocol.Cancelled {
+	phase := protocol.Phase(v.GetStringBytes("phase"))
+	if phase != protocol.Done && phase != protocol.Cancelled {
 		return "", 0, errors.New("unknown phase in a record")
 	}
-	return p, v.GetInt("n"), nil
+	return phase, v.GetInt("n"), nil
 }
 
 // EncodeHosts writes the record that some hosts share: for each its name,
@@ -183,7 +193,9 @@
 
 // DecodeHosts reads a record that hosts share.
 func DecodeHosts(now micros, value []byte) ([]*Host, error) {
-	v, err := open(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := open(p, value)
 	if err != nil {
 		return nil, err
 	}
@@ -321,7 +333,9 @@
 }
 
 func eachRef(value []byte, field string, take func(ref string, v *fastjson.Value) error) error {
-	v, err := open(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := open(p, value)
 	if err != nil {
 		return err
 	}
@@ -339,7 +353,9 @@
 
 // DecodeHost reads a host's record of form 1.
 func DecodeHost(now micros, name string, value []byte) (*Host, error) {
-	v, err := fastjson.ParseBytes(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return nil, err
 	}
@@ -409,7 +425,9 @@
 
 // DecodeLeader reads the leader's record.
 func DecodeLeader(value []byte) (Leadership, error) {
-	v, err := fastjson.ParseBytes(value)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return Leadership{}, err
 	}
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -29,7 +29,9 @@
 
 // ParseTypes reads the cloud's machine types.
 func ParseTypes(body []byte) ([]*MachineType, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
@@ -79,7 +81,9 @@
 
 // ParseHosts reads a page of the machine list.
 func ParseHosts(body []byte) (hosts []CloudHost, more bool, err error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, false, err
 	}
@@ -136,7 +140,9 @@
 
 // ParseNames reads the machines that were rented.
 func ParseNames(body []byte) ([]string, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -66,7 +66,9 @@
 // ParseTxn reads the answer to a transaction.
 func ParseTxn(body []byte) (TxnResult, error) {
 	var r TxnResult
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return r, err
 	}
@@ -91,7 +93,9 @@
 
 // ParseEntry reads one key.
 func ParseEntry(body []byte) (Entry, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return Entry{}, err
 	}
@@ -105,33 +109,78 @@
 	Revision uint64
 }
 
-// ParsePage reads a page of keys.
+// ParsePage reads a page of keys. The values are slices of body: they are not
+// parsed here, since who takes them does.
 func ParsePage(body []byte) (Page, error) {
 	var p Page
-	v, err := parseObject(body)
-	if err != nil {
-		return p, err
+	if err := fastjson.ValidateBytes(body); err != nil {
+		return p, errors.New("not JSON")
 	}
-	f := &fields{obj: v}
-	p.Revision = f.count("generation")
-	p.More = v.GetBool("truncated")
-	list, err := Member(v, "entries").Array()
-	if err != nil {
-		return p, errors.New("entries: invalid")
+	numbered, listed := false, false
+	err := raw(body).members(func(name string, value raw) error {
+		switch name {
+		case "generation":
+			n, err := strconv.ParseUint(string(value), 10, 64)
+			p.Revision, numbered = n, err == nil
+		case "truncated":
+			p.More = string(value) == "true"
+		case "entries":
+			listed = true
+			return value.items(func(item raw) error {
+				e, err := entryOf(item)
+				p.Entries = append(p.Entries, e)
+				return err
+			})
+		}
+		return nil
+	})
+	switch {
+	case err != nil:
+		return Page{}, err
+	case !listed:
+		return Page{}, errors.New("entries: invalid")
+	case !numbered:
+		return Page{}, errors.New("generation: missing or invalid")
 	}
-	for _, it := range list {
-		e, err := entryFrom(it)
-		if err != nil {
-			return p, err
+	return p, nil
+}
+
+// entryOf reads one key of a page.
+func entryOf(item raw) (Entry, error) {
+	var e Entry
+	err := item.members(func(name string, value raw) error {
+		var err error
+		switch name {
+		case "path":
+			if e.Key = unquoteRaw(value); e.Key == "" || value[0] != '"' {
+				err = errors.New("path: invalid")
+			}
+		case "stamp":
+			if e.Stamp, err = strconv.ParseUint(string(value), 10, 64); err != nil {
+				err = errors.New("stamp: invalid")
+			}
+		case "data":
+			e.Value = value
 		}
-		p.Entries = append(p.Entries, e)
+		return err
+	})
+	switch {
+	case err != nil:
+	case e.Key == "":
+		err = errors.New("path: missing")
+	case e.Stamp == 0:
+		err = errors.New("stamp: missing")
+	case e.Value == nil:
+		err = errors.New("data: missing")
 	}
-	return p, f.err
+	return e, err
 }
 
 // ParseFollow reads the changes of a watch; a dropped key has a nil Value.
 func ParseFollow(body []byte) (entries []Entry, revision uint64, err error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -169,7 +218,9 @@
 
 // ParseLease reads the id of a new lease.
 func ParseLease(body []byte) (uint64, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -1,7 +1,6 @@
 package protocol
 
 import (
-	"errors"
 	"fmt"
 	"math"
 	"strconv"
@@ -192,30 +191,19 @@
 	return null
 }
 
-func parseObject(body []byte) (*fastjson.Value, error) {
-	if err := fastjson.ValidateBytes(body); err != nil {
-		return nil, errors.New("not JSON")
-	}
-	v, err := fastjson.ParseBytes(body)
-	if err != nil {
-		return nil, errors.New("not JSON")
-	}
-	if v.Type() != fastjson.TypeObject {
-		return nil, errors.New("not an object")
-	}
-	return v, nil
-}
-
 // ParseJob checks a submission. Any error means 400.
 func ParseJob(body []byte) (*JobSpec, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
-	return jobFrom(v)
+	return JobFrom(v)
 }
 
-func jobFrom(v *fastjson.Value) (*JobSpec, error) {
+// JobFrom checks a submission that is parsed already.
+func JobFrom(v *fastjson.Value) (*JobSpec, error) {
 	f := &fields{obj: v}
 	s := &JobSpec{
 		Ref: f.text("ref"), Class: f.text("jobclass"), Team: f.text("owner"),
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -74,7 +74,9 @@
 
 // ParseReport checks a worker's report.
 func ParseReport(body []byte) (*Report, error) {
-	v, err := parseObject(body)
+	p := Parsers.Get()
+	defer Parsers.Put(p)
+	v, err := parseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sort"
+	"strconv"
 	"strings"
 
 	"github.com/valyala/fastjson"
@@ -36,6 +37,7 @@
 	notice          micros
 	images          map[string]micros
 	tasks           map[string]*runningTask
+	inOrder         []*runningTask // by key, nil: to be put in order
 }
 
 // runningTask is an attempt on a machine.
@@ -53,8 +55,8 @@
 func (t *runningTask) key() string { return fmt.Sprintf("%s/%d#%d", t.job.spec.Ref, t.index, t.try) }
 
 func (m *machine) sorted() []*runningTask {
-	if len(m.tasks) == 0 {
-		return nil
+	if len(m.inOrder) == len(m.tasks) {
+		return m.inOrder
 	}
 	keys := make([]string, 0, len(m.tasks))
 	for k := range m.tasks {
@@ -65,6 +67,7 @@
 	for i, k := range keys {
 		list[i] = m.tasks[k]
 	}
+	m.inOrder = list
 	return list
 }
 
@@ -78,17 +81,33 @@
 }
 
 func (m *machine) report() string {
-	var items []string
-	for _, t := range m.sorted() {
-		item := fmt.Sprintf(`{"shard":"%s/%d","try":%d,"phase":%q`, t.job.spec.Ref, t.index, t.try, t.state)
+	m.tick++
+	b := make([]byte, 0, 200+90*len(m.tasks))
+	text := func(name, value string) { b = append(append(append(append(b, name...), '"'), value...), '"') }
+	text(`{"host":`, m.name)
+	text(`,"addr":`, m.name+":9000")
+	text(`,"flavor":`, m.typ)
+	text(`,"region":`, m.zone)
+	b = strconv.AppendBool(append(b, `,"reclaimable":`...), m.spot)
+	b = strconv.AppendUint(append(b, `,"tenure":`...), m.session, 10)
+	b = strconv.AppendUint(append(b, `,"tick":`...), m.tick, 10)
+	b = strconv.AppendUint(append(b, `,"epoch":`...), m.epoch, 10)
+	b = append(b, `,"reclaimInS":null,"shards":[`...)
+	for i, t := range m.sorted() {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = append(append(append(b, `{"shard":"`...), t.job.spec.Ref...), '/')
+		b = strconv.AppendInt(b, int64(t.index), 10)
+		b = strconv.AppendUint(append(b, `","try":`...), t.try, 10)
+		text(`,"phase":`, t.state)
 		if t.state == "exited" {
-			item += fmt.Sprintf(`,"exitReason":%q,"saved":%t`, t.reason, t.saved)
+			text(`,"exitReason":`, t.reason)
+			b = strconv.AppendBool(append(b, `,"saved":`...), t.saved)
 		}
-		items = append(items, item+"}")
+		b = append(b, '}')
 	}
-	m.tick++
-	return fmt.Sprintf(`{"host":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"tenure":%d,"tick":%d,"epoch":%d,"reclaimInS":null,"shards":[%s]}`,
-		m.name, m.name, m.typ, m.zone, m.spot, m.session, m.tick, m.epoch, strings.Join(items, ","))
+	return string(append(b, "]}"...))
 }
 
 // tickMachine does what is due on one machine.
@@ -107,7 +126,7 @@
 		for _, t := range m.sorted() {
 			w.leave(m, t)
 		}
-		m.tasks = map[string]*runningTask{}
+		m.tasks, m.inOrder = map[string]*runningTask{}, nil
 		m.session++
 		m.tick = 0
 		m.leaseFrom = w.now
@@ -393,6 +412,7 @@
 		case "forget":
 			if t != nil && t.state == "exited" {
 				delete(m.tasks, key)
+				m.inOrder = nil
 				m.changed = true
 			}
 		}
@@ -402,7 +422,7 @@
 func (w *World) launch(m *machine, j *userJob, index int, try uint64, key string) {
 	t := &runningTask{job: j, index: index, try: try, state: "fetching"}
 	j.tries++
-	m.tasks[key] = t
+	m.tasks[key], m.inOrder = t, nil
 	m.changed = true
 	var used protocol.Resources
 	for _, x := range m.tasks {
@@ -437,15 +457,20 @@
 	case path == "/machine_types":
 		return 200, string(protocol.AppendTypes(nil, w.Types))
 	case path == "/machines" && method == "GET":
-		var items []string
+		var b strings.Builder
+		b.WriteString(`{"hosts":[`)
 		for _, m := range w.sortedMachines() {
 			if w.now-m.rented < w.listLag {
 				continue
 			}
-			items = append(items, fmt.Sprintf(`{"ref":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
-				m.name, m.name, m.typ, m.zone, m.spot, m.phase, (w.now-m.rented).Seconds()))
+			if b.Len() > len(`{"hosts":[`) {
+				b.WriteByte(',')
+			}
+			fmt.Fprintf(&b, `{"ref":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
+				m.name, m.name, m.typ, m.zone, m.spot, m.phase, (w.now - m.rented).Seconds())
 		}
-		return 200, `{"hosts":[` + strings.Join(items, ",") + `],"truncated":false}`
+		b.WriteString(`],"truncated":false}`)
+		return 200, b.String()
 	case path == "/machines":
 		claim := fastjson.GetString(body, "claim")
 		if old, ok := w.claims[claim]; ok {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -26,7 +26,8 @@
 
 // RunTrace plays a trace and returns the world as it was at its end.
 func RunTrace(text string, prepare func(*World)) (*World, error) {
-	w := NewWorld(3)
+	w := NewWorld(5)
+	w.nodes = w.nodes[:3] // unless the trace says otherwise
 	if prepare != nil {
 		prepare(w)
 	}
@@ -100,8 +101,8 @@
 	switch words[0] {
 	case "nodes":
 		n, err := strconv.Atoi(words[1])
-		if err != nil || n < 1 || n > 3 {
-			return fmt.Errorf("one to three nodes")
+		if err != nil || n < 1 || n > cap(w.nodes) {
+			return fmt.Errorf("one to %d nodes", cap(w.nodes))
 		}
 		w.nodes = w.nodes[:n]
 		for i, zone := range words[2:] { // nodes 2 a b
@@ -251,6 +252,14 @@
 		w.boots = number(options([]string{"x=" + words[1]}), "x", 1)
 	case "cloud-slow": // rental requests are answered so many seconds later
 		w.cloudSlow = protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0))
+	case "state-slow": // the state service answers so many seconds later
+		w.stateSlow = protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0))
+	case "ends-loading": // ends-loading COUNT SECONDS: so many nodes that come to lead end that long after they began to read the records
+		count, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.endsLoading, w.endsAfter = count, protocol.FromSeconds(number(options([]string{"x=" + words[2]}), "x", 0))
 	case "list-lag":
 		w.listLag = protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0))
 	case "storm": // storm COUNT: so many questions at once, to one node after another, about
@@ -320,7 +329,7 @@
 		for _, t := range m.sorted() {
 			w.leave(m, t)
 		}
-		m.tasks = map[string]*runningTask{}
+		m.tasks, m.inOrder = map[string]*runningTask{}, nil
 		m.phase = "failed"
 	case "cut-off": // what either side sends is held on the way
 		m.held, m.holdCalls, m.slow = true, true, true
@@ -448,6 +457,8 @@
 			}
 		}
 		return differs(strconv.Itoa(n), words[1])
+	case "ended-loading": // ended-loading COUNT: so many nodes did since ends-loading
+		return differs(strconv.Itoa(w.endedLoading), words[1])
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
 	case "kept": // kept KEY yes|no
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -36,6 +36,10 @@
 	claims         map[string]string
 	cloudDown      bool
 	cloudSlow      micros         // how much later the cloud answers rental requests
+	stateSlow      micros         // how much later the state service answers
+	endsLoading    int            // nodes that are to end while they load
+	endsAfter      micros         // how long after they began
+	endedLoading   int            // that did
 	boots          float64        // boot times are so many times as long, 0: machines never come up
 	listLag        micros         // machines younger than that are not listed
 	inVain         int            // questions of a storm that got neither 200 nor 404
@@ -125,6 +129,7 @@
 		ListLag: 3 * protocol.Second, CPUShare: 1, MemoryBytes: 1 << 28, MaxConnections: 1000}
 	w.Operator.IdleReturn = 60 * protocol.Second
 	w.store = newStore(w)
+	w.nodes = make([]*node, 0, n)
 	for i := 0; i < n; i++ {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), seed: uint64(i + 1)})
 	}
@@ -223,7 +228,19 @@
 		}
 		return
 	}
+	was := n.ctl.Role()
 	w.perform(n, n.ctl.Step(w.timeOf(n), ev))
+	if w.endsLoading > 0 && was != coordination.Loading && n.ctl.Role() == coordination.Loading {
+		w.endsLoading--
+		life := n.life
+		w.after(w.endsAfter, func() {
+			if n.life == life && n.alive && n.ctl.Role() == coordination.Loading {
+				w.note("%s ends while it loads", n.name)
+				n.alive = false
+				w.endedLoading++
+			}
+		})
+	}
 }
 
 // thaw lets a frozen node go on with what came meanwhile.
@@ -333,7 +350,15 @@
 				backFrom("")(503, `{"error":"trouble"}`)
 				return
 			}
-			w.cross(n.zone, "", func() { w.store.serve(c.Method, c.Path, c.Body, backFrom("")) })
+			w.cross(n.zone, "", func() {
+				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
+					if w.stateSlow == 0 {
+						backFrom("")(status, body)
+						return
+					}
+					w.after(w.stateSlow, func() { backFrom("")(status, body) })
+				})
+			})
 		case coordination.ToCloud:
 			w.cross(n.zone, "", func() {
 				status, body := w.serveCloud(c.Method, c.Path, c.Body)
