Refusals, unreachable services and rows by stage are counted; refusals are logged by reason

Need: where 503s come from could not be told, and a state service or cloud that can't be reached left no line in the log. Change: reasons are a fixed set, counted and told every 5 s while there are any; a service that fails three calls in a row over a second gets one warning and one line when it answers again.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -212,6 +212,12 @@
 
 	term *term // what a leader knows; nil unless it leads
 
+	stats                  Stats
+	observed               bool // spans are emitted
+	stateReach, cloudReach reach
+	refusalLog             micros
+	refusalsTold           map[string]uint64
+
 	Counters Counters
 }
 
@@ -242,9 +248,13 @@
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
 		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
-		typeByName: make(map[string]*protocol.MachineType)}
+		typeByName: make(map[string]*protocol.MachineType),
+		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
 }
 
+// Observe has the controller emit spans.
+func (c *Controller) Observe() { c.observed = true }
+
 // Role says what the node is.
 func (c *Controller) Role() Role { return c.role }
 
@@ -279,6 +289,12 @@
 	case CallDone:
 		if o := c.calls[e.ID]; o.done != nil {
 			delete(c.calls, e.ID)
+			switch o.target {
+			case ToState:
+				c.heard(&c.stateReach, e)
+			case ToCloud:
+				c.heard(&c.cloudReach, e)
+			}
 			if o.target == ToState && e.Status > 0 && e.Status != 503 {
 				c.stateHeard = at.Steady
 			}
@@ -287,6 +303,7 @@
 	case Tick:
 		c.watchLag(e.Backlog)
 		c.feel()
+		c.logRefusals()
 	}
 	c.watchLease()
 	if _, tick := ev.(Tick); tick && c.term != nil {
@@ -310,9 +327,7 @@
 // retryLater is what users are told when a request can't be taken now.
 const retryLater = protocol.Second
 
-func (c *Controller) unavailable(to Address, why string) {
-	c.reply(to, 503, protocol.ErrorBody(why), retryLater)
-}
+func (c *Controller) unavailable(to Address, why string) { c.later(to, why, retryLater) }
 
 func (c *Controller) call(target Target, prio uint8, method, path string, body []byte, timeout micros, changes int, done func(CallDone)) {
 	c.callSeq++
--- a/internal/coordination/pass_test.go
+++ b/internal/coordination/pass_test.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// passOver lets two seconds go by: what was stopped is gone, what was assigned
+// twoSeconds lets two seconds go by: what was stopped is gone, what was assigned
 // runs, and tasks end when they are expected to.
-func passOver(c *Controller) {
+func twoSeconds(c *Controller) {
 	t := c.term
 	c.at.Steady += 2 * protocol.Second
 	c.at.Wall += 2 * protocol.Second
@@ -178,12 +178,12 @@
 							c = busyLeader(b, machines, waiting)
 							if kind == "next" {
 								runPass(c)
-								passOver(c)
+								twoSeconds(c)
 								runPass(c)
 							}
 						}
 						if kind == "next" {
-							passOver(c)
+							twoSeconds(c)
 						}
 						b.StartTimer()
 						n, r := runPass(c)
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -49,6 +49,7 @@
 	hopeless []hopeless
 	rounds   int
 	work     int
+	began    micros
 }
 
 // to is the one place where a pass changes its stage.
@@ -80,11 +81,18 @@
 	}
 	p := t.pass
 	p.rounds++
+	c.stats.Rounds++
 	most := c.roundWork()
+	done := 0 // of the round's work, by the stages before
+	count := func(s stage) {
+		c.stats.Rows[s] += uint64(t.table.Work - done)
+		done = t.table.Work
+	}
 	if p.stage == planning {
 		for ; p.next < len(p.list) && t.table.Work < most; p.next++ {
 			c.place(p, p.list[p.next])
 		}
+		count(planning)
 		if p.next == len(p.list) {
 			p.to(preempting)
 		}
@@ -93,6 +101,7 @@
 		for ; p.next < len(p.list) && t.table.Work < most; p.next++ {
 			c.preempt(p, p.list[p.next])
 		}
+		count(preempting)
 		if p.next == len(p.list) {
 			p.to(renting)
 		}
@@ -100,19 +109,32 @@
 	p.work += t.table.Work
 	if p.stage == renting && (t.table.Work < most/2 || p.rounds > 1) {
 		c.planRental(p.list)
+		count(renting)
+		c.stats.Passes++
+		c.passOver(p)
 		t.pass = nil
 		return
 	}
+	c.stats.Cuts[p.stage]++
 	if at := c.at.Steady; at-t.cutLog > 5*protocol.Second {
 		t.cutLog = at
 		c.log.Info("plan cut short", "stage", p.stage.String(), "next", p.next, "of", len(p.list), "work", p.work)
 	}
 }
 
+// passOver tells of a pass that is over.
+func (c *Controller) passOver(p *pass) {
+	if !c.observed {
+		return
+	}
+	c.emit(Span{Name: "pass", From: p.began, To: c.at.Steady, Counts: []SpanCount{{"jobs", int64(len(p.list))}, {"rounds", int64(p.rounds)},
+		{"rows", int64(p.work)}}})
+}
+
 // newPass orders the queue.
 func (c *Controller) newPass() *pass {
 	t := c.term
-	p := &pass{held: make(map[string]protocol.Resources), yields: make(map[*bookkeeping.Host]protocol.Resources)}
+	p := &pass{held: make(map[string]protocol.Resources), yields: make(map[*bookkeeping.Host]protocol.Resources), began: c.at.Steady}
 	if !t.recovered && t.unlisted {
 		for _, h := range t.book.Hosts() {
 			if h.FromRecord && !h.Proven {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -92,13 +92,13 @@
 		room /= 2 // the rest is for submissions
 	}
 	if e.Op != protocol.OpCancel && float64(c.direct) >= max(2, room*directWait.Seconds()) {
-		c.unavailable(e.Reply, "no leader can be reached")
+		c.unavailable(e.Reply, refusedNoLeader)
 		return
 	}
 	switch e.Op {
 	case protocol.OpCancel:
 		// Only the leader can stop tasks; the user comes again.
-		c.unavailable(e.Reply, "no leader can be reached")
+		c.unavailable(e.Reply, refusedNoLeader)
 	case protocol.OpQuery:
 		c.direct++
 		c.lookUp(e.Reply, e.Ref, func() { c.direct-- })
@@ -119,7 +119,7 @@
 		over()
 		switch {
 		case !ok:
-			c.unavailable(to, "the state service can't be reached")
+			c.unavailable(to, refusedState)
 		case !found:
 			c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
 		case j != nil && j.State == bookkeeping.JobCancelled:
@@ -182,7 +182,7 @@
 			}
 			if len(c.types) == 0 {
 				over()
-				c.unavailable(to, "machine types are not known yet")
+				c.unavailable(to, refusedTypes)
 				return
 			}
 			c.directSubmit(to, spec, over)
@@ -210,7 +210,7 @@
 	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
-			c.unavailable(to, "the state service can't be reached")
+			c.unavailable(to, refusedState)
 		case found:
 			c.answerKnown(to, spec.Ref, j, f)
 		default:
@@ -251,13 +251,13 @@
 		case txnRefused:
 			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 				if !ok || !found {
-					c.unavailable(to, "the state service can't be reached")
+					c.unavailable(to, refusedState)
 					return
 				}
 				c.answerKnown(to, ref, j, f)
 			})
 		default:
-			c.unavailable(to, "the state service can't be reached")
+			c.unavailable(to, refusedState)
 		}
 	})
 }
@@ -336,7 +336,7 @@
 		return
 	}
 	if len(c.types) == 0 {
-		c.unavailable(to, "machine types are not known yet")
+		c.unavailable(to, refusedTypes)
 		return
 	}
 	if why := c.impossible(spec); why != "" {
@@ -354,7 +354,7 @@
 			t.budgetLog = at
 			c.log.Info("state budget used up", "waiting", len(t.submits), "delay_ms", int64(wait/protocol.Millisecond))
 		}
-		c.reply(to, 503, protocol.ErrorBody("too many submissions"), wait)
+		c.later(to, refusedBudget, wait)
 		return
 	}
 	t.submits[ref] = nil
@@ -380,7 +380,7 @@
 				if j := t.book.Job(ref); j != nil && c.term == t {
 					c.reply(a, 200, c.jobAnswer(j), 0)
 				} else {
-					c.unavailable(a, "the state service can't be reached")
+					c.unavailable(a, refusedState)
 				}
 			}
 		})
@@ -412,7 +412,7 @@
 	// Lookups come second to what the leader has to write and read itself: a
 	// storm of questions about jobs that nobody knows would use up the rate.
 	if float64(c.looking) >= max(4, c.platform.StateRate*ReadShare(len(c.platform.Siblings)+1, true)/2*directWait.Seconds()) {
-		c.unavailable(to, "too many questions")
+		c.unavailable(to, refusedQuestions)
 		return
 	}
 	c.looking++
@@ -428,7 +428,7 @@
 		c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 			switch {
 			case !ok:
-				c.unavailable(to, "the state service can't be reached")
+				c.unavailable(to, refusedState)
 			case !found:
 				c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
 			case j == nil:
@@ -436,7 +436,7 @@
 			case c.term != nil && c.mayStart() && c.term.book.Job(ref) != nil:
 				c.cancel(to, ref)
 			default:
-				c.unavailable(to, "no leader can be reached")
+				c.unavailable(to, refusedNoLeader)
 			}
 		})
 		return
@@ -458,7 +458,7 @@
 		for i, a := range t.cancels[ref] {
 			if a == to {
 				t.cancels[ref] = append(t.cancels[ref][:i:i], t.cancels[ref][i+1:]...)
-				c.unavailable(to, "the state service can't be reached")
+				c.unavailable(to, refusedState)
 				return
 			}
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -23,7 +23,7 @@
 			c.reply(e.Reply, 200, protocol.AppendCommands(nil, c.seat.epoch, 0, nil), 0)
 			return
 		}
-		c.unavailable(e.Reply, "not ready")
+		c.unavailable(e.Reply, refusedNotReady)
 		return
 	case Leading, Doubtful:
 	default:
@@ -48,7 +48,7 @@
 		return
 	}
 	if _, gone := t.gone[r.Host]; gone {
-		c.unavailable(e.Reply, "the machine is gone")
+		c.unavailable(e.Reply, refusedGone)
 		return
 	}
 	h := t.book.Host(r.Host)
