Telemetry: metrics for Prometheus and spans by OpenTelemetry, off unless a file says so

Need: what a leader does could only be read from its log: how far passes come, what is refused and why, how the state service's rate is used, what a take-over spends its time on. An address that can't be bound ends the program with a line that names the key, client_listen and cluster_listen too.

--- a/cmd/mapleslip/main.go
+++ b/cmd/mapleslip/main.go
@@ -11,6 +11,7 @@
 	"github.com/spf13/cobra"
 
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/telemetry"
 )
 
 // version is set by releases with -ldflags "-X main.version=...".
@@ -24,7 +25,7 @@
 }
 
 func command() *cobra.Command {
-	var config, operator string
+	var config, operator, shown string
 	var check bool
 	cmd := &cobra.Command{
 		Use:   "mapleslip --config FILE",
@@ -49,6 +50,14 @@
 					return err
 				}
 			}
+			var tele *telemetry.Settings
+			if shown != "" {
+				t, err := telemetry.Load(shown)
+				if err != nil {
+					return err
+				}
+				tele = &t
+			}
 			if check {
 				fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return nil
@@ -59,11 +68,12 @@
 			// more threads would only take turns.
 			runtime.GOMAXPROCS(1)
 			debug.SetMemoryLimit(platform.MemoryBytes * 6 / 10)
-			return serve(platform, own, log)
+			return serve(platform, own, tele, log)
 		},
 	}
 	cmd.Flags().StringVar(&config, "config", "", "the platform's settings `FILE`")
 	cmd.Flags().StringVar(&operator, "operator", "", "the operators' own settings `FILE`")
+	cmd.Flags().StringVar(&shown, "telemetry", "", "serve metrics and send spans as the settings `FILE` says")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	return cmd
 }
--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"strings"
@@ -8,6 +9,7 @@
 
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/telemetry"
 	"mapleslip/internal/transport"
 )
 
@@ -22,14 +24,26 @@
 	meters   map[coordination.Target]*transport.Meter
 	dialers  map[coordination.Target]*transport.Dialer
 	addrs    map[coordination.Target]string
+	shown    *telemetry.Recorder // nil: telemetry is off
 }
 
 const (
 	tickEvery   = 50 * time.Millisecond
 	queueLength = 2048
+	// bindWait is how long an address may be in use: the process before this one
+	// may still be on its way out.
+	bindWait = 2 * time.Second
 )
 
-func serve(p *protocol.Platform, o protocol.Operator, log *slog.Logger) error {
+var targetNames = map[coordination.Target]string{coordination.ToState: "state", coordination.ToCloud: "cloud",
+	coordination.ToPeer: "controller", coordination.ToWorker: "worker"}
+
+func serve(p *protocol.Platform, o protocol.Operator, t *telemetry.Settings, log *slog.Logger) error {
+	for _, l := range []struct{ key, address string }{{"client_listen", p.ClientListen}, {"cluster_listen", p.ClusterListen}} {
+		if err := transport.CanListen(l.address, bindWait); err != nil {
+			return fmt.Errorf("%s: %w", l.key, err)
+		}
+	}
 	seed := rand.Uint64()
 	d := &driver{log: log, platform: p, ctl: coordination.New(p, o, seed, log), started: time.Now(), in: make(chan any, queueLength),
 		meters: map[coordination.Target]*transport.Meter{
@@ -48,6 +62,17 @@
 	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute}
+	if t != nil {
+		shown, err := telemetry.Start(*t, p.Node, version, log)
+		if err != nil {
+			return fmt.Errorf("telemetry: %w", err)
+		}
+		d.shown = shown
+		if shown.Spans() {
+			d.ctl.Observe()
+		}
+		log.Info("telemetry", "metrics", shown.Addr(), "traces", t.Traces)
+	}
 	d.share(false)
 	go d.server.Run(p.ClientListen, p.ClusterListen)
 	log.Info("started", "node", p.Node, "zone", p.Zone, "version", version)
@@ -96,10 +121,15 @@
 		}
 		if now := d.now(); now.Steady-ticked >= protocol.Micros(tickEvery/time.Microsecond)*9/10 {
 			ticked = now.Steady
-			d.perform(d.ctl.Step(now, coordination.Tick{Backlog: len(d.in)}))
+			backlog := len(d.in)
+			d.step("tick", coordination.Tick{Backlog: backlog})
 			for _, m := range d.meters {
 				m.Run(ticked)
 			}
+			if d.shown != nil {
+				d.shown.Waiting(backlog, map[string]int{"state": d.meters[coordination.ToState].Waiting(), "cloud": d.meters[coordination.ToCloud].Waiting()})
+				d.shown.Snapshot(now.Steady, d.ctl.Snapshot)
+			}
 		}
 	}
 }
@@ -107,7 +137,7 @@
 func (d *driver) handle(m any) {
 	switch e := m.(type) {
 	case coordination.CallDone:
-		d.perform(d.ctl.Step(d.now(), e))
+		d.step("answer", e)
 	case transport.Inbound:
 		if e.HTTP != nil {
 			d.route(e)
@@ -121,8 +151,20 @@
 			d.reply(coordination.Reply{To: to})
 			return
 		}
+		d.step("controller", ev)
+	}
+}
+
+// step has the controller handle an event, and does what follows.
+func (d *driver) step(kind string, ev coordination.Event) {
+	if d.shown == nil {
 		d.perform(d.ctl.Step(d.now(), ev))
+		return
 	}
+	began := time.Now()
+	effects := d.ctl.Step(d.now(), ev)
+	d.shown.Step(kind, time.Since(began))
+	d.perform(effects)
 }
 
 // route finds what an HTTP request asks for.
@@ -130,12 +172,13 @@
 	to := coordination.Address{Conn: uint64(e.Conn)}
 	r := e.HTTP
 	var ev coordination.Event
-	want := "POST"
+	want, kind := "POST", "user"
 	switch {
 	case r.Path == "/healthz":
-		want = "GET"
+		want, kind = "GET", "health"
 		ev = coordination.HealthCall{Reply: to}
 	case r.Path == "/hello":
+		kind = "report"
 		ev = coordination.WorkerReport{Reply: to, Body: r.Body}
 	case r.Path == "/api/jobs":
 		ev = coordination.UserCall{Reply: to, Op: protocol.OpSubmit, Body: r.Body}
@@ -155,7 +198,7 @@
 		d.reply(coordination.Reply{To: to, Status: 405, Body: protocol.ErrorBody("method not allowed")})
 		return
 	}
-	d.perform(d.ctl.Step(d.now(), ev))
+	d.step(kind, ev)
 }
 
 func (d *driver) perform(effects []coordination.Effect) {
@@ -167,6 +210,8 @@
 			d.call(e)
 		case coordination.Share:
 			d.share(e.Leads)
+		case coordination.Span:
+			d.shown.Span(e, d.started)
 		}
 	}
 }
@@ -212,6 +257,7 @@
 		payload = transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
 	}
 	done := coordination.CallDone{ID: c.ID}
+	began := time.Now()
 	err := d.dialers[c.Target].Do(addr, payload, time.Duration(c.Timeout)*time.Microsecond, func(buf []byte, eof bool) (int, bool, error) {
 		if c.Target == coordination.ToPeer {
 			frame, used, err := protocol.SplitPeer(buf)
@@ -232,5 +278,6 @@
 		done.Refused = err == transport.ErrRefused
 		done.Unsent = done.Refused || err == transport.ErrSockets
 	}
+	d.shown.Call(targetNames[c.Target], c.Method, c.Path, done, began)
 	d.in <- done
 }
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -17,6 +17,7 @@
 	nextRenew   micros
 	predAnswers micros // until then a predecessor may answer workers
 	unlisted    bool   // launches of earlier epochs may be in no record
+	asked       micros // when the lease was asked for
 }
 
 // become is the one place where the role changes.
@@ -132,6 +133,7 @@
 func (c *Controller) lease() {
 	c.become(Leasing)
 	sent := c.at.Steady
+	c.seat.asked = sent
 	c.call(ToState, prioLeadership, "POST", "/leases", protocol.LeaseBody(c.operator.LeaderLease), stateTimeout, 0, func(r CallDone) {
 		if c.role != Leasing {
 			return
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -42,6 +42,22 @@
 
 func (Span) effect() {}
 
+// tookOver tells of a take-over: from the question for a lease until every
+// recorded host is accounted for.
+func (c *Controller) tookOver() {
+	c.stats.TakeOvers++
+	if !c.observed {
+		return
+	}
+	t := c.term
+	stages := append([]SpanStage{{"claim", c.seat.asked, t.started}}, t.stages...)
+	if n := len(t.stages); n > 0 {
+		stages = append(stages, SpanStage{"account for hosts", t.stages[n-1].To, c.at.Steady})
+	}
+	c.emit(Span{Name: "take-over", From: c.seat.asked, To: c.at.Steady, Stages: stages,
+		Counts: []SpanCount{{"epoch", int64(t.epoch)}, {"jobs", int64(len(t.book.Line()))}, {"hosts", int64(len(t.book.Hosts()))}}})
+}
+
 // Stats is what a controller has counted since it began, and how it stands. The
 // maps' keys are of fixed sets, or classes of jobs.
 type Stats struct {
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -17,8 +17,9 @@
 	book      *bookkeeping.Book
 	epoch     uint64
 	started   micros
-	recovered bool // every recorded host has reported or is proven empty
-	dirty     bool // something changed that a round should look at
+	stages    []SpanStage // of the take-over, for tracing
+	recovered bool        // every recorded host has reported or is proven empty
+	dirty     bool        // something changed that a round should look at
 	lastRound micros
 	lastSweep micros
 	attempts  uint64 // counter for attempt numbers
@@ -187,6 +188,7 @@
 	var step func(i int)
 	step = func(i int) {
 		s := steps[i]
+		began := c.at.Steady
 		c.list(prioLeadership, s.prefix, s.each, func(rev uint64, ok bool) {
 			if c.term != t {
 				return
@@ -205,6 +207,7 @@
 				})
 				return
 			}
+			t.stages = append(t.stages, SpanStage{"read " + s.prefix, began, c.at.Steady})
 			if i+1 < len(steps) {
 				step(i + 1)
 				return
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -317,6 +317,7 @@
 		}
 		c.lost(a)
 	}
+	c.stats.Lost += uint64(n)
 	if n > 0 {
 		c.log.Info("tasks lost", "host", h.Name, "tasks", n, "why", why)
 	}
@@ -765,6 +766,7 @@
 		t.recovered = true
 		t.dirty = true
 		c.allListed(t)
+		c.tookOver()
 		c.log.Info("all hosts accounted for", "epoch", t.epoch, "took_ms", int64((at-t.started)/protocol.Millisecond), "hosts", len(t.book.Hosts()))
 	}
 }
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -7,6 +7,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 )
@@ -120,7 +121,7 @@
 	}
 	p, err := ParsePlatform(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, oneLine(err))
+		return nil, fmt.Errorf("%s: %w", path, OneLine(err))
 	}
 	return p, nil
 }
@@ -261,7 +262,7 @@
 	}
 	o, err := ParseOperator(text)
 	if err != nil {
-		return o, fmt.Errorf("%s: %w", path, oneLine(err))
+		return o, fmt.Errorf("%s: %w", path, OneLine(err))
 	}
 	return o, nil
 }
@@ -270,20 +271,7 @@
 func ParseOperator(text []byte) (Operator, error) {
 	o := DefaultOperator()
 	var f operatorFile
-	dec := toml.NewDecoder(bytes.NewReader(text))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&f); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			key := ""
-			for i, k := range strict.Errors[0].Key() {
-				if i > 0 {
-					key += "."
-				}
-				key += k
-			}
-			return o, &KeyError{key, "unknown key"}
-		}
+	if err := DecodeStrict(text, &f); err != nil {
 		return o, err
 	}
 	spans := []struct {
@@ -318,18 +306,25 @@
 	return o, nil
 }
 
-func oneLine(err error) error {
+// DecodeStrict reads a file of the operators' own: an unknown key is an error
+// that names it.
+func DecodeStrict(text []byte, to any) error {
+	dec := toml.NewDecoder(bytes.NewReader(text))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(to)
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		return &KeyError{strings.Join(strict.Errors[0].Key(), "."), "unknown key"}
+	}
+	return err
+}
+
+// OneLine says in one line where a file of settings is wrong.
+func OneLine(err error) error {
 	var de *toml.DecodeError
 	if errors.As(err, &de) {
 		row, col := de.Position()
-		key := ""
-		for i, k := range de.Key() {
-			if i > 0 {
-				key += "."
-			}
-			key += k
-		}
-		if key != "" {
+		if key := strings.Join(de.Key(), "."); key != "" {
 			return fmt.Errorf("line %d, column %d: %s: %s", row, col, key, de.Error())
 		}
 		return fmt.Errorf("line %d, column %d: %s", row, col, de.Error())
--- /dev/null
+++ b/internal/telemetry/metrics.go
@@ -0,0 +1,161 @@
+package telemetry
+
+import (
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mapleslip/internal/coordination"
+)
+
+// metrics is what is measured where it happens; standing is what the controller
+// says of itself now and then.
+type metrics struct {
+	registry *prometheus.Registry
+	steps    *prometheus.HistogramVec
+	calls    *prometheus.HistogramVec
+	outcomes *prometheus.CounterVec
+	waiting  *prometheus.GaugeVec
+	events   prometheus.Gauge
+	dropped  prometheus.Counter
+	standing standing
+}
+
+// Buckets from 50 microseconds to 3 seconds: a step is mostly short, and one as
+// long as a part of the lease is what to look for.
+var seconds = prometheus.ExponentialBuckets(0.00005, 3, 11)
+
+func newMetrics(classes int) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		steps: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mapleslip_step_seconds",
+			Help: "Time in which an event was handled, by kind; ticks have the planning rounds.", Buckets: seconds}, []string{"event"}),
+		calls: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "mapleslip_call_seconds",
+			Help: "Time until an outbound call was answered or given up, by service and kind.", Buckets: seconds}, []string{"service", "call"}),
+		outcomes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "mapleslip_calls_total",
+			Help: "Outbound calls that ended, by service, kind and outcome (status, none, refused, unsent)."}, []string{"service", "call", "outcome"}),
+		waiting: prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: "mapleslip_calls_waiting",
+			Help: "Calls that wait for their turn in this node's part of a service's rate."}, []string{"service"}),
+		events: prometheus.NewGauge(prometheus.GaugeOpts{Name: "mapleslip_events_waiting", Help: "Events that wait to be handled."}),
+		dropped: prometheus.NewCounter(prometheus.CounterOpts{Name: "mapleslip_spans_dropped_total",
+			Help: "Spans that the collector did not take in time."}),
+	}
+	m.standing.classes = classes
+	m.registry.MustRegister(m.steps, m.calls, m.outcomes, m.waiting, m.events, m.dropped, &m.standing)
+	return m
+}
+
+// standing turns the controller's last snapshot into metrics when it is asked.
+type standing struct {
+	classes int
+	last    atomic.Pointer[coordination.Stats]
+	taken   atomic.Int64 // time of day, in microseconds
+}
+
+var (
+	descRole     = prometheus.NewDesc("mapleslip_role", "1 for the role that the node is in.", []string{"role"}, nil)
+	descEpoch    = prometheus.NewDesc("mapleslip_epoch", "Epoch that the node leads in or knows of.", nil, nil)
+	descTaken    = prometheus.NewDesc("mapleslip_snapshot_timestamp_seconds", "When jobs and hosts were counted.", nil, nil)
+	descRounds   = prometheus.NewDesc("mapleslip_rounds_total", "Planning rounds.", nil, nil)
+	descPasses   = prometheus.NewDesc("mapleslip_passes_total", "Passes over the whole queue.", nil, nil)
+	descRows     = prometheus.NewDesc("mapleslip_rows_total", "Rows of the slot table that were looked at, by stage of a pass.", []string{"stage"}, nil)
+	descCuts     = prometheus.NewDesc("mapleslip_cut_rounds_total", "Rounds that reached their bound, by the stage they were in.", []string{"stage"}, nil)
+	descRefused  = prometheus.NewDesc("mapleslip_refused_total", "Calls and reports that were answered with 503, by reason.", []string{"reason"}, nil)
+	descMal      = prometheus.NewDesc("mapleslip_malformed_total", "Messages that do not follow the protocol.", nil, nil)
+	descTakeOver = prometheus.NewDesc("mapleslip_take_overs_total", "Take-overs that this node finished.", nil, nil)
+	descLost     = prometheus.NewDesc("mapleslip_tasks_lost_total", "Tasks that ended with their machine.", nil, nil)
+	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
+	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
+	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
+	descRunning  = prometheus.NewDesc("mapleslip_tasks_running", "Tasks that run, by class.", []string{"class"}, nil)
+)
+
+// Describe is part of prometheus.Collector.
+func (s *standing) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
+		descTakeOver, descLost, descHosts, descUnproven, descWaiting, descRunning} {
+		ch <- d
+	}
+}
+
+// Collect is part of prometheus.Collector.
+func (s *standing) Collect(ch chan<- prometheus.Metric) {
+	st := s.last.Load()
+	if st == nil {
+		return
+	}
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	count := func(d *prometheus.Desc, v uint64, labels ...string) {
+		ch <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	gauge(descRole, 1, st.Role.String())
+	gauge(descEpoch, float64(st.Epoch))
+	gauge(descTaken, float64(s.taken.Load())/1e6)
+	count(descRounds, st.Rounds)
+	count(descPasses, st.Passes)
+	for i, stage := range coordination.Stages() {
+		count(descRows, st.Rows[i], stage)
+		count(descCuts, st.Cuts[i], stage)
+	}
+	for why, n := range st.Refused {
+		count(descRefused, n, why)
+	}
+	count(descMal, st.Malformed)
+	count(descTakeOver, st.TakeOvers)
+	count(descLost, st.Lost)
+	if st.Hosts == nil {
+		return // it does not lead: what it once knew is no news
+	}
+	for state, n := range st.Hosts {
+		gauge(descHosts, float64(n), state)
+	}
+	gauge(descUnproven, float64(st.Unproven))
+	for class, n := range s.bounded(st.Waiting) {
+		gauge(descWaiting, float64(n), class)
+	}
+	for class, n := range s.bounded(st.Running) {
+		gauge(descRunning, float64(n), class)
+	}
+}
+
+// otherClasses stands for all classes beyond the bound: users choose the names of
+// classes, and each would be a series of its own for ever.
+const otherClasses = "other"
+
+// bounded keeps the classes with the most, and adds up the rest.
+func (s *standing) bounded(by map[string]int) map[string]int {
+	if len(by) <= s.classes {
+		return by
+	}
+	names := make([]string, 0, len(by))
+	for name := range by {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		if by[a] != by[b] {
+			return by[b] - by[a]
+		}
+		if a < b {
+			return -1
+		}
+		return 1
+	})
+	out := make(map[string]int, s.classes+1)
+	for i, name := range names {
+		if i < s.classes && name != otherClasses {
+			out[name] = by[name]
+		} else {
+			out[otherClasses] += by[name]
+		}
+	}
+	return out
+}
+
+func (s *standing) take(st coordination.Stats, at time.Time) {
+	s.last.Store(&st)
+	s.taken.Store(at.UnixMicro())
+}
--- /dev/null
+++ b/internal/telemetry/settings.go
@@ -0,0 +1,114 @@
+// Package telemetry shows what a controller does: metrics in the exposition
+// format of Prometheus on a listener of its own, and spans to a collector by the
+// OpenTelemetry protocol over HTTP. It is off unless the operators' file switches
+// it on, and nothing in it makes the controller wait: what can't be taken at once
+// is dropped and counted.
+package telemetry
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"net/url"
+	"os"
+
+	"mapleslip/internal/protocol"
+)
+
+// Settings are the operators' settings of telemetry.
+type Settings struct {
+	Listen        string          // IP:port of the metrics, "": none
+	Traces        string          // URL of the collector's traces, "": none
+	Ratio         float64         // part of the spans that is kept, 0 to 1
+	Queue         int             // spans that may wait for the collector
+	Classes       int             // classes of jobs with metrics of their own
+	SnapshotEvery protocol.Micros // how often jobs and hosts are counted
+}
+
+// Defaults are the values used where the file sets none.
+func Defaults() Settings {
+	return Settings{Ratio: 0.1, Queue: 512, Classes: 16, SnapshotEvery: 2 * protocol.Second}
+}
+
+type file struct {
+	Listen    *string  `toml:"listen"`
+	Traces    *string  `toml:"traces"`
+	Ratio     *float64 `toml:"trace_ratio"`
+	Queue     *int     `toml:"trace_queue"`
+	Classes   *int     `toml:"classes"`
+	SnapshotS *float64 `toml:"snapshot_s"`
+}
+
+// Load reads the operators' file; errors name the file and the key.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	s, err := Parse(text)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", path, protocol.OneLine(err))
+	}
+	return s, nil
+}
+
+// Parse checks the text of the operators' file.
+func Parse(text []byte) (Settings, error) {
+	s := Defaults()
+	var f file
+	if err := protocol.DecodeStrict(text, &f); err != nil {
+		return s, err
+	}
+	if f.Listen != nil {
+		if _, err := netip.ParseAddrPort(*f.Listen); err != nil {
+			return s, &protocol.KeyError{Key: "listen", Problem: "must be IP:port"}
+		}
+		s.Listen = *f.Listen
+	}
+	if f.Traces != nil {
+		u, err := url.Parse(*f.Traces)
+		if err != nil || u.Scheme != "http" || u.Host == "" {
+			return s, &protocol.KeyError{Key: "traces", Problem: "must be http://IP:port/path"}
+		}
+		if _, err := netip.ParseAddrPort(u.Host); err != nil {
+			return s, &protocol.KeyError{Key: "traces", Problem: "must name the collector by IP:port"}
+		}
+		s.Traces = *f.Traces
+	}
+	if s.Listen == "" && s.Traces == "" {
+		return s, &protocol.KeyError{Key: "listen", Problem: "missing, and so is traces: nothing to do"}
+	}
+	number := func(key string, from *float64, to *float64, low, high float64) error {
+		if from == nil {
+			return nil
+		}
+		if math.IsNaN(*from) || *from < low || *from > high {
+			return &protocol.KeyError{Key: key, Problem: fmt.Sprintf("must be from %g to %g", low, high)}
+		}
+		*to = *from
+		return nil
+	}
+	whole := func(key string, from *int, to *int, low, high int) error {
+		if from == nil {
+			return nil
+		}
+		if *from < low || *from > high {
+			return &protocol.KeyError{Key: key, Problem: fmt.Sprintf("must be from %d to %d", low, high)}
+		}
+		*to = *from
+		return nil
+	}
+	every := s.SnapshotEvery.Seconds()
+	for _, err := range []error{
+		number("trace_ratio", f.Ratio, &s.Ratio, 0, 1),
+		whole("trace_queue", f.Queue, &s.Queue, 1, 100_000),
+		whole("classes", f.Classes, &s.Classes, 1, 256),
+		number("snapshot_s", f.SnapshotS, &every, 0.1, 3600),
+	} {
+		if err != nil {
+			return s, err
+		}
+	}
+	s.SnapshotEvery = protocol.FromSeconds(every)
+	return s, nil
+}
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -61,6 +61,15 @@
 	m.changes.rate, m.changes.burst = m.writes*changes, max(m.largest, m.writes*changes*m.burst)
 }
 
+// Waiting is how many calls wait for their turn.
+func (m *Meter) Waiting() int {
+	n := 0
+	for p := range m.queues {
+		n += len(m.queues[p])
+	}
+	return n
+}
+
 // Add queues a call.
 func (m *Meter) Add(c Metered) { m.queues[c.Priority] = append(m.queues[c.Priority], c) }
 
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,8 +1,11 @@
 package transport
 
 import (
+	"errors"
 	"log/slog"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/tidwall/evio"
@@ -64,16 +67,35 @@
 	conns map[ConnID]*serverConn
 }
 
+// CanListen reports why an address can't be listened on, after it was tried for a
+// while. Without it a wrong address only showed as an error of the loop, five
+// times a second for ever.
+func CanListen(address string, wait time.Duration) error {
+	for until := time.Now().Add(wait); ; time.Sleep(100 * time.Millisecond) {
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			return l.Close()
+		}
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return err
+		}
+	}
+}
+
 // Run serves until the process ends. An accept error ends evio's loop, and
 // with it every connection; the server then starts again.
 func (s *Server) Run(client, cluster string) {
+	var told time.Time
 	for {
 		s.mu.Lock()
 		s.conns = make(map[ConnID]*serverConn)
 		s.mu.Unlock()
 		ev := evio.Events{NumLoops: 1, Opened: s.opened, Closed: s.closed, Data: s.data, Tick: s.tick}
 		err := evio.Serve(ev, "tcp://"+client, "tcp://"+cluster)
-		slog.Error("server loop ended, starting it again", "err", err)
+		if time.Since(told) > 10*time.Second {
+			told = time.Now()
+			slog.Error("server loop ended, starting it again", "err", err)
+		}
 		time.Sleep(200 * time.Millisecond)
 	}
 }
