Rental counts half of what a job has waited against plans that find it a place soon

Change: half of the time that a job has waited is taken off the time at which a machine rented now would be ready, but not against places on machines that boot: a late one had ten rented in its place (trace boots).

--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -137,7 +137,7 @@
 	if c.term != t {
 		return
 	}
-	listed := make(map[string]protocol.CloudHost)
+	listed := make(map[string]protocol.CloudHost, len(t.book.Hosts()))
 	var page func(since string)
 	page = func(since string) {
 		path := "/machines?page=500"
@@ -286,6 +286,13 @@
 // rentalSlack is how much sooner work has to be ready for a machine to be rented.
 const rentalSlack = 3 * protocol.Second
 
+// A job that has waited shows that plans come out too early: more work arrives
+// before its turn, tasks are lost, estimates err. Half of the time that it has
+// waited already is taken off what a machine rented now would be ready at. Without
+// this, in a burst that never lets the queue end, every plan found a place within a
+// boot time, and nothing was rented for 100 s while 99 jobs waited and 300 machines
+// could be had.
+
 // rentalRounds bounds what a plan for rental looks at, in rounds' worth. It comes
 // once a second and can't be carried on later: what is not looked at is rented a
 // second later. A bound of one round had arrays wait for their machines when a
@@ -338,6 +345,7 @@
 		}
 		left := *w.request
 		left.Kept = nil
+		left.Waited = (at - w.job.Submitted) / 2
 		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
 		// A booking far away is as good as none, if a machine that is rented now
 		// could be ready sooner.
@@ -348,7 +356,7 @@
 			}
 		}
 		for _, b := range w.result.Booked {
-			if b.Begin > at+10*protocol.Second && b.Ready > soonest {
+			if b.Begin > at+10*protocol.Second && b.Ready > soonest-left.WaitedFor(b, at) {
 				left.Tasks++
 			}
 		}
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -388,6 +388,7 @@
 		}
 	}
 	first := -1
+	w.tasks = make([]int, 0, min(j.Queued, mostTasks))
 	for i := j.Lowest; i < len(j.Tasks) && len(w.tasks) < mostTasks; i++ {
 		task := &j.Tasks[i]
 		if task.State != bookkeeping.TaskQueued {
--- a/internal/coordination/slottable/index.go
+++ b/internal/coordination/slottable/index.go
@@ -401,8 +401,8 @@
 }
 
 // Making visits rows on which n of a request's tasks would have room if all gave
-// way that may: in each zone those that have the image first, then the others in
-// their order. Of a zone no more are visited once visit has said of most rows
+// way that may: in each zone those that have the image first if there are fewer of
+// them, then the others in their order. Of a zone no more are visited once visit has said of most rows
 // that they count. The rows are as they were when they were filled.
 func (t *Table) Making(r *Request, n, most int, visit func(m *Machine) (counts bool)) {
 	t.refresh()
@@ -418,7 +418,6 @@
 		}
 	}
 	look := func(m *Machine) {
-		t.Work += workLook
 		if m.seen[0] == stamp || !m.Makes.Holds(need) {
 			return
 		}
@@ -429,25 +428,28 @@
 			}
 		}
 	}
-	if id := t.Image(r.Image); int(id) < len(t.holders) {
-		for _, s := range t.holders[id] {
-			if open == 0 {
-				return
-			}
-			if g := s.m.entry.group; g != nil && s.m.entry.made >= level && g.suits(r) && counted[g.zone] < most {
-				look(s.m)
-			}
-		}
-	}
 	cursors := t.walk[:0]
+	rows := 0
 	for _, g := range t.all {
-		if !g.suits(r) || !g.offer.Holds(need) || counted[g.zone] >= most {
+		if !g.suits(r) || !g.offer.Holds(need) {
 			continue
 		}
 		t.Work += workLook
 		for l := level; l <= maxLevel; l++ {
 			if s := &g.makes[l]; len(s.rows) > 0 && s.most.Holds(need) {
 				cursors = append(cursors, cursor{list: s.rows})
+				rows += len(s.rows)
+			}
+		}
+	}
+	if id := int(t.Image(r.Image)); id < len(t.holders) && len(t.holders[id]) < rows {
+		for _, s := range t.holders[id] {
+			t.Work += workLook
+			if open == 0 {
+				break
+			}
+			if g := s.m.entry.group; g != nil && s.m.entry.made >= level && g.suits(r) && counted[g.zone] < most {
+				look(s.m)
 			}
 		}
 	}
@@ -459,6 +461,7 @@
 		} else {
 			down(cursors, 0)
 		}
+		t.Work += workLook
 		if counted[m.Zone] < most {
 			look(m)
 		}
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -68,7 +68,7 @@
 					continue
 				}
 				ready := t.Now + o.Boot + o.Fetch(r.ImageSize)
-				if ok && !r.Spare && p.Ready <= max(ready+slack, r.Patient) {
+				if ok && !r.Spare && p.Ready <= max(ready+slack-r.WaitedFor(p, t.Now), r.Patient) {
 					continue
 				}
 				if ok && r.Spare && (p.Begin <= t.Now+slack || p.Ready <= r.Patient) {
@@ -103,6 +103,16 @@
 	return total
 }
 
+// WaitedFor is how much a place's time is mistrusted, because the request has
+// waited. That of a machine that boots is not: more machines would be rented in
+// its place each second that it is late.
+func (r *Request) WaitedFor(p Place, now micros) micros {
+	if p.Machine.From > now {
+		return 0
+	}
+	return r.Waited
+}
+
 // Suits reports whether a machine of that kind could take a request's tasks.
 func (o *Offer) Suits(r *Request) bool {
 	return (!o.Spot || r.Spot) && (o.Spot || !r.Frugal) && (r.Zone == "" || r.Zone == o.Zone) && o.Resources.Holds(r.Need) && allowsType(r.Types, o.Type)
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -266,6 +266,7 @@
 	Guest     bool       // of the lowest rank: takes what all others leave
 	Frugal    bool       // neither keeps a machine at the full price nor has one rented
 	Patient   micros     // no machine is rented for what is ready by then
+	Waited    micros     // how much later than planned it has become already, for rental
 	Kept      []Place    // its booking of the pass before
 	Hold      bool       // room was made for it: Kept holds though it is not the first that can't start
 	NoBooking bool       // it was found lately that a booking can't meet the deadline
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return nil, false, errors.New("hosts: invalid")
 	}
+	hosts = make([]CloudHost, 0, len(list))
 	for _, it := range list {
 		f := &fields{obj: it}
 		h := CloudHost{Name: f.text("ref"), Type: f.text("flavor"), Zone: f.text("region"), Spot: f.flag("reclaimable"),
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -94,6 +94,7 @@
 	if err != nil {
 		return nil, errors.New("shards: invalid")
 	}
+	r.Tasks = make([]TaskReport, 0, len(items))
 	for _, it := range items {
 		tf := &fields{obj: it}
 		name, ok := parseTaskName(tf.text("shard"))
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -369,7 +369,13 @@
 			back(200, m.report())
 			return
 		}
-		v := fastjson.MustParseBytes(c.Body)
+		p := protocol.Parsers.Get()
+		defer protocol.Parsers.Put(p)
+		v, err := p.ParseBytes(c.Body)
+		if err != nil {
+			w.broken("malformed commands: %v", err)
+			return
+		}
 		status := 409
 		if v.GetUint64("epoch") >= m.epoch && v.GetUint64("tenure") == m.session {
 			status, m.epoch = 200, v.GetUint64("epoch")
@@ -389,7 +395,13 @@
 
 // execute carries out commands.
 func (w *World) execute(m *machine, body []byte) {
-	v := fastjson.MustParseBytes(body)
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(body)
+	if err != nil {
+		w.broken("malformed commands: %v", err)
+		return
+	}
 	for _, c := range v.GetArray("orders") {
 		ref, idx, _ := strings.Cut(string(c.GetStringBytes("shard")), "/")
 		var index int
