--- /dev/null
+++ b/internal/coordination/stats_test.go
@@ -0,0 +1,97 @@
+package coordination
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/protocol"
+)
+
+// told makes a controller that follows, and what it logs.
+func told() (*Controller, *bytes.Buffer) {
+	var log bytes.Buffer
+	p := &protocol.Platform{Node: "n0", Siblings: []protocol.Sibling{{Name: "n1", Address: "n1"}}, StateRate: 100, StateWriteRate: 20}
+	return New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(&log, nil))), &log
+}
+
+// A service that can't be reached has one warning when that begins and one line
+// when it ends, however long it lasts. The log once said nothing of it. An answer
+// lost now and then is no reason, nor is a cloud that has no machines left: its 503
+// is an answer, and was taken for an outage at first.
+func TestUnreachableIsToldOnce(t *testing.T) {
+	c, log := told()
+	end := func(r *reach, after micros, d CallDone) {
+		c.at.Steady += after
+		c.heard(r, d)
+	}
+	for range 5 {
+		end(&c.stateReach, protocol.Second, CallDone{})
+		end(&c.stateReach, protocol.Second, CallDone{Status: 200})
+		end(&c.cloudReach, protocol.Second, CallDone{Status: 503, Body: []byte(`{"error":"no capacity"}`)})
+		end(&c.stateReach, 0, CallDone{Unsent: true}) // of its rate: says nothing
+	}
+	// Many failures at one moment are one lost connection, not an outage.
+	for range 10 {
+		end(&c.stateReach, 0, CallDone{})
+	}
+	if log.Len() > 0 {
+		t.Errorf("told of nothing: %s", log)
+	}
+	end(&c.stateReach, 0, CallDone{Status: 404})
+	for range 100 {
+		end(&c.stateReach, protocol.Second/2, CallDone{Status: 503})
+		end(&c.cloudReach, protocol.Second/2, CallDone{Refused: true, Unsent: true})
+	}
+	end(&c.stateReach, 0, CallDone{Status: 200})
+	end(&c.cloudReach, 0, CallDone{Status: 200})
+	text := log.String()
+	for _, line := range []string{`level=WARN msg="the state service can't be reached" why=503`, `level=WARN msg="the cloud can't be reached" why=refused`,
+		`level=INFO msg="the state service answers again" after_ms=`, `level=INFO msg="the cloud answers again" after_ms=`} {
+		if strings.Count(text, line) != 1 {
+			t.Errorf("%d times: %s", strings.Count(text, line), line)
+		}
+	}
+	if n := strings.Count(text, "\n"); n != 4 {
+		t.Errorf("%d lines:\n%s", n, text)
+	}
+}
+
+// What is refused is answered at once, counted by reason, and told of every few
+// seconds while there is any.
+func TestRefusalsAreCounted(t *testing.T) {
+	c, log := told()
+	c.Start(now{})
+	body := []byte(`{"ref":"req-000001","jobclass":"x","owner":"t","shape":"array","rank":"high","shards":1,"cores":1,"gpus":0,"memoryGb":1,"bundle":"i","sizeGb":1,` +
+		`"flavors":null,"region":null,"samePlace":false,"apart":false,"reclaimable":false,"expectS":5,"snapshotEveryS":0,"snapshotS":0,"dueS":null}`)
+	answered := 0
+	var note func(effects []Effect)
+	note = func(effects []Effect) {
+		for _, e := range effects {
+			switch e := e.(type) {
+			case Reply:
+				if e.Status == 503 && e.RetryAfter > 0 {
+					answered++
+				}
+			case Call:
+				if strings.HasPrefix(e.Path, "/store/types") {
+					note(c.Step(c.at, CallDone{ID: e.ID, Status: 404, Body: []byte(`{"generation":1}`)}))
+				}
+			}
+		}
+	}
+	for i := range 3 {
+		note(c.Step(now{Steady: protocol.Second + micros(i)}, UserCall{Op: protocol.OpSubmit, Body: body}))
+		note(c.Step(now{Steady: protocol.Second + micros(i)}, UserCall{Op: protocol.OpCancel, Ref: "req-000002"}))
+	}
+	s := c.Snapshot()
+	if answered != 6 || s.Refused[refusedTypes] != 3 || s.Refused[refusedNoLeader] != 3 || s.Hosts != nil {
+		t.Errorf("%d answered, %v", answered, s.Refused)
+	}
+	c.Step(now{Steady: 2 * protocol.Second}, Tick{})
+	c.Step(now{Steady: 30 * protocol.Second}, Tick{})
+	if n := strings.Count(log.String(), "refused for now"); n != 2 {
+		t.Errorf("told %d times:\n%s", n, log)
+	}
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -1,11 +1,13 @@
 package protocol
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 const goodJob = `{"ref":"req-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"high","shards":16,
@@ -227,3 +229,69 @@
 		}
 	}
 }
+
+// pageByJSON reads a page with the standard library.
+func pageByJSON(body []byte) (Page, bool) {
+	var in struct {
+		Generation *uint64
+		Truncated  bool
+		Entries    []struct {
+			Path  string
+			Data  json.RawMessage
+			Stamp uint64
+		}
+	}
+	if err := json.Unmarshal(body, &in); err != nil || in.Generation == nil || in.Entries == nil {
+		return Page{}, false
+	}
+	p := Page{Revision: *in.Generation, More: in.Truncated}
+	for _, e := range in.Entries {
+		if e.Path == "" || e.Stamp == 0 || e.Data == nil {
+			return Page{}, false
+		}
+		p.Entries = append(p.Entries, Entry{Key: e.Path, Value: e.Data, Stamp: e.Stamp})
+	}
+	return p, true
+}
+
+var pages = []string{
+	`{"entries":[{"path":"j/req-000001","data":{"a":"}],{\"","b":[1,{"c":"\\"}]},"stamp":4},{"path":"j/\u0041","data":"x","stamp":5}],"truncated":true,"generation":9}`,
+	" {\n\t\"generation\" : 7 , \"entries\" : [ ] }\r\n",
+	`{"entries":[{"stamp":1,"data":12,"path":"a"} , {"path":"b","data":true,"stamp":2}],"generation":3}`,
+	`{"entries":[{"path":"a","stamp":1}],"generation":3}`,
+	`{"entries":[{"path":"a","data":1,"stamp":0}],"generation":3}`,
+	`{"entries":{},"generation":3}`, `{"entries":[]}`, `[]`, `{`, `{"entries":[1],"generation":3}`, `{"entries":[{"path":5,"data":1,"stamp":1}],"generation":3}`,
+}
+
+// A page is read without being parsed whole: what it gives is what the standard
+// library reads, and what that refuses it refuses.
+func TestPagesAreReadRaw(t *testing.T) {
+	for _, text := range pages {
+		got, err := ParsePage([]byte(text))
+		want, ok := pageByJSON([]byte(text))
+		if (err == nil) != ok {
+			t.Errorf("%s: %v", text, err)
+		} else if diff := cmp.Diff(want, got, cmpopts.EquateEmpty()); err == nil && diff != "" {
+			t.Errorf("%s: %s", text, diff)
+		}
+	}
+}
+
+// FuzzParsePage looks for pages that end the program, or that are read otherwise
+// than by the standard library where both take them.
+func FuzzParsePage(f *testing.F) {
+	for _, text := range pages {
+		f.Add([]byte(text))
+	}
+	f.Fuzz(func(t *testing.T, body []byte) {
+		got, err := ParsePage(body)
+		if err != nil {
+			return
+		}
+		for _, e := range got.Entries {
+			if e.Key == "" || e.Stamp == 0 || !json.Valid(e.Value) {
+				t.Fatalf("%q: %q %d %q", body, e.Key, e.Stamp, e.Value)
+			}
+		}
+	})
+}
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -108,3 +108,22 @@
 		t.Errorf("woken %d times", c.wakes)
 	}
 }
+
+// An address that can't be listened on is found before the loop starts, which
+// would try it five times a second for ever.
+func TestCanListen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := CanListen(l.Addr().String(), 0); err == nil {
+		t.Error("an address in use is taken")
+	}
+	l.Close()
+	if err := CanListen(l.Addr().String(), 0); err != nil {
+		t.Errorf("a free address: %v", err)
+	}
+	if err := CanListen("203.0.113.1:1", time.Hour); err == nil {
+		t.Error("an address of another machine is taken")
+	}
+}
