--- a/internal/coordination/slottable/index.go
+++ b/internal/coordination/slottable/index.go
@@ -62,6 +62,16 @@
 	s.rows = insertSlot(s.rows, slot{0, m})
 }
 
+// reshelve takes a row from one shelf to another; -1 is none.
+func reshelve(shelves *[maxLevel + 1]shelf, m *Machine, from, to int, free resources) {
+	if from >= 0 {
+		shelves[from].rows = removeSlot(shelves[from].rows, slot{0, m})
+	}
+	if to >= 0 {
+		shelves[to].insert(m, free)
+	}
+}
+
 func insertSlot(list []slot, s slot) []slot {
 	i := sort.Search(len(list), func(i int) bool { return s.before(list[i]) })
 	return slices.Insert(list, i, s)
@@ -122,21 +132,11 @@
 	}
 	if g := e.group; g != nil {
 		if was.shelf != e.shelf || was.free != e.free {
-			if was.shelf >= 0 {
-				g.shelves[was.shelf].rows = removeSlot(g.shelves[was.shelf].rows, slot{0, m})
-			}
-			if e.shelf >= 0 {
-				g.shelves[e.shelf].insert(m, e.free)
-			}
+			reshelve(&g.shelves, m, was.shelf, e.shelf, e.free)
 			was.shelf, was.free = e.shelf, e.free
 		}
 		if was.made != e.made || was.makes != e.makes {
-			if was.made >= 0 {
-				g.makes[was.made].rows = removeSlot(g.makes[was.made].rows, slot{0, m})
-			}
-			if e.made >= 0 {
-				g.makes[e.made].insert(m, e.makes)
-			}
+			reshelve(&g.makes, m, was.made, e.made, e.makes)
 			was.made, was.makes = e.made, e.makes
 		}
 		for l := range e.at {
@@ -167,12 +167,8 @@
 func (t *Table) unindex(m *Machine) {
 	e := &m.entry
 	if g := e.group; g != nil {
-		if e.shelf >= 0 {
-			g.shelves[e.shelf].rows = removeSlot(g.shelves[e.shelf].rows, slot{0, m})
-		}
-		if e.made >= 0 {
-			g.makes[e.made].rows = removeSlot(g.makes[e.made].rows, slot{0, m})
-		}
+		reshelve(&g.shelves, m, e.shelf, -1, resources{})
+		reshelve(&g.makes, m, e.made, -1, resources{})
 		for l, at := range e.at {
 			if at < protocol.Forever {
 				g.later[l] = removeSlot(g.later[l], slot{at, m})
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func start(t *testing.T, s Settings) *Recorder {
+func start(t testing.TB, s Settings) *Recorder {
 	t.Helper()
 	r, err := Start(s, "n0", "test", quiet)
 	if err != nil {
@@ -224,11 +224,7 @@
 func BenchmarkEvent(b *testing.B) {
 	s := Defaults()
 	s.Listen = "127.0.0.1:0"
-	r, err := Start(s, "n0", "test", quiet)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer r.Close()
+	r := start(b, s)
 	b.ReportAllocs()
 	for b.Loop() {
 		r.Step("report", 30*time.Microsecond)
@@ -238,11 +234,7 @@
 func BenchmarkCallEnd(b *testing.B) {
 	s := Defaults()
 	s.Listen, s.Traces = "127.0.0.1:0", "http://127.0.0.1:9/v1/traces"
-	r, err := Start(s, "n0", "test", quiet)
-	if err != nil {
-		b.Fatal(err)
-	}
-	defer r.Close()
+	r := start(b, s)
 	b.ReportAllocs()
 	for b.Loop() {
 		r.Call("state", "POST", "/commit", coordination.CallDone{Status: 200}, time.Now())
