Last reading: one reader of entries, one loader of settings, one reset of an index entry

Need: pages were read by a second reader of entries, which refused whole numbers written as 16.0 and took keys of any length, where the first did not; three loaders of settings files, three resets of an index entry, a spot surcharge written twice, two counters of malformed messages, a comment that stood on nothing.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -217,13 +217,6 @@
 	stateReach, cloudReach reach
 	refusalLog             micros
 	refusalsTold           map[string]uint64
-
-	Counters Counters
-}
-
-// Counters are kept for the log.
-type Counters struct {
-	Malformed int
 }
 
 // openCall is a call that has not ended.
@@ -398,8 +391,8 @@
 // malformed notes an answer that does not follow the protocol. It is treated
 // as no answer.
 func (c *Controller) malformed(from string, err error) {
-	c.Counters.Malformed++
-	c.log.Info("malformed message", "from", from, "err", err, "count", c.Counters.Malformed)
+	c.stats.Malformed++
+	c.log.Info("malformed message", "from", from, "err", err, "count", c.stats.Malformed)
 }
 
 // drift is how far apart steady clocks may be after a span, with a little for
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -286,13 +286,6 @@
 // rentalSlack is how much sooner work has to be ready for a machine to be rented.
 const rentalSlack = 3 * protocol.Second
 
-// A job that has waited shows that plans come out too early: more work arrives
-// before its turn, tasks are lost, estimates err. Half of the time that it has
-// waited already is taken off what a machine rented now would be ready at. Without
-// this, in a burst that never lets the queue end, every plan found a place within a
-// boot time, and nothing was rented for 100 s while 99 jobs waited and 300 machines
-// could be had.
-
 // rentalRounds bounds what a plan for rental looks at, in rounds' worth. It comes
 // once a second and can't be carried on later: what is not looked at is rented a
 // second later. A bound of one round had arrays wait for their machines when a
@@ -345,6 +338,12 @@
 		}
 		left := *w.request
 		left.Kept = nil
+		// A job that has waited shows that plans come out too early: more work
+		// arrives before its turn, tasks are lost, estimates err. Half of the time
+		// that it has waited already is taken off what a machine rented now would be
+		// ready at. Without this, in a burst that never lets the queue end, every
+		// plan found a place within a boot time, and nothing was rented for 100 s
+		// while 99 jobs waited and 300 machines could be had.
 		left.Waited = (at - w.job.Submitted) / 2
 		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
 		// A booking far away is as good as none, if a machine that is rented now
--- a/internal/coordination/slottable/index.go
+++ b/internal/coordination/slottable/index.go
@@ -57,11 +57,21 @@
 	if len(s.rows) == 0 {
 		s.most, s.least = free, free
 	}
-	s.most = resources{CPU: max(s.most.CPU, free.CPU), GPU: max(s.most.GPU, free.GPU), Mem: max(s.most.Mem, free.Mem)}
-	s.least = resources{CPU: min(s.least.CPU, free.CPU), GPU: min(s.least.GPU, free.GPU), Mem: min(s.least.Mem, free.Mem)}
+	s.widen(free)
 	s.rows = insertSlot(s.rows, slot{0, m})
 }
 
+// widen has the bounds hold for a row.
+func (s *shelf) widen(free resources) {
+	s.most = atLeast(s.most, free)
+	s.least = resources{CPU: min(s.least.CPU, free.CPU), GPU: min(s.least.GPU, free.GPU), Mem: min(s.least.Mem, free.Mem)}
+}
+
+// atLeast is the least amount that holds both.
+func atLeast(a, b resources) resources {
+	return resources{CPU: max(a.CPU, b.CPU), GPU: max(a.GPU, b.GPU), Mem: max(a.Mem, b.Mem)}
+}
+
 // reshelve takes a row from one shelf to another; -1 is none.
 func reshelve(shelves *[maxLevel + 1]shelf, m *Machine, from, to int, free resources) {
 	if from >= 0 {
@@ -114,6 +124,14 @@
 	held  []heldImage          // for which it is among the holders, by number
 }
 
+// clear says that a row is in no group.
+func (e *entry) clear() {
+	e.group, e.shelf, e.made = nil, -1, -1
+	for l := range e.at {
+		e.at[l] = protocol.Forever
+	}
+}
+
 // heldImage is an image and where its list of holders has the row.
 type heldImage struct {
 	image int32
@@ -175,18 +193,12 @@
 			}
 		}
 	}
-	e.group, e.shelf, e.made = nil, -1, -1
-	for l := range e.at {
-		e.at[l] = protocol.Forever
-	}
+	e.clear()
 }
 
 // describe says where a row belongs. A row that may take nothing is in no group.
 func (t *Table) describe(m *Machine, e *entry) {
-	e.shelf, e.made = -1, -1
-	for l := range e.at {
-		e.at[l] = protocol.Forever
-	}
+	e.clear()
 	if m.Blocked {
 		return
 	}
@@ -245,8 +257,7 @@
 		t.all = append(t.all, g)
 	}
 	g.fetch = m.Fetch // rows are made anew when what is known of their type changes
-	o := &g.offer
-	*o = resources{CPU: max(o.CPU, m.Offer.CPU), GPU: max(o.GPU, m.Offer.GPU), Mem: max(o.Mem, m.Offer.Mem)}
+	g.offer = atLeast(g.offer, m.Offer)
 	return g
 }
 
@@ -372,10 +383,7 @@
 func (t *Table) take(m *Machine) {
 	t.added++
 	m.order, m.in = t.added, true
-	m.entry.shelf, m.entry.made = -1, -1
-	for l := range m.entry.at {
-		m.entry.at[l] = protocol.Forever
-	}
+	m.entry.clear()
 	t.outdate(m)
 }
 
@@ -398,8 +406,8 @@
 
 // Making visits rows on which n of a request's tasks would have room if all gave
 // way that may: in each zone those that have the image first if there are fewer of
-// them, then the others in their order. Of a zone no more are visited once visit has said of most rows
-// that they count. The rows are as they were when they were filled.
+// them, then the others in their order. Of a zone no more are visited once visit has
+// said of most rows that they count. The rows are as they were when they were filled.
 func (t *Table) Making(r *Request, n, most int, visit func(m *Machine) (counts bool)) {
 	t.refresh()
 	need := resources{}.Add(r.Need, int64(n))
@@ -465,6 +473,15 @@
 	t.walk = cursors[:0]
 }
 
+// extra is what a place on a row of the group costs beside its time, whatever is
+// free there; see waste.
+func (g *group) extra(r *Request) micros {
+	if r.Spot && !g.spot && r.Need.GPU > 0 {
+		return wasteSpot
+	}
+	return 0
+}
+
 // suits reports whether a request allows the rows of a group, but for how much
 // they have.
 func (g *group) suits(r *Request) bool {
--- a/internal/coordination/slottable/search.go
+++ b/internal/coordination/slottable/search.go
@@ -108,12 +108,9 @@
 			continue
 		}
 		t.Work += workLook
-		var add micros
+		add := g.extra(r)
 		if few {
-			add = g.fetch(r.ImageSize)
-		}
-		if r.Spot && !g.spot && r.Need.GPU > 0 {
-			add += wasteSpot
+			add += g.fetch(r.ImageSize)
 		}
 		if later {
 			if list := g.later[level]; len(list) > 0 {
@@ -146,7 +143,7 @@
 		return
 	}
 	s.t.Work += work
-	if s.image && s.later {
+	if s.image {
 		if _, ok := m.readyAt(s.r.image); !ok {
 			return
 		}
@@ -208,9 +205,7 @@
 		}
 		b += g.fetch(s.r.ImageSize)
 	}
-	if s.r.Spot && !g.spot && s.r.Need.GPU > 0 {
-		b += wasteSpot
-	}
+	b += g.extra(s.r)
 	if b > bound {
 		m.seen[s.which] = s.stamp
 		if s.r.allows(m) {
@@ -318,9 +313,7 @@
 	}
 	sh.most, sh.least = rows[0].m.entry.free, rows[0].m.entry.free
 	for _, s := range rows[1:] {
-		f := s.m.entry.free
-		sh.most = resources{CPU: max(sh.most.CPU, f.CPU), GPU: max(sh.most.GPU, f.GPU), Mem: max(sh.most.Mem, f.Mem)}
-		sh.least = resources{CPU: min(sh.least.CPU, f.CPU), GPU: min(sh.least.GPU, f.GPU), Mem: min(sh.least.Mem, f.Mem)}
+		sh.widen(s.m.entry.free)
 	}
 }
 
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -87,7 +87,7 @@
 // Snapshot is how the controller stands. It costs a look at every job and host.
 func (c *Controller) Snapshot() Stats {
 	s := c.stats
-	s.Role, s.Epoch, s.Malformed = c.role, c.seat.epoch, uint64(c.Counters.Malformed)
+	s.Role, s.Epoch = c.role, c.seat.epoch
 	if c.term == nil && c.leader.Epoch > s.Epoch {
 		s.Epoch = c.leader.Epoch
 	}
--- a/internal/protocol/json.go
+++ b/internal/protocol/json.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"strconv"
 
 	"github.com/valyala/fastjson"
 )
@@ -161,3 +162,13 @@
 	}
 	return string(v.GetStringBytes())
 }
+
+// count is a whole number, which may be written as 16.0 as well.
+func (b raw) count() (uint64, bool) {
+	if n, err := strconv.ParseUint(string(b), 10, 64); err == nil {
+		return n, true
+	}
+	x, err := strconv.ParseFloat(string(b), 64)
+	n, whole := wholeNumber(x)
+	return n, whole && err == nil
+}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -277,6 +277,24 @@
 	}
 }
 
+// Whole numbers may be written with a point, here as in every other message, and
+// keys are bounded alike.
+func TestEntryNumbersAndKeys(t *testing.T) {
+	if p, err := ParsePage([]byte(`{"entries":[{"path":"a","data":1,"stamp":16.0}],"generation":4.1e1}`)); err != nil || p.Revision != 41 || p.Entries[0].Stamp != 16 {
+		t.Errorf("%+v %v", p, err)
+	}
+	if e, err := ParseEntry([]byte(`{"path":"a/b","data":{"x":1},"stamp":412.0,"hold":7}`)); err != nil || e.Stamp != 412 || string(e.Value) != `{"x":1}` {
+		t.Errorf("%+v %v", e, err)
+	}
+	long := strings.Repeat("k", 201)
+	for _, text := range []string{`{"path":"a","data":1,"stamp":1.5}`, `{"path":"a","data":1,"stamp":-1}`, `{"path":"a","data":1,"stamp":"1"}`, `{"path":"a","data":1,"stamp":1e300}`,
+		`{"path":"` + long + `","data":1,"stamp":1}`} {
+		if e, err := ParseEntry([]byte(text)); err == nil {
+			t.Errorf("%.60s: %+v", text, e)
+		}
+	}
+}
+
 // FuzzParsePage looks for pages that end the program, or that are read otherwise
 // than by the standard library where both take them.
 func FuzzParsePage(f *testing.F) {
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -114,16 +114,20 @@
 func (e *KeyError) Error() string { return e.Key + ": " + e.Problem }
 
 // LoadPlatform reads and checks the platform's file. Unknown keys are ignored.
-func LoadPlatform(path string) (*Platform, error) {
+func LoadPlatform(path string) (*Platform, error) { return LoadFile(path, ParsePlatform) }
+
+// LoadFile reads a file of settings; errors name the file and what is wrong in it.
+func LoadFile[T any](path string, parse func(text []byte) (T, error)) (T, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, err
+		var none T
+		return none, err
 	}
-	p, err := ParsePlatform(text)
+	v, err := parse(text)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, OneLine(err))
+		return v, fmt.Errorf("%s: %w", path, OneLine(err))
 	}
-	return p, nil
+	return v, nil
 }
 
 // ParsePlatform checks and converts the text of the platform's file.
@@ -255,17 +259,7 @@
 }
 
 // LoadOperator reads the operators' file; an unknown key is an error.
-func LoadOperator(path string) (Operator, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Operator{}, err
-	}
-	o, err := ParseOperator(text)
-	if err != nil {
-		return o, fmt.Errorf("%s: %w", path, OneLine(err))
-	}
-	return o, nil
-}
+func LoadOperator(path string) (Operator, error) { return LoadFile(path, ParseOperator) }
 
 // ParseOperator checks the text of the operators' file.
 func ParseOperator(text []byte) (Operator, error) {
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -80,26 +80,12 @@
 	return r, f.err
 }
 
-func entryFrom(v *fastjson.Value) (Entry, error) {
-	f := &fields{obj: v}
-	e := Entry{Key: f.text("path"), Stamp: f.count("stamp")}
-	data := v.Get("data")
-	if data == nil {
-		return e, errors.New("data: missing")
-	}
-	e.Value = data.MarshalTo(nil)
-	return e, f.err
-}
-
-// ParseEntry reads one key.
+// ParseEntry reads one key. The value is a slice of body.
 func ParseEntry(body []byte) (Entry, error) {
-	p := Parsers.Get()
-	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
-	if err != nil {
-		return Entry{}, err
+	if err := fastjson.ValidateBytes(body); err != nil {
+		return Entry{}, errors.New("not JSON")
 	}
-	return entryFrom(v)
+	return entryOf(body)
 }
 
 // Page is a page of keys.
@@ -120,8 +106,7 @@
 	err := raw(body).members(func(name string, value raw) error {
 		switch name {
 		case "generation":
-			n, err := strconv.ParseUint(string(value), 10, 64)
-			p.Revision, numbered = n, err == nil
+			p.Revision, numbered = value.count()
 		case "truncated":
 			p.More = string(value) == "true"
 		case "entries":
@@ -145,18 +130,19 @@
 	return p, nil
 }
 
-// entryOf reads one key of a page.
+// entryOf reads one key, by itself or of a page.
 func entryOf(item raw) (Entry, error) {
 	var e Entry
 	err := item.members(func(name string, value raw) error {
 		var err error
 		switch name {
 		case "path":
-			if e.Key = unquoteRaw(value); e.Key == "" || value[0] != '"' {
+			if e.Key = unquoteRaw(value); !validText(e.Key) || value[0] != '"' {
 				err = errors.New("path: invalid")
 			}
 		case "stamp":
-			if e.Stamp, err = strconv.ParseUint(string(value), 10, 64); err != nil {
+			var ok bool
+			if e.Stamp, ok = value.count(); !ok {
 				err = errors.New("stamp: invalid")
 			}
 		case "data":
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -114,7 +114,7 @@
 		return ""
 	}
 	s := string(v.GetStringBytes())
-	if s == "" || len(s) > 200 {
+	if !validText(s) {
 		f.fail(name, "invalid")
 	}
 	return s
@@ -171,15 +171,25 @@
 	if err != nil {
 		// 16.0 is a whole number too.
 		x, ferr := v.Float64()
-		if ferr != nil || x < 0 || x != math.Trunc(x) || x >= 1<<53 {
+		var whole bool
+		if n, whole = wholeNumber(x); ferr != nil || !whole {
 			f.fail(name, "invalid")
 			return 0
 		}
-		n = uint64(x)
 	}
 	return n
 }
 
+func wholeNumber(x float64) (uint64, bool) {
+	if x >= 0 && x == math.Trunc(x) && x < 1<<53 {
+		return uint64(x), true
+	}
+	return 0, false
+}
+
+// validText reports whether a text may be a name: neither empty nor too long.
+func validText(s string) bool { return s != "" && len(s) <= 200 }
+
 var null = fastjson.MustParse("null")
 
 // Member returns a member of an object, or a null where it is missing: reading
--- a/internal/telemetry/settings.go
+++ b/internal/telemetry/settings.go
@@ -10,7 +10,6 @@
 	"math"
 	"net/netip"
 	"net/url"
-	"os"
 
 	"mapleslip/internal/protocol"
 )
@@ -40,17 +39,7 @@
 }
 
 // Load reads the operators' file; errors name the file and the key.
-func Load(path string) (Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, err
-	}
-	s, err := Parse(text)
-	if err != nil {
-		return s, fmt.Errorf("%s: %w", path, protocol.OneLine(err))
-	}
-	return s, nil
-}
+func Load(path string) (Settings, error) { return protocol.LoadFile(path, Parse) }
 
 // Parse checks the text of the operators' file.
 func Parse(text []byte) (Settings, error) {
