--- /dev/null
+++ b/cmd/mapleslip/dev.go
@@ -0,0 +1,251 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/rehearsal"
+	"mapleslip/internal/transport"
+)
+
+// devSettings are the flags of mapleslip dev.
+type devSettings struct {
+	port  int
+	demo  bool
+	limit time.Duration
+}
+
+func devCommand() *cobra.Command {
+	s := devSettings{}
+	cmd := &cobra.Command{
+		Use:   "dev",
+		Short: "A whole deployment on this machine, with stand-ins, to try things on",
+		Long: "dev starts three controllers as processes, and stand-ins of the state service, the\n" +
+			"cloud and workers, all on loopback. Machines are rented as jobs need them, tasks\n" +
+			"run for their estimate, services answer their checks. Ctrl-C ends all of it.",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if s.port < 1024 || s.port > 65000 {
+				return fmt.Errorf("--port: must be from 1024 to 65000")
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			d, err := startDev(ctx, s)
+			if err != nil {
+				return err
+			}
+			defer d.stop()
+			if s.demo {
+				return runDemo(ctx, d, s.limit, cmd.OutOrStdout())
+			}
+			out := cmd.OutOrStdout()
+			fmt.Fprintf(out, "controllers: %s\n  export %s=%s\n", strings.Join(d.clients, ", "), serverVariable, strings.Join(d.clients, ","))
+			fmt.Fprintf(out, "teams: red (8 GPUs guaranteed, 64 at most), blue (the same)\nmachine types: small (8 cores), big (32 cores, 8 GPUs), zones a, b, c\n")
+			fmt.Fprintf(out, "address of a service's instance, for its check: %s\nlogs: %s\nCtrl-C ends it\n", rehearsal.InstanceAt, d.dir)
+			return d.wait(ctx)
+		},
+	}
+	cmd.Flags().IntVar(&s.port, "port", 7400, "first of the `PORTS` on 127.0.0.1 that are used, 8 in a row")
+	cmd.Flags().BoolVar(&s.demo, "demo", false, "play a demonstration, and end")
+	cmd.Flags().DurationVar(&s.limit, "demo-limit", 85*time.Second, "a demonstration that takes longer has failed")
+	return cmd
+}
+
+// dev is a deployment on one machine.
+type dev struct {
+	live    *rehearsal.Live
+	cancel  context.CancelFunc
+	dir     string
+	names   []string
+	clients []string
+	files   []string // of the controllers' settings
+	rollout string
+
+	mu    sync.Mutex
+	procs map[string]*exec.Cmd
+	ended chan string // controllers that ended by themselves
+	over  bool
+}
+
+// devPlatform is what a deployment on one machine has.
+func devPlatform() protocol.Platform {
+	p := protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
+		ReportEvery: protocol.Second, WorkerLease: 10 * protocol.Second, GangWait: 20 * protocol.Second, GangPeer: 5 * protocol.Second, Cancel: 20 * protocol.Second,
+		StateRate: 500, StateWriteRate: 200, ValueBytes: 8192, TxnOps: 12, CloudRate: 20, ListLag: protocol.Second,
+		CPUShare: 1, MemoryBytes: 512e6, MaxConnections: 1000}
+	for _, name := range []string{"red", "blue"} {
+		p.Teams[name] = protocol.Team{Name: name, Guarantee: protocol.Resources{GPU: 8000}, Limit: protocol.Resources{GPU: 64000}}
+	}
+	return p
+}
+
+func devTypes() []*protocol.MachineType {
+	zones := []string{"a", "b", "c"}
+	return []*protocol.MachineType{
+		{Name: "small", Offer: protocol.Resources{CPU: 8000, Mem: 32000}, Cache: 50000, FetchRate: 0.002, Price: 0.4, SpotPrice: 0.15, Boot: 2 * protocol.Second, Zones: zones},
+		{Name: "big", Offer: protocol.Resources{CPU: 32000, GPU: 8000, Mem: 256000}, Cache: 100000, FetchRate: 0.002, Price: 8, SpotPrice: 3, Boot: 3 * protocol.Second, Zones: zones},
+	}
+}
+
+func startDev(ctx context.Context, s devSettings) (_ *dev, err error) {
+	addr := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", s.port+n) }
+	d := &dev{procs: make(map[string]*exec.Cmd), ended: make(chan string, 16)}
+	var cluster []string
+	for n := range 3 {
+		d.names = append(d.names, fmt.Sprintf("node-%d", n))
+		d.clients, cluster = append(d.clients, addr(2+n)), append(cluster, addr(5+n))
+	}
+	for _, a := range append(append([]string{addr(0), addr(1)}, d.clients...), cluster...) {
+		if err := transport.CanListen(a, 0); err != nil {
+			return nil, fmt.Errorf("%w: choose other ports with --port", err)
+		}
+	}
+	if d.dir, err = os.MkdirTemp("", "mapleslip-dev-"); err != nil {
+		return nil, err
+	}
+	ctx, d.cancel = context.WithCancel(ctx)
+	defer func() {
+		if err != nil {
+			d.stop()
+		}
+	}()
+	p := devPlatform()
+	if d.live, err = rehearsal.StartLive(ctx, rehearsal.LiveSettings{State: addr(0), Cloud: addr(1), Names: d.names, Clients: d.clients, Platform: p, Types: devTypes()}); err != nil {
+		return nil, err
+	}
+	d.rollout = filepath.Join(d.dir, "rollout.toml")
+	operator := filepath.Join(d.dir, "operator.toml")
+	files := map[string]string{d.rollout: "checks_per_s = 200.0\n", operator: "idle_return_s = 120.0\n"}
+	for n, name := range d.names {
+		q := p
+		q.Node, q.Zone, q.ClientListen, q.ClusterListen, q.StateAddr, q.CloudAddr = name, p.Zones[n], d.clients[n], cluster[n], addr(0), addr(1)
+		for k := range d.names {
+			if k != n {
+				q.Siblings = append(q.Siblings, protocol.Sibling{Name: d.names[k], Zone: p.Zones[k], Address: cluster[k]})
+			}
+		}
+		text, err := protocol.SettingsFile(&q)
+		if err != nil {
+			return nil, err
+		}
+		file := filepath.Join(d.dir, name+".toml")
+		files[file] = string(text)
+		d.files = append(d.files, file)
+	}
+	for name, text := range files {
+		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+	}
+	for n := range d.names {
+		if err := d.start(n); err != nil {
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// start starts a controller.
+func (d *dev) start(n int) error {
+	name := d.names[n]
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(self, "--config", d.files[n], "--operator", filepath.Join(d.dir, "operator.toml"), "--rollout", d.rollout)
+	cmd.Stderr = log
+	// It ends with this process, however that ends, and Ctrl-C is for this one alone.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.over {
+		return errors.New("the deployment has ended")
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	d.procs[name] = cmd
+	go func() {
+		cmd.Wait()
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if d.procs[name] == cmd && !d.over {
+			delete(d.procs, name)
+			d.ended <- name
+		}
+	}()
+	return nil
+}
+
+// kill ends a controller without a warning.
+func (d *dev) kill(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	cmd := d.procs[name]
+	if cmd == nil {
+		return fmt.Errorf("%s does not run", name)
+	}
+	delete(d.procs, name)
+	return cmd.Process.Kill()
+}
+
+// wait returns when the deployment has to end.
+func (d *dev) wait(ctx context.Context) error {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case name := <-d.ended:
+			return fmt.Errorf("%s ended by itself: %s", name, d.lastLine(name))
+		case <-tick.C:
+			if err := d.live.Err(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// lastLine is the last line of a controller's log.
+func (d *dev) lastLine(name string) string {
+	text, err := os.ReadFile(filepath.Join(d.dir, name+".log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(text)), "\n")
+	return lines[len(lines)-1]
+}
+
+// stop ends all of it.
+func (d *dev) stop() {
+	d.mu.Lock()
+	d.over = true
+	procs := d.procs
+	d.procs = nil
+	d.mu.Unlock()
+	for _, cmd := range procs {
+		cmd.Process.Kill()
+	}
+	if d.cancel != nil {
+		d.cancel()
+	}
+	os.RemoveAll(d.dir)
+}
--- a/cmd/mapleslip/main.go
+++ b/cmd/mapleslip/main.go
@@ -85,6 +85,9 @@
 	cmd.Flags().StringVar(&shown, "telemetry", "", "serve metrics and send spans as the settings `FILE` says")
 	cmd.Flags().StringVar(&rolls, "rollout", "", "serve roll-outs, as the settings `FILE` says")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
+	cmd.AddCommand((&users{}).commands()...)
+	cmd.AddCommand(devCommand())
+	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
 
--- /dev/null
+++ b/internal/protocol/files.go
@@ -0,0 +1,245 @@
+package protocol
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Files that people write: a job and a roll-out in TOML. The names in them say units;
+// what is sent is the interface's JSON.
+
+// runsFile is what jobs and roll-outs both say of a task.
+type runsFile struct {
+	Class    *string   `toml:"class" json:"jobclass"`
+	Team     *string   `toml:"team" json:"owner"`
+	Rank     *string   `toml:"rank" json:"rank"`
+	CPUs     *float64  `toml:"cpus" json:"cores"`
+	GPUs     *float64  `toml:"gpus" json:"gpus"`
+	MemoryGB *float64  `toml:"memory_gb" json:"memoryGb"`
+	Image    *string   `toml:"image" json:"bundle"`
+	ImageGB  *float64  `toml:"image_gb" json:"sizeGb"`
+	Types    *[]string `toml:"types" json:"flavors"`
+	Zone     *string   `toml:"zone" json:"region"`
+	OneZone  bool      `toml:"one_zone" json:"samePlace"`
+	Apart    bool      `toml:"apart" json:"apart"`
+	Spot     bool      `toml:"spot" json:"reclaimable"`
+}
+
+type jobFile struct {
+	runsFile
+	Ref              *string  `toml:"ref" json:"ref"`
+	Kind             *string  `toml:"kind" json:"shape"`
+	Tasks            *int     `toml:"tasks" json:"shards"`
+	EstimateS        *float64 `toml:"estimate_s" json:"expectS"`
+	CheckpointEveryS *float64 `toml:"checkpoint_every_s" json:"snapshotEveryS"`
+	CheckpointS      *float64 `toml:"checkpoint_s" json:"snapshotS"`
+	DeadlineS        *float64 `toml:"deadline_s" json:"dueS"`
+}
+
+type rolloutFile struct {
+	ID      *string   `toml:"id" json:"id"`
+	Service *string   `toml:"service" json:"service"`
+	Job     *runsFile `toml:"job" json:"job"`
+	Count   *int      `toml:"count" json:"count"`
+	Floor   *int      `toml:"floor" json:"floor"`
+	Surge   *int      `toml:"surge" json:"surge"`
+	Faulty  *int      `toml:"faulty" json:"faulty"`
+	Stages  []any     `toml:"stages" json:"stages"`
+	SoakS   *float64  `toml:"soak_s" json:"soakS"`
+	StartS  *float64  `toml:"start_s" json:"startS"`
+	Healthy *float64  `toml:"healthy_s" json:"healthyS"`
+	Adopt   []string  `toml:"adopt" json:"adopt"`
+	Check   *struct {
+		Kind     *string  `toml:"kind" json:"how"`
+		At       *string  `toml:"at" json:"at"`
+		Path     *string  `toml:"path" json:"path"`
+		EveryS   *float64 `toml:"every_s" json:"everyS"`
+		TimeoutS *float64 `toml:"timeout_s" json:"timeoutS"`
+		Passes   *int     `toml:"passes" json:"passes"`
+		Fails    *int     `toml:"fails" json:"fails"`
+	} `toml:"check" json:"check"`
+}
+
+// fileKeys are the names in files of the interface's fields that have others.
+var fileKeys = map[string]string{"jobclass": "class", "owner": "team", "shape": "kind", "shards": "tasks", "cores": "cpus", "memoryGb": "memory_gb",
+	"bundle": "image", "sizeGb": "image_gb", "flavors": "types", "region": "zone", "samePlace": "one_zone", "reclaimable": "spot", "expectS": "estimate_s",
+	"snapshotEveryS": "checkpoint_every_s", "snapshotS": "checkpoint_s", "dueS": "deadline_s", "soakS": "soak_s", "startS": "start_s",
+	"healthyS": "healthy_s", "how": "kind", "everyS": "every_s", "timeoutS": "timeout_s"}
+
+var kindsInFiles = map[string]string{"array": "array", "gang": "ensemble", "service": "daemon"}
+
+// def sets what a file leaves out.
+func def[T any](to **T, v T) {
+	if *to == nil {
+		*to = &v
+	}
+}
+
+func (r *runsFile) defaults() {
+	def(&r.Rank, "standard")
+	def(&r.GPUs, 0)
+	def(&r.ImageGB, 0)
+}
+
+// ParseJobFile reads a job's file into the body of a submission. A job without a ref
+// gets the one given.
+func ParseJobFile(text []byte, ref string) (body []byte, spec *JobSpec, err error) {
+	var f jobFile
+	if err := decodeLines(text, &f); err != nil {
+		return nil, nil, err
+	}
+	f.defaults()
+	def(&f.Ref, ref)
+	def(&f.Kind, "array")
+	def(&f.Tasks, 1)
+	def(&f.CheckpointEveryS, 0)
+	def(&f.CheckpointS, 0)
+	kind, ok := kindsInFiles[*f.Kind]
+	if !ok {
+		return nil, nil, atLine(text, errors.New("kind: must be array, gang or service"))
+	}
+	if kind == "daemon" {
+		def(&f.EstimateS, 0)
+	}
+	f.Kind = &kind
+	if body, err = json.Marshal(&f); err != nil {
+		return nil, nil, atLine(text, err)
+	}
+	spec, err = ParseJob(body)
+	return body, spec, atLine(text, err)
+}
+
+// ParseRolloutFile reads a roll-out's file into the body of its request. One without
+// an id gets the one given.
+func ParseRolloutFile(text []byte, id string) (body []byte, spec *RolloutSpec, err error) {
+	var f rolloutFile
+	if err := decodeLines(text, &f); err != nil {
+		return nil, nil, err
+	}
+	def(&f.ID, id)
+	def(&f.Surge, 1)
+	def(&f.Faulty, 0)
+	def(&f.SoakS, 30)
+	def(&f.StartS, 300)
+	def(&f.Healthy, 60)
+	if f.Stages == nil {
+		f.Stages = []any{"100%"}
+	}
+	if f.Job != nil {
+		f.Job.defaults()
+	}
+	if c := f.Check; c != nil {
+		def(&c.Kind, "http")
+		def(&c.Path, "/healthz")
+		def(&c.EveryS, 5)
+		def(&c.TimeoutS, 1)
+		def(&c.Passes, 2)
+		def(&c.Fails, 2)
+	}
+	if body, err = json.Marshal(&f); err != nil {
+		return nil, nil, atLine(text, err)
+	}
+	spec, err = ParseRollout(body)
+	return body, spec, atLine(text, err)
+}
+
+// decodeLines reads TOML; an unknown key and a value of the wrong kind are errors that
+// name key and line.
+func decodeLines(text []byte, to any) error {
+	err := DecodeStrict(text, to)
+	var key *KeyError
+	if errors.As(err, &key) {
+		return atLine(text, fmt.Errorf("%s: %s", key.Key, key.Problem))
+	}
+	return err
+}
+
+// atLine turns an error that begins with a field of the interface, as in "job:
+// shards: invalid", into one with the file's key and the line where it is.
+func atLine(text []byte, err error) error {
+	if err == nil {
+		return nil
+	}
+	var path []string
+	rest := err.Error()
+	for {
+		name, more, ok := strings.Cut(rest, ": ")
+		if !ok || strings.ContainsAny(name, ` "`) {
+			break
+		}
+		for _, part := range strings.Split(name, ".") {
+			if k := fileKeys[part]; k != "" {
+				part = k
+			}
+			path = append(path, part)
+		}
+		rest = more
+	}
+	if len(path) == 0 {
+		return err
+	}
+	key := strings.Join(path, ".")
+	if n := lineOf(text, path); n > 0 {
+		return fmt.Errorf("line %d: %s: %s", n, key, rest)
+	}
+	return fmt.Errorf("%s: %s", key, rest)
+}
+
+// lineOf finds the line in which a key is set, or else its table begins; 0: nowhere.
+func lineOf(text []byte, path []string) int {
+	table, found := "", 0
+	for n, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			table = strings.Trim(line, "[] \t")
+			if table == strings.Join(path[:len(path)-1], ".") {
+				found = n + 1
+			}
+			continue
+		}
+		name, _, ok := strings.Cut(line, "=")
+		full := strings.Trim(strings.TrimSpace(name), `"'`)
+		if table != "" {
+			full = table + "." + full
+		}
+		if ok && full == strings.Join(path, ".") {
+			return n + 1
+		}
+	}
+	return found
+}
+
+// SettingsFile writes a platform's file, for deployments that mapleslip sets up itself.
+func SettingsFile(p *Platform) ([]byte, error) {
+	var f platformFile
+	f.NodeName, f.Area, f.ClientListen, f.ClusterListen = p.Node, p.Zone, p.ClientListen, p.ClusterListen
+	for _, s := range p.Siblings {
+		f.Siblings = append(f.Siblings, struct {
+			NodeName string `toml:"node_name"`
+			Area     string `toml:"area"`
+			Address  string `toml:"address"`
+		}{s.Name, s.Zone, s.Address})
+	}
+	f.Services.Cloud, f.Services.State = p.CloudAddr, p.StateAddr
+	f.Facts.Nodes, f.Facts.Zones, f.Facts.ClockOffMS = len(p.Siblings)+1, p.Zones, math.Round(p.ClockOff.Seconds()*1000)
+	for _, t := range p.Teams {
+		f.Facts.Teams = append(f.Facts.Teams, struct {
+			Name    string  `toml:"name"`
+			CPUs    float64 `toml:"cpus"`
+			CPUsMax float64 `toml:"cpus_max"`
+			GPUs    float64 `toml:"gpus"`
+			GPUsMax float64 `toml:"gpus_max"`
+		}{t.Name, float64(t.Guarantee.CPU) / 1000, float64(t.Limit.CPU) / 1000, float64(t.Guarantee.GPU) / 1000, float64(t.Limit.GPU) / 1000})
+	}
+	w := &f.Facts.Workers
+	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = p.ReportEvery.Seconds(), p.WorkerLease.Seconds(), p.GangWait.Seconds(), p.GangPeer.Seconds(), p.Cancel.Seconds()
+	f.Facts.State.RPS, f.Facts.State.WriteRPS, f.Facts.State.ValueKB, f.Facts.State.TxnOps = p.StateRate, p.StateWriteRate, float64(p.ValueBytes)/1024, p.TxnOps
+	f.Facts.Cloud.RPS, f.Facts.Cloud.ListLagS = p.CloudRate, p.ListLag.Seconds()
+	f.Facts.Quota.CPU, f.Facts.Quota.MemoryMB, f.Facts.Quota.MaxConnections = p.CPUShare, float64(p.MemoryBytes)/1e6, p.MaxConnections
+	return toml.Marshal(&f)
+}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -80,12 +80,12 @@
 	return nil
 }
 
-func (m *machine) report() string {
+func (w *World) report(m *machine) string {
 	m.tick++
 	b := make([]byte, 0, 200+90*len(m.tasks))
 	text := func(name, value string) { b = append(append(append(append(b, name...), '"'), value...), '"') }
 	text(`{"host":`, m.name)
-	text(`,"addr":`, m.name+":9000")
+	text(`,"addr":`, w.workerAddr(m))
 	text(`,"flavor":`, m.typ)
 	text(`,"region":`, m.zone)
 	b = strconv.AppendBool(append(b, `,"reclaimable":`...), m.spot)
@@ -110,6 +110,26 @@
 	return string(append(b, "]}"...))
 }
 
+// workerAddr is where a machine's worker is reached.
+func (w *World) workerAddr(m *machine) string {
+	if w.live != nil {
+		return w.live.ipOf(m) + ":9000"
+	}
+	return m.name + ":9000"
+}
+
+// nodeNames lists the controllers that workers know.
+func (w *World) nodeNames() []string {
+	if w.live != nil {
+		return w.live.names
+	}
+	names := make([]string, len(w.nodes))
+	for i, n := range w.nodes {
+		names[i] = n.name
+	}
+	return names
+}
+
 // tickMachine does what is due on one machine.
 func (w *World) tickMachine(m *machine) {
 	if m.phase == "booting" && m.up <= w.now {
@@ -295,9 +315,8 @@
 	m.inFlight, m.changed = true, false
 	sent := w.now
 	m.next = w.now + w.Platform.ReportEvery
-	body := m.report()
+	body := w.report(m)
 	session := m.session
-	node := w.nodes[m.node%len(w.nodes)]
 	answered := false
 	fail := func() {
 		if !answered {
@@ -307,6 +326,19 @@
 			m.next = w.now + protocol.Second
 		}
 	}
+	if w.live != nil { // controllers are processes
+		w.live.hello(m.node, body, func(status int, resp []byte) {
+			if m.slow || m.hung || answered || m.phase != "running" {
+				return
+			}
+			answered = true
+			m.inFlight = false
+			w.tookAnswer(m, session, sent, status, resp)
+		})
+		w.after(4*protocol.Second, fail)
+		return
+	}
+	node := w.nodes[m.node%len(w.nodes)]
 	deliver := func() {
 		if node.deaf || m.apart[node.name] {
 			return
@@ -343,8 +375,9 @@
 func (w *World) tookAnswer(m *machine, session uint64, sent micros, status int, resp []byte) {
 	if status == 421 {
 		leader := fastjson.GetString(resp, "leader")
-		for i, n := range w.nodes {
-			if n.name == leader && i != m.node%len(w.nodes) {
+		names := w.nodeNames()
+		for i, name := range names {
+			if name == leader && i != m.node%len(names) {
 				m.node = i
 				m.next = w.now + 100*protocol.Millisecond
 				return
@@ -376,7 +409,7 @@
 	}
 	serve := func() {
 		if c.Path == "/status" {
-			back(200, m.report())
+			back(200, w.report(m))
 			return
 		}
 		p := protocol.Parsers.Get()
@@ -391,7 +424,7 @@
 			status, m.epoch = 200, v.GetUint64("epoch")
 			w.execute(m, c.Body)
 		}
-		report := m.report()
+		report := w.report(m)
 		if !m.slow {
 			back(status, report)
 		}
@@ -488,8 +521,8 @@
 			if b.Len() > len(`{"hosts":[`) {
 				b.WriteByte(',')
 			}
-			fmt.Fprintf(&b, `{"ref":%q,"addr":"%s:9000","flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
-				m.name, m.name, m.typ, m.zone, m.spot, m.phase, (w.now - m.rented).Seconds())
+			fmt.Fprintf(&b, `{"ref":%q,"addr":%q,"flavor":%q,"region":%q,"reclaimable":%t,"phase":%q,"heldS":%g}`,
+				m.name, w.workerAddr(m), m.typ, m.zone, m.spot, m.phase, (w.now - m.rented).Seconds())
 		}
 		b.WriteString(`],"truncated":false}`)
 		return 200, b.String()
--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -110,7 +110,7 @@
 // reportOf is what a machine reports next.
 func reportOf(w *World, i int) coordination.WorkerReport {
 	w.nextConn++
-	return coordination.WorkerReport{Reply: coordination.Address{Conn: w.nextConn}, Body: []byte(w.sortedMachines()[i].report())}
+	return coordination.WorkerReport{Reply: coordination.Address{Conn: w.nextConn}, Body: []byte(w.report(w.sortedMachines()[i]))}
 }
 
 // BenchmarkReport is a worker's report that says nothing new.
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -25,8 +25,9 @@
 	nextID   uint64
 	watches  []*follower
 	changes  []change
-	written  int // puts and deletes
-	refused  int // transactions beyond the rate
+	forgot   uint64 // the last change that is not among them any more
+	written  int    // puts and deletes
+	refused  int    // transactions beyond the rate
 	room     float64
 	roomAt   micros
 }
@@ -91,8 +92,15 @@
 		rest = append(rest, f)
 	}
 	s.watches = rest
+	if n := len(s.changes) - keptChanges; n > keptChanges/10 {
+		s.forgot = s.changes[n-1].stamp
+		s.changes = append([]change(nil), s.changes[n:]...)
+	}
 }
 
+// keptChanges is how many changes can be followed later.
+const keptChanges = 10_000
+
 func (s *store) news(f *follower) []string {
 	var list []string
 	for _, c := range s.changes {
@@ -165,6 +173,10 @@
 		}
 		answer(200, fmt.Sprintf(`{"entries":[%s],"truncated":%t,"generation":%d}`, strings.Join(items, ","), more, s.revision))
 	case method == "GET" && path == "/follow":
+		if since < s.forgot {
+			answer(410, `{"error":"too old"}`)
+			return
+		}
 		block, _ := strconv.ParseInt(args["blockMs"], 10, 64)
 		s.watches = append(s.watches, &follower{args["under"], since, s.w.now + micros(block)*protocol.Millisecond, answer})
 	case path == "/commit":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -66,7 +66,7 @@
 	rolloutBy  map[string][]byte    // the last answer about a service's roll-out
 	onRun      func(*machine, *runningTask)
 	onLeave    func(*machine, *runningTask)
-	addrOf     func(m *machine) string // of a machine's worker, nil: its name
+	live       *Live // real connections, nil: all is simulated
 }
 
 type event struct {
