--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -96,7 +96,7 @@
 }
 
 func (f *fields) get(name string, kind fastjson.Type) *fastjson.Value {
-	v := f.obj.Get(name)
+	v := f.optional(name)
 	if v == nil {
 		f.fail(name, "missing")
 		return nil
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -256,6 +256,10 @@
 			return err
 		}
 		w.backlog = n
+	case "evict": // evict IMAGE: no machine has it any more
+		for _, m := range w.machines {
+			delete(m.images, words[1])
+		}
 	case "boots": // boots FACTOR: of machines rented from now on; 0: they never come up
 		w.boots = number(options([]string{"x=" + words[1]}), "x", 1)
 	case "cloud-slow": // rental requests are answered so many seconds later
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
@@ -53,7 +54,8 @@
 	cancels map[string]bool
 	saves   int
 	paused  micros
-	events  int // faults still to come
+	events  int           // faults still to come
+	spent   time.Duration // by the manager
 	rng     *rand.Rand
 }
 
@@ -158,7 +160,10 @@
 
 func (w *world) step(ev Event) {
 	life := w.life
-	for _, e := range w.g.Step(w.now, ev) {
+	began := time.Now()
+	effects := w.g.Step(w.now, ev)
+	w.spent += time.Since(began)
+	for _, e := range effects {
 		w.perform(life, e)
 	}
 }
@@ -661,3 +666,136 @@
 		}
 	}
 }
+
+// The leader ends as soon as the record says a state, or a moment later; the next one
+// goes on in the very stage, and one that ends there as well is followed by a third.
+func TestLeaderEndsInEachState(t *testing.T) {
+	for _, c := range []struct {
+		state State
+		made  string
+		end   State
+	}{{Planned, "", Done}, {Staging, "", Done}, {Checking, "", Done}, {Soaking, "", Done}, {Promoting, "", Done}, {Done, "", Done},
+		{Reverting, "later", Reverted}, {Reverted, "later", Reverted}, {Staging, "later", Reverted}, {Soaking, "later", Reverted}} {
+		for leaders := 1; leaders <= 2; leaders++ {
+			for stage := range 2 {
+				if stage == 1 && (c.state == Planned || c.made != "") {
+					continue // it is in the first only
+				}
+				w := newWorld(t, testSpec(), 4, 30)
+				w.made["new"] = c.made
+				w.run(4*second, func() bool { return false })
+				w.ask(Start)
+				left, last := leaders, 0
+				w.run(600*second, func() bool {
+					r := w.state()
+					if r.New.Spec.ID == "r-1" && r.State == c.state && (r.Stage == stage || c.made != "" || c.state == Done) && left > 0 && w.saves > last {
+						w.note("-- the leader ends")
+						left, last = left-1, w.saves
+						if leaders == 2 {
+							last-- // the second ends at once
+						}
+						w.lead()
+					}
+					return left == 0 && r.State.Ended() && r.New.Spec.ID == "r-1"
+				})
+				r := w.state()
+				if r.State != c.end || left > 0 {
+					w.fatal("leaders end in %v of stage %d: it is %v, %s", c.state, stage, r.State, r.Reason)
+				}
+				w.checkEnd(r)
+			}
+		}
+	}
+}
+
+// An instance that the former leader found healthy is nobody's until it is checked
+// anew, and nothing is taken away relying on it.
+func TestCheckedAnew(t *testing.T) {
+	w := newWorld(t, testSpec(), 4, 30)
+	w.run(4*second, func() bool { return false })
+	w.ask(Start)
+	w.run(60*second, func() bool { return w.state().State == Soaking })
+	if m := w.g.services["picker"]; m.newTally.healthy != 1 {
+		w.fatal("%d new ones are healthy", m.newTally.healthy)
+	}
+	w.lead()
+	w.step(Tick{})
+	if m := w.g.services["picker"]; m.newTally.healthy+m.oldTally.healthy != 0 || m.newTally.running != 1 {
+		w.fatal("%+v", m.newTally)
+	}
+}
+
+// BenchmarkRollout plays a roll-out whose new version breaks 12 s after it started, in
+// its last stage, in simulated time: how long it takes from the first faulty instance
+// until the last one is gone, how often the record changes, and what the leader spends
+// on it in a second.
+func BenchmarkRollout(b *testing.B) {
+	for _, n := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("instances=%d", n), func(b *testing.B) {
+			for range b.N {
+				s := testSpec()
+				s.Count, s.Floor, s.Surge, s.Stages = n, n*9/10, n/5, []int{n / 10, n / 2, n}
+				s.Soak, s.StartWithin, s.HealthyWithin = 4*second, 120*second, 120*second
+				s.Check.Every = 5 * second
+				w := newWorld(b, s, n, 2*n)
+				w.run(4*second, func() bool { return false })
+				w.ask(Start)
+				w.run(3600*second, func() bool { r := w.state(); return r.New.Spec.ID == "r-1" && r.Stage == 2 && r.State == Soaking })
+				jobs, broke, began, spent := len(w.jobs), w.now, w.now, w.spent
+				w.made["new"] = "bad"
+				gone := func() bool {
+					for _, j := range w.jobs {
+						if j.spec.Image == "new" && slices.ContainsFunc(j.tasks, func(t *simTask) bool { return t.running }) {
+							return false
+						}
+					}
+					return true
+				}
+				if !w.run(3600*second, gone) {
+					w.fatal("they are still there")
+				}
+				b.ReportMetric((w.now - broke).Seconds(), "revert_s")
+				b.ReportMetric((w.spent-spent).Seconds()*1000/(w.now-began).Seconds(), "ms/sim_s")
+				if !w.run(3600*second, func() bool { return w.state().State == Reverted }) {
+					w.fatal("not reverted: %s", w.record)
+				}
+				b.ReportMetric(float64(w.state().Changes), "changes")
+				b.ReportMetric(float64(jobs), "jobs")
+			}
+		})
+	}
+}
+
+// A job was to go, and the state service was away for a while before the record that
+// says so was durable. Meanwhile instances were lost: it stays.
+func TestOutageBeforeCancel(t *testing.T) {
+	w := newWorld(t, testSpec(), 4, 30)
+	w.run(4*second, func() bool { return false })
+	w.ask(Start)
+	m := w.g.services["picker"]
+	if !w.run(60*second, func() bool { return m.next != nil && m.leaving(m.next) > 0 }) {
+		w.fatal("nothing was to go")
+	}
+	w.outage = true
+	gone := map[string]bool{}
+	for _, b := range m.next.Old.Batches {
+		if t := w.jobs[b.Ref].tasks[0]; !b.Leaving && len(gone) < 2 {
+			gone[b.Ref] = true
+			t.running, t.broken = false, w.now
+		}
+	}
+	w.room = 0 // they don't come back
+	w.run(15*second, func() bool { return false })
+	w.restore()
+	w.run(3*second, func() bool { return false })
+	for ref, j := range w.jobs {
+		if j.cancelled && !gone[ref] {
+			w.fatal("%s was taken away", ref)
+		}
+	}
+	for _, b := range w.state().Old.Batches {
+		if b.Leaving && !gone[b.Ref] {
+			w.fatal("%s is still to go: %s", b.Ref, w.record)
+		}
+	}
+}
