--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -24,13 +24,19 @@
 	Patience time.Duration // for all tries of a request, 60 s if 0
 	Retried  func(why string, wait time.Duration)
 
-	http http.Client
-	turn int
+	http  http.Client
+	turn  int
+	sleep func(context.Context, time.Duration)
 }
 
 // New makes a client of servers that are separated by commas.
 func New(servers string) (*Client, error) {
-	c := &Client{}
+	c := &Client{sleep: func(ctx context.Context, d time.Duration) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(d):
+		}
+	}}
 	for _, s := range strings.Split(servers, ",") {
 		s = strings.TrimSpace(s)
 		if host, port, err := net.SplitHostPort(s); err != nil || host == "" || port == "" {
@@ -91,10 +97,8 @@
 		if c.Retried != nil && ctx.Err() == nil {
 			c.Retried(why, wait)
 		}
-		select {
-		case <-ctx.Done():
+		if c.sleep(ctx, wait); ctx.Err() != nil {
 			return 0, nil, fmt.Errorf("no answer of %s: %s", strings.Join(c.Servers, ", "), why)
-		case <-time.After(wait):
 		}
 	}
 }
--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -107,8 +107,8 @@
 		def(&f.EstimateS, 0)
 	}
 	f.Kind = &kind
-	if body, err = json.Marshal(&f); err != nil {
-		return nil, nil, atLine(text, err)
+	if body, err = marshal(text, &f); err != nil {
+		return nil, nil, err
 	}
 	spec, err = ParseJob(body)
 	return body, spec, atLine(text, err)
@@ -141,13 +141,28 @@
 		def(&c.Passes, 2)
 		def(&c.Fails, 2)
 	}
-	if body, err = json.Marshal(&f); err != nil {
-		return nil, nil, atLine(text, err)
+	if body, err = marshal(text, &f); err != nil {
+		return nil, nil, err
 	}
 	spec, err = ParseRollout(body)
 	return body, spec, atLine(text, err)
 }
 
+// marshal writes the interface's JSON, which has no numbers that are not finite.
+func marshal(text []byte, f any) ([]byte, error) {
+	body, err := json.Marshal(f)
+	if err != nil {
+		for n, line := range strings.Split(string(text), "\n") {
+			name, value, _ := strings.Cut(line, "=")
+			switch v, _, _ := strings.Cut(strings.TrimSpace(value), " "); strings.TrimLeft(v, "+-") {
+			case "nan", "inf":
+				return nil, fmt.Errorf("line %d: %s: must be a finite number", n+1, strings.TrimSpace(name))
+			}
+		}
+	}
+	return body, err
+}
+
 // decodeLines reads TOML; an unknown key and a value of the wrong kind are errors that
 // name key and line.
 func decodeLines(text []byte, to any) error {
--- a/internal/protocol/rollout.go
+++ b/internal/protocol/rollout.go
@@ -170,7 +170,8 @@
 		f.fail("stages", fmt.Sprintf("must be from 1 to %d", MaxStages))
 		return nil
 	}
-	for i, v := range list {
+	last := 0
+	for _, v := range list {
 		n, err := v.Int()
 		known := err == nil
 		if v.Type() == fastjson.TypeString {
@@ -182,17 +183,18 @@
 		switch {
 		case !known:
 			f.fail("stages", "must be numbers of instances, or texts like \"25%\"")
-		case n < 1 || n > count || i > 0 && n < stages[i-1]:
+		case n < 1 || n > count || n < last:
 			f.fail("stages", "must rise, from 1 up to count")
-		case i > 0 && n == stages[i-1]:
-			continue // of few instances two percentages may be the same
 		}
 		if f.err != nil {
 			return nil
 		}
-		stages = append(stages, n)
+		if n > last { // of few instances two percentages may be the same
+			stages = append(stages, n)
+			last = n
+		}
 	}
-	if stages[len(stages)-1] != count {
+	if last != count {
 		f.fail("stages", "the last must be all instances")
 	}
 	return stages
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -799,3 +799,25 @@
 		}
 	}
 }
+
+// FuzzDecode looks for records that end the program, or that are written otherwise
+// than they were read.
+func FuzzDecode(f *testing.F) {
+	s := testSpec()
+	r := &Record{Service: "picker", State: Paused, From: Soaking, Reason: "why", Made: 3}
+	r.New = Version{Hash: VersionOf(s.Job), Spec: s, Batches: []Batch{{jobRef("picker", "r-1", 1), 2, false}, {"req-000123", 5, true}}}
+	f.Add(r.Encode())
+	f.Fuzz(func(t *testing.T, in []byte) {
+		r, err := Decode(in)
+		if err != nil {
+			return
+		}
+		again, err := Decode(r.Encode())
+		if err != nil {
+			t.Fatalf("%v: %s", err, r.Encode())
+		}
+		if d := cmp.Diff(r, again); d != "" {
+			t.Error(d)
+		}
+	})
+}
