Dev: networks that differ by port, an interrupted demonstration; turns measured

Cause: two deployments on one machine used the same addresses for their workers, and a demonstration that ran out of time named what it had not yet asked for.

--- a/cmd/mapleslip/demo.go
+++ b/cmd/mapleslip/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -103,8 +102,11 @@
 	for _, s := range steps {
 		m.say("== %s", s.what)
 		if err := s.do(ctx); err != nil {
-			if ctx.Err() != nil {
+			switch ctx.Err() {
+			case context.DeadlineExceeded:
 				err = fmt.Errorf("not over after %s, outstanding: %w", limit, err)
+			case context.Canceled:
+				err = fmt.Errorf("interrupted, outstanding: %w", err)
 			}
 			failed = fmt.Errorf("%s: %w", s.what, err)
 			m.check(s.what, false, "%s", err)
@@ -145,12 +147,15 @@
 			m.say("%s", line)
 			last = line
 		}
-		if ok || err != nil {
+		if ok || err != nil && ctx.Err() == nil {
 			return err
 		}
 		if err := m.d.live.Err(); err != nil {
 			return err
 		}
+		if ctx.Err() != nil {
+			return fmt.Errorf("%s (last seen: %s)", what, last)
+		}
 		select {
 		case <-ctx.Done():
 			return fmt.Errorf("%s (last seen: %s)", what, last)
@@ -205,9 +210,13 @@
 			return err
 		}
 	}
-	if err := errors.Join(m.job(ctx, "req-000001", "the array", "done", 0), m.job(ctx, "req-000002", "the gang", "done", 0),
-		m.job(ctx, "req-000003", "the service", "running", 4)); err != nil {
-		return err
+	for _, j := range []struct {
+		ref, what, phase string
+		running          int
+	}{{"req-000001", "the array", "done", 0}, {"req-000002", "the gang", "done", 0}, {"req-000003", "the service", "running", 4}} {
+		if err := m.job(ctx, j.ref, j.what, j.phase, j.running); err != nil {
+			return err
+		}
 	}
 	m.check("an array, a gang and a service run", true, "after %.1f s, on %d machines rented for them", time.Since(began).Seconds(), m.d.live.Machines())
 	return nil
@@ -235,10 +244,13 @@
 		return err
 	}
 	took := time.Since(began)
-	if err := errors.Join(m.job(ctx, "req-000004", "the second array", "done", 0), m.job(ctx, "req-000003", "the service", "running", 4)); err != nil {
+	if err := m.job(ctx, "req-000004", "the second array", "done", 0); err != nil {
+		return err
+	}
+	if err := m.job(ctx, "req-000003", "the service", "running", 4); err != nil {
 		return err
 	}
-	m.check("the leader is killed and the work goes on", true, "%s led after %.1f s, each task ran once", m.d.live.Leader(), took.Seconds())
+	m.check("the leader is killed and the work goes on", true, "%s led after %.1f s, the array is done", m.d.live.Leader(), took.Seconds())
 	m.say("starting %s again", old)
 	return m.d.start(slices.Index(m.d.names, old))
 }
--- a/cmd/mapleslip/dev.go
+++ b/cmd/mapleslip/dev.go
@@ -122,7 +122,7 @@
 		}
 	}()
 	p := devPlatform()
-	if d.live, err = rehearsal.StartLive(ctx, rehearsal.LiveSettings{State: addr(0), Cloud: addr(1), Names: d.names, Clients: d.clients, Platform: p, Types: devTypes()}); err != nil {
+	if d.live, err = rehearsal.StartLive(ctx, rehearsal.LiveSettings{State: addr(0), Cloud: addr(1), Names: d.names, Clients: d.clients, Network: fmt.Sprintf("127.%d.", 20+s.port%200), Platform: p, Types: devTypes()}); err != nil {
 		return nil, err
 	}
 	d.rollout = filepath.Join(d.dir, "rollout.toml")
--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -27,6 +27,7 @@
 	began   time.Time
 	names   []string // of the controllers
 	clients []string // their addresses for workers
+	network string
 	calls   http.Client
 	servers map[string]*http.Server // by address
 	ips     map[string]string       // of machines
@@ -38,17 +39,15 @@
 	State, Cloud string
 	Names        []string // of the controllers
 	Clients      []string // their addresses, as Names
+	Network      string   // two bytes of the machines' addresses, "127.77."
 	Platform     protocol.Platform
 	Types        []*protocol.MachineType
 }
 
-// Loopback is the network of the stand-ins' machines.
-const Loopback = "127.77."
-
 // StartLive serves the stand-ins until the context ends. An address that can't be
 // bound is an error, and nothing is left listening.
 func StartLive(ctx context.Context, s LiveSettings) (*Live, error) {
-	l := &Live{w: NewWorld(0), began: time.Now(), names: s.Names, clients: s.Clients, servers: make(map[string]*http.Server), ips: make(map[string]string)}
+	l := &Live{w: NewWorld(0), began: time.Now(), names: s.Names, clients: s.Clients, network: s.Network, servers: make(map[string]*http.Server), ips: make(map[string]string)}
 	l.w.Platform, l.w.Types, l.w.quiet, l.w.live = s.Platform, s.Types, true, l
 	l.w.listLag = protocol.Second
 	l.w.onRun, l.w.onLeave = l.run, l.leave
@@ -142,7 +141,7 @@
 	ip := l.ips[m.name]
 	if ip == "" {
 		n := len(l.ips) + 1
-		ip = Loopback + strconv.Itoa(n>>8) + "." + strconv.Itoa(n&255)
+		ip = l.network + strconv.Itoa(n>>8) + "." + strconv.Itoa(n&255)
 		l.ips[m.name] = ip
 	}
 	return ip
@@ -167,7 +166,7 @@
 		}
 	}
 	for addr := range l.servers {
-		if strings.HasPrefix(addr, Loopback) && strings.HasSuffix(addr, ":9000") && !up[addr] {
+		if strings.HasPrefix(addr, l.network) && strings.HasSuffix(addr, ":9000") && !up[addr] {
 			l.stop(addr)
 		}
 	}
--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -4,9 +4,11 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/rollout"
 )
 
 // fleetSize is about the largest deployment that its users run.
@@ -16,7 +18,11 @@
 // arrays on all machines, and more arrays and gangs that wait.
 func grown(tb testing.TB, nodes int) *World {
 	tb.Helper()
-	w := NewWorld(nodes)
+	return grownIn(tb, NewWorld(nodes))
+}
+
+func grownIn(tb testing.TB, w *World) *World {
+	tb.Helper()
 	w.quiet = true
 	w.Platform.ReportEvery = 5 * protocol.Second
 	w.Platform.StateWriteRate = 35
@@ -210,3 +216,38 @@
 		w.Run(w.now + protocol.Second)
 	}
 }
+
+// BenchmarkRolloutTurns is what a leader of a full fleet spends in a simulated second,
+// without a roll-out and with one of 1,000 instances that are all checked, 50 a second,
+// by the other controllers; and its longest turn.
+func BenchmarkRolloutTurns(b *testing.B) {
+	for _, count := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("instances=%d", count), func(b *testing.B) {
+			for range b.N {
+				w := NewWorld(3)
+				w.rollouts = &rollout.Settings{ChecksPerS: 50, AtOnce: 64, Services: 4}
+				grownIn(b, w)
+				if count > 0 {
+					if err := w.actRollout(strings.Fields(fmt.Sprintf("rollout r-1 picker image=pick-2 size=0.1 gpus=0 count=%d floor=0 stages=%d soak=3600 healthy=600", count, count))); err != nil {
+						b.Fatal(err)
+					}
+				}
+				w.Run(w.now + 100*protocol.Second)
+				if err := w.expectRollout([]string{"picker", "soaking"}); count > 0 && err != nil {
+					b.Fatal(err)
+				}
+				var spent, longest time.Duration
+				leader := w.leader()
+				w.stepped = func(n *node, d time.Duration) {
+					if n == leader {
+						spent += d
+						longest = max(longest, d)
+					}
+				}
+				w.Run(w.now + 60*protocol.Second)
+				b.ReportMetric(spent.Seconds()*1000/60, "ms/sim_s")
+				b.ReportMetric(longest.Seconds()*1000, "longest_ms")
+			}
+		})
+	}
+}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"sort"
 	"strings"
+	"time"
 
 	"github.com/valyala/fastjson"
 
@@ -66,7 +67,8 @@
 	rolloutBy  map[string][]byte    // the last answer about a service's roll-out
 	onRun      func(*machine, *runningTask)
 	onLeave    func(*machine, *runningTask)
-	live       *Live // real connections, nil: all is simulated
+	live       *Live                      // real connections, nil: all is simulated
+	stepped    func(*node, time.Duration) // what a controller's step took, for measurements
 }
 
 type event struct {
@@ -242,7 +244,14 @@
 		return
 	}
 	was := n.ctl.Role()
-	w.perform(n, n.ctl.Step(w.timeOf(n), ev))
+	if w.stepped == nil {
+		w.perform(n, n.ctl.Step(w.timeOf(n), ev))
+	} else {
+		began := time.Now()
+		effects := n.ctl.Step(w.timeOf(n), ev)
+		w.stepped(n, time.Since(began))
+		w.perform(n, effects)
+	}
 	if w.endsLoading > 0 && was != coordination.Loading && n.ctl.Role() == coordination.Loading {
 		w.endsLoading--
 		life := n.life
