Roll-outs turn back faster and are counted; services bounded by what an answer holds

Cause: with 1,000 faulty instances two rows of confirmed fails each took 63 s of checks; a list of 1,000 services would have been a line longer than the protocol allows.

--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -40,6 +40,7 @@
 	c.rollouts = &s
 	c.ownCalls = make(map[uint64]func(int, []byte))
 	c.asking = make(map[uint64]Address)
+	c.stats.Checks = make(map[string]uint64)
 }
 
 func (c *Controller) initRollouts(t *term) {
@@ -138,6 +139,7 @@
 			}
 		case rollout.Disputed:
 			c.log.Info("check disputed", "by", e.By, "against", e.Against)
+			c.stats.Disputed++
 			t.rollouts.shy[e.Against] = c.at.Steady + shyChecks
 		}
 	}
@@ -223,6 +225,14 @@
 // what nobody else can do, and a check by another node costs it a frame.
 func (c *Controller) checkInstance(t *term, e rollout.Check) {
 	end := func(made, ok bool, by, why string) {
+		outcome := "unmade"
+		switch {
+		case made && ok:
+			outcome = "passed"
+		case made:
+			outcome = "failed"
+		}
+		c.stats.Checks[outcome]++
 		if c.term == t {
 			c.stepRollouts(rollout.Checked{ID: e.ID, Made: made, OK: ok, By: by, Why: why})
 		}
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -70,13 +70,16 @@
 	Refused   map[string]uint64
 	Malformed uint64
 	TakeOvers uint64
-	Lost      uint64 // tasks that ended with their machine
+	Lost      uint64            // tasks that ended with their machine
+	Checks    map[string]uint64 // of instances, by what became of them: passed, failed, unmade
+	Disputed  uint64            // checks that failed where another controller saw nothing wrong
 
 	// What a leader knows. Nothing else has them.
 	Hosts    map[string]int // by state
 	Waiting  map[string]int // jobs with tasks that wait for a place, by class
 	Running  map[string]int // tasks, by class
 	Unproven int            // recorded hosts that have not been heard of in this epoch
+	Rollouts map[string]int // by state; nil where they are off
 }
 
 // Stages are the names of a pass's stages, as indices of Rows and Cuts.
@@ -91,10 +94,13 @@
 	if c.term == nil && c.leader.Epoch > s.Epoch {
 		s.Epoch = c.leader.Epoch
 	}
-	s.Refused = maps.Clone(c.stats.Refused)
+	s.Refused, s.Checks = maps.Clone(c.stats.Refused), maps.Clone(c.stats.Checks)
 	if c.term == nil {
 		return s
 	}
+	if g := c.term.rollouts.manager; g != nil {
+		s.Rollouts = g.States()
+	}
 	s.Hosts, s.Waiting, s.Running = make(map[string]int), make(map[string]int), make(map[string]int)
 	for _, h := range c.term.book.Hosts() {
 		s.Hosts[h.State.String()]++
--- a/internal/rollout/instance.go
+++ b/internal/rollout/instance.go
@@ -97,7 +97,13 @@
 
 // unhealthy reports whether it certainly does not count, so that nothing is lost
 // with it. One that is not known well enough is neither.
-func (i *instance) unhealthy() bool { return !i.running || i.health == Failing }
+func (i *instance) unhealthy() bool {
+	if i.fresh && i.m.rec.State == Reverting {
+		// Its version is found faulty already: one fail that others confirmed will do.
+		return !i.running || i.row < 0
+	}
+	return !i.running || i.health == Failing
+}
 
 // flaps reports whether too many of the last checks failed, in a row or not. Fails
 // that another controller did not see count where more than one controller saw such:
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"mapleslip/internal/protocol"
 )
@@ -328,7 +329,7 @@
 				return m.pause(fmt.Sprintf("%s; %d of %d old ones fail as well: not reverted", m.faulty(), o.failing, o.running))
 			}
 			n := r.clone()
-			n.to(Reverting, m.faulty())
+			n.to(Reverting, shorten(m.faulty()))
 			return n
 		}
 	}
@@ -417,7 +418,7 @@
 		n.to(Failed, "the service was cancelled by its user")
 	case n.State == Paused:
 		n.Reason = fmt.Sprintf("%s was cancelled by its user; before: %s", ref, n.Reason)
-		n.Reason = n.Reason[:min(len(n.Reason), mostReason)]
+		n.Reason = shorten(n.Reason)
 	default:
 		n.to(Paused, ref+" was cancelled by its user: resume or revert replaces its instances")
 	}
@@ -427,9 +428,11 @@
 // mostReason bounds what is kept of why.
 const mostReason = 400
 
+func shorten(why string) string { return strings.ToValidUTF8(why[:min(len(why), mostReason)], "") }
+
 func (m *machine) pause(why string) *Record {
 	n := m.rec.clone()
-	n.to(Paused, why[:min(len(why), mostReason)])
+	n.to(Paused, shorten(why))
 	return n
 }
 
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -197,6 +197,15 @@
 	return nil
 }
 
+// States counts the roll-outs by state.
+func (g *Manager) States() map[string]int {
+	by := make(map[string]int)
+	for _, m := range g.services {
+		by[m.rec.State.String()]++
+	}
+	return by
+}
+
 // own notes which jobs are a service's.
 func (g *Manager) own(m *machine) {
 	for _, v := range []*Version{&m.rec.Old, &m.rec.New} {
--- a/internal/rollout/settings.go
+++ b/internal/rollout/settings.go
@@ -10,6 +10,9 @@
 // Defaults are the settings used where the operators' file sets none.
 func Defaults() Settings { return Settings{ChecksPerS: 50, AtOnce: 64, Services: 32} }
 
+// mostServices have to fit into one line of an answer, which is 64 KiB at most.
+const mostServices = 48
+
 type file struct {
 	ChecksPerS *float64 `toml:"checks_per_s"`
 	AtOnce     *int     `toml:"checks_at_once"`
@@ -38,7 +41,7 @@
 		v    *int
 		to   *int
 		high int
-	}{{"checks_at_once", f.AtOnce, &s.AtOnce, 4096}, {"services", f.Services, &s.Services, 1000}} {
+	}{{"checks_at_once", f.AtOnce, &s.AtOnce, 4096}, {"services", f.Services, &s.Services, mostServices}} {
 		if n.v == nil {
 			continue
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -66,6 +66,9 @@
 	descMal      = prometheus.NewDesc("mapleslip_malformed_total", "Messages that do not follow the protocol.", nil, nil)
 	descTakeOver = prometheus.NewDesc("mapleslip_take_overs_total", "Take-overs that this node finished.", nil, nil)
 	descLost     = prometheus.NewDesc("mapleslip_tasks_lost_total", "Tasks that ended with their machine.", nil, nil)
+	descChecks   = prometheus.NewDesc("mapleslip_checks_total", "Checks of instances that this node asked for as the leader, by outcome.", []string{"outcome"}, nil)
+	descDisputed = prometheus.NewDesc("mapleslip_checks_disputed_total", "Checks that failed where another controller saw nothing wrong.", nil, nil)
+	descRollouts = prometheus.NewDesc("mapleslip_rollouts", "Services with a roll-out on record, by its state.", []string{"state"}, nil)
 	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
 	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
 	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
@@ -75,7 +78,7 @@
 // Describe is part of prometheus.Collector.
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
-		descTakeOver, descLost, descHosts, descUnproven, descWaiting, descRunning} {
+		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descHosts, descUnproven, descWaiting, descRunning} {
 		ch <- d
 	}
 }
@@ -107,12 +110,21 @@
 	count(descMal, st.Malformed)
 	count(descTakeOver, st.TakeOvers)
 	count(descLost, st.Lost)
+	for outcome, n := range st.Checks {
+		count(descChecks, n, outcome)
+	}
+	if st.Checks != nil {
+		count(descDisputed, st.Disputed)
+	}
 	if st.Hosts == nil {
 		return // it does not lead: what it once knew is no news
 	}
 	for state, n := range st.Hosts {
 		gauge(descHosts, float64(n), state)
 	}
+	for state, n := range st.Rollouts {
+		gauge(descRollouts, float64(n), state)
+	}
 	gauge(descUnproven, float64(st.Unproven))
 	for class, n := range s.bounded(st.Waiting) {
 		gauge(descWaiting, float64(n), class)
