A roll-out whose service was cancelled is over once its last job is gone

Cause: the record of a failed roll-out kept jobs that were on their way out, and no other one of the service could begin.

Change: they are taken out once nothing is left of them; a test, and the drawn roll-outs look for it.

--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -301,6 +301,11 @@
 func (m *machine) decide(now, stretched micros) *Record {
 	r := m.rec
 	if r.State.Ended() {
+		// One that failed may have jobs that are still being taken away. Until they are
+		// out of its record no other roll-out of the service can begin.
+		if n := m.tidy(r.clone()); len(n.Old.Batches)+len(n.New.Batches) < len(r.Old.Batches)+len(r.New.Batches) {
+			return n
+		}
 		return nil
 	}
 	m.blocked = ""
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -583,6 +583,9 @@
 		r := w.state()
 		ends[r.State]++
 		w.checkEnd(r)
+		if m := w.g.services["picker"]; m != nil && r.State.Ended() && !w.run(60*second, func() bool { return !m.active() }) {
+			w.fatal("it is over and not over: %s", w.record)
+		}
 	})
 	if len(ends) > 0 {
 		t.Logf("ends: %v", ends)
@@ -821,3 +824,34 @@
 		}
 	})
 }
+
+// All jobs of a service were cancelled by its user while one of them was on its way out
+// anyway: the roll-out has failed, and once that one is gone another can begin.
+func TestFailedIsOver(t *testing.T) {
+	w := newWorld(t, testSpec(), 4, 30)
+	w.run(4*second, func() bool { return false })
+	w.ask(Start)
+	m := w.g.services["picker"]
+	if !w.run(60*second, func() bool { return m.leaving(m.rec) > 0 }) {
+		w.fatal("nothing was to go")
+	}
+	for _, j := range w.jobs {
+		if !j.cancelled {
+			j.cancelled, w.cancels[j.spec.Ref] = true, true
+			for _, t := range j.tasks {
+				t.running = false
+			}
+		}
+	}
+	if !w.run(30*second, func() bool { return w.state().State == Failed && !m.active() }) {
+		w.fatal("not over: %s", w.record)
+	}
+	again := *w.spec
+	again.ID = "r-2"
+	w.spec = &again
+	id := w.ask(Start)
+	w.run(5*second, func() bool { _, ok := w.answers[id]; return ok })
+	if a := w.answers[id]; a.Status != 201 {
+		w.fatal("%d %s", a.Status, a.Body)
+	}
+}
