Drawn roll-outs: without faults they must end as their version deserves

Need: a pause is a lawful end, so one that comes for nothing would not have shown.

Change: where nothing is in the way a sound version must be done, a bad one reverted.

--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -557,7 +557,8 @@
 			s.Stages = append(s.Stages, n)
 		}
 		s.Stages = append(s.Stages, s.Count)
-		w := newWorld(t, s, old, max(s.Count, old)+s.Surge+rapid.IntRange(-1, 20).Draw(t, "spare"))
+		spare := rapid.IntRange(-1, 20).Draw(t, "spare")
+		w := newWorld(t, s, old, max(s.Count, old)+s.Surge+spare)
 		w.made["new"] = rapid.SampledFrom([]string{"", "", "", "bad", "later", "flaps", "crash"}).Draw(t, "version")
 		faults := rapid.SliceOfN(rapid.Custom(drawFault), 0, 6).Draw(t, "faults")
 		w.run(4*second, func() bool { return false }) // the old ones start
@@ -582,6 +583,18 @@
 		}
 		r := w.state()
 		ends[r.State]++
+		if len(faults) == 0 && spare >= 0 { // it ends as it should
+			want := []State{Done}
+			switch w.made["new"] {
+			case "bad":
+				want = []State{Reverted}
+			case "later", "crash", "flaps": // it may have shown when it was over only
+				want = []State{Done, Reverted}
+			}
+			if !slices.Contains(want, r.State) && s.Faulty == 0 {
+				w.fatal("%v with nothing in the way: %s", r.State, r.Reason)
+			}
+		}
 		w.checkEnd(r)
 		if m := w.g.services["picker"]; m != nil && r.State.Ended() && !w.run(60*second, func() bool { return !m.active() }) {
 			w.fatal("it is over and not over: %s", w.record)
