Dev: images say what their instances do, logs are kept where something went wrong

Need: whoever tries roll-outs on one machine needs a version that fails, and whoever sees a demonstration fail needs the controllers' logs.

Change: an image's name may end with -fails, -hangs, -flaps or -crashes and seconds; a check's path has printable characters only.

--- a/cmd/mapleslip/dev.go
+++ b/cmd/mapleslip/dev.go
@@ -34,7 +34,9 @@
 		Short: "A whole deployment on this machine, with stand-ins, to try things on",
 		Long: "dev starts three controllers as processes, and stand-ins of the state service, the\n" +
 			"cloud and workers, all on loopback. Machines are rented as jobs need them, tasks\n" +
-			"run for their estimate, services answer their checks. Ctrl-C ends all of it.",
+			"run for their estimate, services answer their checks, or not where the name of their\n" +
+			"image ends with -fails, -hangs, -flaps or -crashes, and perhaps with the seconds after\n" +
+			"which they do so, as in picker-2-crashes-30. Ctrl-C ends all of it.",
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			if s.port < 1024 || s.port > 65000 {
@@ -47,14 +49,21 @@
 				return err
 			}
 			defer d.stop()
+			out := cmd.OutOrStdout()
+			keep := func(err error) error {
+				if err != nil && ctx.Err() == nil {
+					d.keep = true
+					fmt.Fprintf(out, "logs of the controllers are kept: %s\n", d.dir)
+				}
+				return err
+			}
 			if s.demo {
-				return runDemo(ctx, d, s.limit, cmd.OutOrStdout())
+				return keep(runDemo(ctx, d, s.limit, out))
 			}
-			out := cmd.OutOrStdout()
 			fmt.Fprintf(out, "controllers: %s\n  export %s=%s\n", strings.Join(d.clients, ", "), serverVariable, strings.Join(d.clients, ","))
 			fmt.Fprintf(out, "teams: red (8 GPUs guaranteed, 64 at most), blue (the same)\nmachine types: small (8 cores), big (32 cores, 8 GPUs), zones a, b, c\n")
 			fmt.Fprintf(out, "address of a service's instance, for its check: %s\nlogs: %s\nCtrl-C ends it\n", rehearsal.InstanceAt, d.dir)
-			return d.wait(ctx)
+			return keep(d.wait(ctx))
 		},
 	}
 	cmd.Flags().IntVar(&s.port, "port", 7400, "first of the `PORTS` on 127.0.0.1 that are used, 8 in a row")
@@ -77,6 +86,7 @@
 	procs map[string]*exec.Cmd
 	ended chan string // controllers that ended by themselves
 	over  bool
+	keep  bool // the directory, for whoever looks for what went wrong
 }
 
 // devPlatform is what a deployment on one machine has.
@@ -247,5 +257,7 @@
 	if d.cancel != nil {
 		d.cancel()
 	}
-	os.RemoveAll(d.dir)
+	if !d.keep {
+		os.RemoveAll(d.dir)
+	}
 }
--- a/internal/rehearsal/live_test.go
+++ b/internal/rehearsal/live_test.go
@@ -121,6 +121,22 @@
 	t.Fatal("not so: " + what)
 }
 
+// Where nobody writes a trace, an image's name says what its instances do.
+func TestImagesSayWhatTheyDo(t *testing.T) {
+	w := NewWorld(0)
+	w.live = &Live{}
+	for image, want := range map[string]behaviour{"picker-7": {}, "picker-fails": {what: "fails"}, "picker-7-crashes-30": {"crashes", 30 * protocol.Second},
+		"hangs": {what: "hangs"}, "30": {}, "flaps-x": {}} {
+		if got := w.behaviourOf(image); got != want {
+			t.Errorf("%s: %+v", image, got)
+		}
+	}
+	w.behaviours["picker-fails"] = behaviour{what: "passes"}
+	if got := w.behaviourOf("picker-fails"); got.what != "passes" {
+		t.Errorf("%+v", got)
+	}
+}
+
 // A port in use is an error that says which, and nothing is left listening.
 func TestLivePortInUse(t *testing.T) {
 	s := liveSettings(t, "127.0.0.1:1")
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -197,7 +197,7 @@
 			w.exit(m, t, "peers")
 			return
 		}
-		if b := w.behaviours[t.job.spec.Image]; t.job.spec.Kind == protocol.Service && b.what == "crashes" && w.now-t.started >= b.after {
+		if b := w.behaviourOf(t.job.spec.Image); t.job.spec.Kind == protocol.Service && b.what == "crashes" && w.now-t.started >= b.after {
 			w.exit(m, t, "error")
 			return
 		}
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -16,6 +16,26 @@
 	after micros // once it has run for so long; before it passes
 }
 
+// behaviourOf is what the instances of an image do. On real connections, where nobody
+// writes a trace, its name may say so: picker-7-fails, picker-7-crashes-30 (after 30 s).
+func (w *World) behaviourOf(image string) behaviour {
+	if b, ok := w.behaviours[image]; ok || w.live == nil {
+		return b
+	}
+	words := strings.Split(image, "-")
+	var b behaviour
+	if n, err := strconv.Atoi(words[len(words)-1]); err == nil && len(words) > 1 {
+		b.after = micros(n) * protocol.Second
+		words = words[:len(words)-1]
+	}
+	switch last := words[len(words)-1]; last {
+	case "fails", "hangs", "flaps", "crashes":
+		b.what = last
+		return b
+	}
+	return behaviour{}
+}
+
 var rolloutOps = map[string]protocol.UserOp{"rollout-show": protocol.OpRolloutShow, "rollout-pause": protocol.OpRolloutPause,
 	"rollout-resume": protocol.OpRolloutResume, "rollout-revert": protocol.OpRolloutRevert}
 
@@ -56,7 +76,7 @@
 // answers says what an instance does now when it is checked: a status, or 0 for
 // nothing at all.
 func (w *World) answersCheck(t *runningTask) int {
-	b := w.behaviours[t.job.spec.Image]
+	b := w.behaviourOf(t.job.spec.Image)
 	if w.now-t.started < b.after {
 		return 200
 	}
--- a/internal/rollout/address.go
+++ b/internal/rollout/address.go
@@ -151,7 +151,8 @@
 	if host != p.IP {
 		return "", "", fmt.Errorf("check.at: %q is not on the instance's machine %s: begin it with {{.IP}}", addr, p.IP)
 	}
-	if t.path != nil && (!strings.HasPrefix(path, "/") || len(path) > 1000 || strings.ContainsAny(path, " \r\n\t")) {
+	odd := func(c rune) bool { return c <= ' ' || c >= 0x7f }
+	if t.path != nil && (!strings.HasPrefix(path, "/") || len(path) > 1000 || strings.ContainsFunc(path, odd)) {
 		return "", "", fmt.Errorf("check.path: %q is no path", path)
 	}
 	return addr, path, nil
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -670,6 +670,9 @@
 		"":                                      "is not IP:port",
 	} {
 		got := ""
+		if _, err := newTarget(&protocol.HealthCheck{At: "{{.IP}}:1", Path: "/a\x01b"}); err == nil {
+			t.Error("a path with a control character was taken")
+		}
 		tg, err := newTarget(&protocol.HealthCheck{Kind: protocol.CheckTCP, At: text})
 		if err == nil {
 			got, _, err = tg.of(Place{IP: "10.0.0.9", Job: "req-000412", Number: 412, Index: 3})
