Take-over: the controllers' own part of the benchmark

Need: most of what is left of BenchmarkTakeOver is its stand-ins.

Change: it reports controller_ms, the time of the controllers' own steps.

--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -160,11 +160,14 @@
 		b.StopTimer()
 		w := grown(b, 2)
 		w.leader().alive = false
+		var spent time.Duration
+		w.stepped = func(_ *node, d time.Duration) { spent += d }
 		b.StartTimer()
 		w.Run(w.now + 8*protocol.Second)
 		if w.leader() == nil {
 			b.Fatal("nobody leads")
 		}
+		b.ReportMetric(spent.Seconds()*1000, "controller_ms")
 	}
 }
 
