Roll-outs: a service whose instances hang holds up no other's checks

Cause: due checks were one queue with one bound on those on their way; 200 instances that hang for 60 s each took all places, and another service was checked once a minute.

Change: services take turns, and each has its part of the checks on their way.

--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -18,6 +18,8 @@
 
 	old, new  *target
 	instances map[slot]*instance
+	due       dueHeap // checks to come
+	flying    int     // checks on their way
 	looks     uint64
 	faults    map[slot]string   // new instances that are faulty, and why
 	known     map[string]bool   // jobs that were seen, or accepted
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -153,7 +153,7 @@
 	owners   map[string]*machine // by job
 	waiting  map[*machine][]func()
 
-	due      dueHeap
+	turn     int // of the services, whose check comes first
 	checks   map[uint64]*check
 	checkSeq uint64
 	room     float64 // checks that may begin now
@@ -254,18 +254,17 @@
 func (g *Manager) tick() {
 	if g.now-g.looked >= lookEvery || g.looked == 0 {
 		g.looked = g.now
-		stretched := g.stretched()
 		for _, name := range g.names() {
 			if m := g.services[name]; m.active() {
-				g.turn(m, stretched)
+				g.goOn(m, g.stretched(m))
 			}
 		}
 	}
 	g.check()
 }
 
-// turn looks at a service, does what its durable record says, and decides.
-func (g *Manager) turn(m *machine, stretched micros) {
+// goOn looks at a service, does what its durable record says, and decides.
+func (g *Manager) goOn(m *machine, stretched micros) {
 	m.look(g.now, g.fleet, stretched, g.wantCheck)
 	g.act(m)
 	if m.next == nil {
@@ -275,13 +274,16 @@
 	}
 }
 
-// stretched is how long it takes to check all instances once.
-func (g *Manager) stretched() micros {
+// stretched is how long it takes to check all instances of a service once, with its
+// part of the checks.
+func (g *Manager) stretched(m *machine) micros {
 	n := 0
-	for _, m := range g.services {
-		n += len(m.instances)
+	for _, o := range g.services {
+		if len(o.instances) > 0 {
+			n++
+		}
 	}
-	return protocol.FromSeconds(float64(n) / g.set.ChecksPerS)
+	return protocol.FromSeconds(float64(len(m.instances)*n) / g.set.ChecksPerS)
 }
 
 // save asks for a record to be written. Until it is, nothing else is decided.
@@ -320,7 +322,7 @@
 		m.forget()
 	}
 	// The record may have taken a minute: what it says is done as things are now.
-	m.look(g.now, g.fleet, g.stretched(), g.wantCheck)
+	m.look(g.now, g.fleet, g.stretched(m), g.wantCheck)
 	g.act(m)
 	waiting := g.waiting[m]
 	delete(g.waiting, m)
@@ -407,7 +409,7 @@
 	}
 	every := g.healthCheck(i).Every
 	i.due = g.now + micros(g.rng.Int64N(int64(every)))
-	heap.Push(&g.due, i)
+	heap.Push(&i.m.due, i)
 }
 
 func (g *Manager) healthCheck(i *instance) *protocol.HealthCheck {
@@ -417,19 +419,46 @@
 	return &i.m.rec.Old.Spec.Check
 }
 
-// check begins the checks that are due, within the bounds.
+// check begins the checks that are due, within the bounds. Services take turns, and
+// each has its part of those on their way: one whose instances all hang until a long
+// time-out must not hold up the checks of the others.
 func (g *Manager) check() {
 	g.room = min(max(1, g.set.ChecksPerS), g.room+g.set.ChecksPerS*(g.now-g.roomAt).Seconds())
 	g.roomAt = g.now
-	for len(g.due) > 0 && g.due[0].due <= g.now && g.room >= 1 && len(g.checks) < g.set.AtOnce {
-		i := heap.Pop(&g.due).(*instance)
-		if !i.running || i.m.rec.State.Ended() {
-			continue // it is gone, or nobody asks any more
+	var list []*machine
+	for _, name := range g.names() {
+		if m := g.services[name]; len(m.due) > 0 || m.flying > 0 {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	part := max(1, g.set.AtOnce/len(list))
+	for idle := 0; idle < len(list) && g.room >= 1 && len(g.checks) < g.set.AtOnce; g.turn++ {
+		m := list[g.turn%len(list)]
+		if i := m.nextDue(g.now); i != nil && m.flying < part {
+			heap.Pop(&m.due)
+			g.begin(i, nil, "")
+			idle = 0
+			continue
 		}
-		g.begin(i, nil, "")
+		idle++
 	}
 }
 
+// nextDue is the instance whose check is due first, nil: none is. Those that are gone,
+// or that nobody asks about any more, are left out.
+func (m *machine) nextDue(now micros) *instance {
+	for len(m.due) > 0 && m.due[0].due <= now {
+		if i := m.due[0]; i.running && !m.rec.State.Ended() {
+			return i
+		}
+		heap.Pop(&m.due)
+	}
+	return nil
+}
+
 // begin begins a check; failed: of the controllers that found it failing.
 func (g *Manager) begin(i *instance, failed []string, why string) {
 	m := i.m
@@ -441,10 +470,11 @@
 	if err != nil {
 		i.took(g.now, false, "", err.Error(), t.spec)
 		i.due = g.now + t.spec.Every
-		heap.Push(&g.due, i)
+		heap.Push(&m.due, i)
 		return
 	}
 	g.room--
+	m.flying++
 	g.checkSeq++
 	i.busy = true
 	g.checks[g.checkSeq] = &check{i: i, attempt: i.attempt, began: g.now, failed: failed, why: why}
@@ -466,6 +496,7 @@
 	delete(g.checks, e.ID)
 	i := c.i
 	i.busy = false
+	i.m.flying--
 	current := i.running && i.attempt == c.attempt && !i.m.rec.State.Ended()
 	if current {
 		h := g.healthCheck(i)
@@ -493,7 +524,7 @@
 	if i.running && i.place < 0 {
 		every := g.healthCheck(i).Every
 		i.due = max(g.now, c.began+every*9/10+micros(g.rng.Int64N(int64(every/5)+1)))
-		heap.Push(&g.due, i)
+		heap.Push(&i.m.due, i)
 	}
 }
 
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -871,3 +871,62 @@
 		w.fatal("%d %s", a.Status, a.Body)
 	}
 }
+
+// twoServices is a fleet with the instances of two services, all running.
+type twoServices struct{}
+
+func (twoServices) Job(ref string, each func(Instance)) Job {
+	j := Job{Life: Live, Service: true, Spec: testSpec().Job}
+	if ref == "req-000001" {
+		j.Spec.Tasks = 200
+	} else {
+		j.Spec.Tasks = 2
+	}
+	for k := range j.Spec.Tasks {
+		if each != nil {
+			each(Instance{Index: k, Running: true, Attempt: 1, IP: "10.0.0." + ref[9:]})
+		}
+	}
+	return j
+}
+
+// All instances of one service hang, each for the longest time-out; the checks of
+// another service go on as if they did not.
+func TestHangingServiceHoldsUpNoOther(t *testing.T) {
+	g := NewManager(Settings{ChecksPerS: 20, AtOnce: 16, Services: 3, ValueBytes: 1 << 20}, twoServices{}, 1)
+	for k, service := range []string{"big", "small"} {
+		s := testSpec()
+		s.Service, s.Check.Timeout = service, 60*second
+		s.Count, s.Floor, s.Stages = 2, 0, []int{2}
+		s.Adopt = []string{fmt.Sprintf("req-00000%d", k+1)}
+		for _, e := range g.Step(0, Request{To: 1, Op: Start, Service: service, Spec: s}) {
+			if a, refused := e.(Answer); refused {
+				t.Fatalf("%s", a.Body)
+			}
+		}
+		g.Step(0, Saved{service})
+	}
+	passed, hanging := 0, map[uint64]micros{}
+	for now := micros(0); now < 60*second; now += second / 20 {
+		for id, ends := range hanging {
+			if ends <= now {
+				delete(hanging, id)
+				g.Step(now, Checked{ID: id, Made: true, By: "a", Why: "time-out"})
+			}
+		}
+		for _, e := range g.Step(now, Tick{}) {
+			c, ok := e.(Check)
+			switch {
+			case !ok:
+			case strings.HasPrefix(c.Addr, "10.0.0.1:"):
+				hanging[c.ID] = now + c.Timeout
+			default:
+				passed++
+				g.Step(now, Checked{ID: c.ID, Made: true, OK: true, By: "a"})
+			}
+		}
+	}
+	if passed < 100 || passed > 125 || len(hanging) > 8 { // two instances, one check a second each
+		t.Errorf("%d checks of the small service, %d of the big one hang", passed, len(hanging))
+	}
+}
