Reading once more: state that nothing read, a reset and a forward that stood twice

Need: the whole change was read again for what the project had already.

Change: a roll-out's machine has no looked and told any more, its reset is one function, its order of slots another; the digits of a job's name are worked out in one place for checks and stand-ins; calls of users and of operators go to the leader by one function; the stand-ins on real connections are called without hooks beside them.

--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -340,7 +340,11 @@
 			c.reply(e.Reply, 0, nil, 0)
 			return
 		}
-		c.passRollout(e)
+		// Only the leader can serve it.
+		refuse := func(CallDone) { c.unavailable(e.Reply, refusedNoLeader) }
+		if !c.toLeader(e, rolloutWait+500*protocol.Millisecond, refuse) {
+			refuse(CallDone{})
+		}
 		return
 	}
 	t := c.term
@@ -373,21 +377,3 @@
 	})
 	c.stepRollouts(r)
 }
-
-// passRollout gives an operator's call to the leader. Only it can serve it.
-func (c *Controller) passRollout(e UserCall) {
-	addr := c.addressOf(c.leader.Node)
-	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
-		c.unavailable(e.Reply, refusedNoLeader)
-		return
-	}
-	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
-	c.callAddr(ToPeer, "", addr, "", frame, rolloutWait+500*protocol.Millisecond, func(r CallDone) {
-		if m := c.peerAnswer(r); m != nil && m.Status != 0 {
-			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
-			return
-		}
-		c.recheck()
-		c.unavailable(e.Reply, refusedNoLeader)
-	})
-}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -78,6 +78,12 @@
 	return t
 }
 
+// loadStep is what a new leader does with the records under a prefix.
+type loadStep struct {
+	prefix string
+	each   func(protocol.Entry)
+}
+
 // load reads the records of jobs, hosts and bookings.
 func (c *Controller) load() {
 	c.become(Loading)
@@ -98,10 +104,7 @@
 	// A record that can't be read is named, and never taken for an empty one.
 	damaged := func(e protocol.Entry, err error) { c.log.Error("damaged record", "key", e.Key, "err", err) }
 	refused := false
-	steps := []struct {
-		prefix string
-		each   func(protocol.Entry)
-	}{
+	steps := []loadStep{
 		{bookkeeping.KeyTypes, func(e protocol.Entry) {
 			if e.Key == bookkeeping.KeyTypes {
 				c.tookTypes(e.Value)
@@ -190,10 +193,7 @@
 		{bookkeeping.JobPrefix, func(e protocol.Entry) { c.learnJob(e) }},
 	}
 	if t.rollouts.manager != nil {
-		steps = append(steps, struct {
-			prefix string
-			each   func(protocol.Entry)
-		}{rollout.Prefix, c.loadRollout})
+		steps = append(steps, loadStep{rollout.Prefix, c.loadRollout})
 	}
 	var step func(i int)
 	step = func(i int) {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -63,19 +63,8 @@
 // passOn gives a user's call to the leader, or goes to the state service
 // where it can't be reached.
 func (c *Controller) passOn(e UserCall, spec *protocol.JobSpec) {
-	addr := c.addressOf(c.leader.Node)
-	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
-		c.serveDirect(e, spec)
-		return
-	}
 	epoch := c.leader.Epoch
-	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
-	c.callAddr(ToPeer, "", addr, "", frame, forwardTimeout, func(r CallDone) {
-		if m := c.peerAnswer(r); m != nil && m.Status != 0 {
-			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
-			return
-		}
-		c.recheck()
+	sent := c.toLeader(e, forwardTimeout, func(r CallDone) {
 		if c.leader.Epoch == epoch && r.Status != 200 {
 			c.suspect = c.at.Steady + 2*protocol.Second
 		}
@@ -85,6 +74,29 @@
 		}
 		c.serveDirect(e, spec)
 	})
+	if !sent {
+		c.serveDirect(e, spec)
+	}
+}
+
+// toLeader gives a call to the leader, whose answer goes to whoever made the call, and
+// reports whether there is a leader to give it to. otherwise is called when the leader
+// did not serve it.
+func (c *Controller) toLeader(e UserCall, timeout micros, otherwise func(CallDone)) bool {
+	addr := c.addressOf(c.leader.Node)
+	if addr == "" || c.at.Steady < c.suspect || leads(c.role) {
+		return false
+	}
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
+	c.callAddr(ToPeer, "", addr, "", frame, timeout, func(r CallDone) {
+		if m := c.peerAnswer(r); m != nil && m.Status != 0 {
+			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
+			return
+		}
+		c.recheck()
+		otherwise(r)
+	})
+	return true
 }
 
 // serveDirect serves a call from the state service alone. What its rate has no
--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -1,7 +1,6 @@
 package rehearsal
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -47,10 +46,9 @@
 // StartLive serves the stand-ins until the context ends. An address that can't be
 // bound is an error, and nothing is left listening.
 func StartLive(ctx context.Context, s LiveSettings) (*Live, error) {
-	l := &Live{w: NewWorld(0), began: time.Now(), names: s.Names, clients: s.Clients, network: s.Network, servers: make(map[string]*http.Server), ips: make(map[string]string)}
+	l := &Live{w: NewWorld(0), began: time.Now(), names: s.Names, clients: s.Clients, network: s.Network, calls: http.Client{Timeout: 4 * time.Second}, servers: make(map[string]*http.Server), ips: make(map[string]string)}
 	l.w.Platform, l.w.Types, l.w.quiet, l.w.live = s.Platform, s.Types, true, l
 	l.w.listLag = protocol.Second
-	l.w.onRun, l.w.onLeave = l.run, l.leave
 	context.AfterFunc(ctx, l.close)
 	for _, a := range []struct {
 		what, addr string
@@ -176,17 +174,11 @@
 func (l *Live) hello(node int, body string, answer func(int, []byte)) {
 	addr := l.clients[node%len(l.clients)]
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
-		defer cancel()
 		status, resp := 0, []byte(nil)
-		r, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/hello", bytes.NewReader([]byte(body)))
-		if err == nil {
-			var got *http.Response
-			if got, err = l.calls.Do(r); err == nil {
-				defer got.Body.Close()
-				if resp, err = io.ReadAll(got.Body); err == nil {
-					status = got.StatusCode
-				}
+		if got, err := l.calls.Post("http://"+addr+"/hello", "application/json", strings.NewReader(body)); err == nil {
+			defer got.Body.Close()
+			if resp, err = io.ReadAll(got.Body); err == nil {
+				status = got.StatusCode
 			}
 		}
 		l.mu.Lock()
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -185,8 +185,8 @@
 			return
 		}
 		t.state, t.started, t.ends = "running", w.now, w.now+t.job.run
-		if w.onRun != nil && t.job.spec.Kind == protocol.Service {
-			w.onRun(m, t)
+		if w.live != nil && t.job.spec.Kind == protocol.Service {
+			w.live.run(m, t)
 		}
 	case "waiting":
 		if w.now > t.started+w.Platform.GangWait {
@@ -298,8 +298,8 @@
 func (w *World) leave(m *machine, t *runningTask) {
 	if t.on {
 		t.on = false
-		if w.onLeave != nil {
-			w.onLeave(m, t)
+		if w.live != nil {
+			w.live.leave(m, t)
 		}
 		w.note("%s leaves %s", fmt.Sprintf("%s/%d", t.job.spec.Ref, t.index), m.name)
 	}
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -8,6 +8,7 @@
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/rollout"
 )
 
 // behaviour is what the instances of an image do.
@@ -45,9 +46,7 @@
 
 // instancePort is the port that InstanceAt makes.
 func instancePort(ref string, index int) int {
-	digits := strings.TrimPrefix(ref, "req-")
-	n, _ := strconv.ParseUint(digits[max(0, len(digits)-18):], 10, 64)
-	return 10000 + int((n+uint64(index))%50000)
+	return 10000 + int((rollout.Number(ref)+uint64(index))%50000)
 }
 
 // describe finds a job: users upload the descriptions of theirs; what a roll-out
@@ -73,7 +72,7 @@
 	return j
 }
 
-// answers says what an instance does now when it is checked: a status, or 0 for
+// answersCheck says what an instance does now when it is checked: a status, or 0 for
 // nothing at all.
 func (w *World) answersCheck(t *runningTask) int {
 	b := w.behaviourOf(t.job.spec.Image)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -61,12 +61,10 @@
 	nextConn       uint64
 	answers        map[uint64]func(int, []byte)
 
-	described  map[string]*userJob  // jobs that no user of the trace submitted, by the state service
-	behaviours map[string]behaviour // of services, by image
-	rollouts   *rollout.Settings    // nil: they are off
-	rolloutBy  map[string][]byte    // the last answer about a service's roll-out
-	onRun      func(*machine, *runningTask)
-	onLeave    func(*machine, *runningTask)
+	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
+	behaviours map[string]behaviour       // of services, by image
+	rollouts   *rollout.Settings          // nil: they are off
+	rolloutBy  map[string][]byte          // the last answer about a service's roll-out
 	live       *Live                      // real connections, nil: all is simulated
 	stepped    func(*node, time.Duration) // what a controller's step took, for measurements
 }
--- a/internal/rollout/address.go
+++ b/internal/rollout/address.go
@@ -158,8 +158,9 @@
 	return addr, path, nil
 }
 
-// number is what an instance can work out from its job's name too.
-func number(ref string) uint64 {
+// Number is what an instance can work out from its job's name too: its digits, of
+// longer names the last 18.
+func Number(ref string) uint64 {
 	digits := strings.TrimPrefix(ref, "req-")
 	n, _ := strconv.ParseUint(digits[max(0, len(digits)-18):], 10, 64)
 	return n
--- a/internal/rollout/instance.go
+++ b/internal/rollout/instance.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"cmp"
 	"fmt"
 	"math/bits"
 
@@ -55,6 +56,10 @@
 	index int
 }
 
+func (s slot) compare(o slot) int {
+	return cmp.Or(cmp.Compare(s.ref, o.ref), cmp.Compare(s.index, o.index))
+}
+
 func (s slot) String() string { return fmt.Sprintf("%s/%d", s.ref, s.index) }
 
 // instance is what this leader has seen of a slot. A new leader begins with
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -14,7 +14,6 @@
 type machine struct {
 	rec  *Record // durable
 	next *Record // is being written; nothing is decided meanwhile
-	told *Record // the last one whose state was told of
 
 	old, new  *target
 	instances map[slot]*instance
@@ -34,8 +33,7 @@
 	progress  micros            // when something last went on
 	furthest  int               // stage and state that were reached
 	soak      micros            // since when all new instances have been healthy
-	looked    micros
-	blocked   string // what it waits for
+	blocked   string            // what it waits for
 
 	oldTally, newTally tally
 }
@@ -59,11 +57,19 @@
 }
 
 func newMachine(rec *Record, now micros) (*machine, error) {
-	m := &machine{rec: rec, told: rec, instances: make(map[slot]*instance), faults: make(map[slot]string), known: make(map[string]bool),
-		tried: make(map[string]bool), out: make(map[string]bool), cleared: make(map[string]bool), asked: make(map[string]bool), gone: make(map[string]bool), sent: make(map[string]micros), refused: make(map[string]string), clock: now, progress: now}
+	m := &machine{rec: rec, instances: make(map[slot]*instance), faults: make(map[slot]string), known: make(map[string]bool),
+		tried: make(map[string]bool), out: make(map[string]bool), cleared: make(map[string]bool), asked: make(map[string]bool), gone: make(map[string]bool), sent: make(map[string]micros), refused: make(map[string]string)}
+	m.anew(now)
 	return m, m.compile()
 }
 
+// anew has nothing that was seen before count for what comes.
+func (m *machine) anew(now micros) {
+	clear(m.faults)
+	clear(m.refused)
+	m.clock, m.progress, m.furthest, m.soak = now, now, 0, 0
+}
+
 // compile makes the targets of the versions' checks.
 func (m *machine) compile() (err error) {
 	m.old, m.new = nil, nil
@@ -110,7 +116,6 @@
 // look takes in how the jobs stand, and counts.
 func (m *machine) look(now micros, fleet Fleet, stretched micros, due func(*instance)) {
 	m.looks++
-	m.looked = now
 	m.oldTally = m.lookAt(now, fleet, &m.rec.Old, false, stretched, due)
 	m.newTally = m.lookAt(now, fleet, &m.rec.New, true, stretched, due)
 	for s, i := range m.instances {
@@ -228,7 +233,7 @@
 			unhealthy = append(unhealthy, i)
 		}
 	}
-	order := func(a, b *instance) int { return cmp.Or(cmp.Compare(a.ref, b.ref), cmp.Compare(a.index, b.index)) }
+	order := func(a, b *instance) int { return a.compare(b.slot) }
 	slices.SortFunc(unhealthy, order)
 	slices.SortFunc(doubted, order)
 	return unplaced, unhealthy, doubted
@@ -267,16 +272,13 @@
 
 // faulty says which new instances are.
 func (m *machine) faulty() string {
-	keys := slices.SortedFunc(maps.Keys(m.faults), func(a, b slot) int {
-		return cmp.Or(cmp.Compare(a.ref, b.ref), cmp.Compare(a.index, b.index))
-	})
+	keys := slices.SortedFunc(maps.Keys(m.faults), slot.compare)
 	return fmt.Sprintf("%d of %d new instances faulty, %s %s", len(keys), m.newTally.live, keys[0], m.faults[keys[0]])
 }
 
 // active reports whether there is something to do for a service.
 func (m *machine) active() bool {
-	leaving := func(b Batch) bool { return b.Leaving }
-	return !m.rec.State.Ended() || slices.ContainsFunc(m.rec.Old.Batches, leaving) || slices.ContainsFunc(m.rec.New.Batches, leaving)
+	return !m.rec.State.Ended() || m.rec.leaving() > 0
 }
 
 // tidy takes jobs of which nothing is left out of a record.
@@ -362,7 +364,7 @@
 	if n != nil {
 		// One instance that fails now and then would have checking and soaking
 		// follow each other for ever: only what was not reached before counts.
-		if at := n.Stage*int(Idle) + int(n.State); at > m.furthest || n.Made > r.Made || m.leaving(n) > m.leaving(r) {
+		if at := n.Stage*int(Idle) + int(n.State); at > m.furthest || n.Made > r.Made || n.leaving() > r.leaving() {
 			m.furthest, m.progress = max(at, m.furthest), now
 		}
 	}
@@ -372,17 +374,6 @@
 	return n
 }
 
-func (m *machine) leaving(r *Record) (n int) {
-	for _, v := range []*Version{&r.Old, &r.New} {
-		for _, b := range v.Batches {
-			if b.Leaving {
-				n++
-			}
-		}
-	}
-	return n
-}
-
 // retract keeps jobs that were to go and may not any more: while the record was on
 // its way others have failed, or the roll-out turned back.
 func (m *machine) retract() *Record {
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -314,10 +314,9 @@
 	if m.rec.State == Soaking || m.rec.State == Checking {
 		m.soak = 0
 	}
-	if was.State != m.rec.State || m.told == nil {
+	if was.State != m.rec.State {
 		g.moved(m, was)
 	}
-	m.told = m.rec
 	if m.rec.State.Ended() {
 		m.forget()
 	}
@@ -466,7 +465,7 @@
 	if i.fresh {
 		t, v = m.new, &m.rec.New
 	}
-	addr, path, err := t.of(Place{IP: i.ip, Job: i.ref, Number: number(i.ref), Index: i.index, Attempt: i.attempt, Service: m.rec.Service, Version: v.Hash})
+	addr, path, err := t.of(Place{IP: i.ip, Job: i.ref, Number: Number(i.ref), Index: i.index, Attempt: i.attempt, Service: m.rec.Service, Version: v.Hash})
 	if err != nil {
 		i.took(g.now, false, "", err.Error(), t.spec)
 		i.due = g.now + t.spec.Every
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -60,6 +60,18 @@
 	Old, New Version
 }
 
+// leaving counts the jobs that are to go.
+func (r *Record) leaving() (n int) {
+	for _, v := range []*Version{&r.Old, &r.New} {
+		for _, b := range v.Batches {
+			if b.Leaving {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 func (r *Record) clone() *Record {
 	c := *r
 	c.Old.Batches, c.New.Batches = slices.Clone(r.Old.Batches), slices.Clone(r.New.Batches)
--- a/internal/rollout/request.go
+++ b/internal/rollout/request.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"text/template"
 
 	"mapleslip/internal/protocol"
@@ -15,17 +16,12 @@
 	if err != nil {
 		return nil, err
 	}
-	var b discard
-	if err := t.Execute(&b, messageOf(Moved{})); err != nil {
+	if err := t.Execute(io.Discard, messageOf(Moved{})); err != nil {
 		return nil, errors.New("message: may use .Service, .ID, .From, .To and .Reason")
 	}
 	return t, nil
 }
 
-type discard struct{}
-
-func (discard) Write(b []byte) (int, error) { return len(b), nil }
-
 func (g *Manager) answer(to uint64, status int, body []byte) {
 	g.emit(Answer{To: to, Status: status, Body: body})
 }
@@ -79,12 +75,10 @@
 		n.Forced = n.Forced || r.From == Planned
 		n.to(r.From, "")
 		// What was wrong may have been mended: instances have to show it anew.
-		clear(m.faults)
-		clear(m.refused)
+		m.anew(g.now)
 		for _, i := range m.instances {
 			i.restart(g.now, Instance{Index: i.index, Running: i.running, Attempt: i.attempt, IP: i.ip})
 		}
-		m.clock, m.progress, m.furthest, m.soak = g.now, g.now, 0, 0
 	case e.Op == Revert && r.State != Reverting:
 		n.to(Reverting, "by command")
 		m.progress, m.clock = g.now, g.now
@@ -161,10 +155,8 @@
 		g.services[s.Service] = m
 	}
 	// Nothing of an earlier roll-out counts for this one.
-	clear(m.faults)
-	clear(m.refused)
+	m.anew(g.now)
 	m.forget()
-	m.clock, m.progress, m.furthest, m.soak = g.now, g.now, 0, 0
 	g.save(m, r)
 	g.waiting[m] = append(g.waiting[m], func() { g.answerStatus(e.To, m, 201) })
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -792,7 +792,7 @@
 	w.run(4*second, func() bool { return false })
 	w.ask(Start)
 	m := w.g.services["picker"]
-	if !w.run(60*second, func() bool { return m.next != nil && m.leaving(m.next) > 0 }) {
+	if !w.run(60*second, func() bool { return m.next != nil && m.next.leaving() > 0 }) {
 		w.fatal("nothing was to go")
 	}
 	w.outage = true
@@ -848,7 +848,7 @@
 	w.run(4*second, func() bool { return false })
 	w.ask(Start)
 	m := w.g.services["picker"]
-	if !w.run(60*second, func() bool { return m.leaving(m.rec) > 0 }) {
+	if !w.run(60*second, func() bool { return m.rec.leaving() > 0 }) {
 		w.fatal("nothing was to go")
 	}
 	for _, j := range w.jobs {
