Reading once more: one writer of JSON, one bound of settings, one talk of commands

Need: the whole change was read again for what stands twice.

Change: members and lists of JSON are written by appendName and appendList, in jobs, roll-outs and their status; bounds of operators' settings are checked by SetBounded, in three files of settings; the platform's file has named parts that are read and written; checks of instances are a case of the driver's one exchange; commands for users share a session, a file's load and a loop that follows; which states stop a roll-out is said once.

--- a/cmd/mapleslip/check_test.go
+++ b/cmd/mapleslip/check_test.go
@@ -89,10 +89,7 @@
 	// Two sockets in all: a single one that is kept would show.
 	d := &driver{dialers: map[coordination.Target]*transport.Dialer{coordination.ToInstance: {MaxOpen: 2, MaxPer: 2}}}
 	run := func(method, addr string) coordination.CallDone {
-		var done coordination.CallDone
-		payload := transport.AppendRequest(nil, "GET", addr, "/healthz", nil)
-		d.check(coordination.Call{Target: coordination.ToInstance, Method: method, Addr: addr, Timeout: 60 * protocol.Millisecond}, payload, &done)
-		return done
+		return d.exchange(coordination.Call{Target: coordination.ToInstance, Method: method, Path: "/healthz", Timeout: 60 * protocol.Millisecond}, addr)
 	}
 	for range 3 {
 		for _, c := range cases {
@@ -110,11 +107,7 @@
 		t.Errorf("beside one that hangs: %+v", got)
 	}
 	slow.Wait()
-	if got := (&driver{dialers: nil}); true {
-		var done coordination.CallDone
-		got.check(coordination.Call{Target: coordination.ToInstance}, nil, &done)
-		if !done.Unsent || done.Refused {
-			t.Errorf("off: %+v", done)
-		}
+	if done := (&driver{}).exchange(coordination.Call{Target: coordination.ToInstance}, good); !done.Unsent || done.Refused {
+		t.Errorf("off: %+v", done)
 	}
 }
--- a/cmd/mapleslip/demo.go
+++ b/cmd/mapleslip/demo.go
@@ -280,11 +280,10 @@
 			if s, err = protocol.ParseRolloutStatus(answer); err != nil {
 				return "", false, err
 			}
-			ended := s.State == "done" || s.State == "reverted" || s.State == "failed" || s.State == "paused"
-			if !ended {
+			if !s.Stopped() {
 				_, answer, err = m.c.Do(ctx, "GET", "/api/rollouts/picker", nil)
 			}
-			return rolloutLine(s), ended, err
+			return rolloutLine(s), s.Stopped(), err
 		})
 	}
 	close(over)
--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -278,38 +278,8 @@
 	if addr == "" {
 		addr = d.addrs[c.Target]
 	}
-	payload := c.Body
-	if c.Target != coordination.ToPeer {
-		payload = transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
-	}
-	done := coordination.CallDone{ID: c.ID}
 	began := time.Now()
-	if c.Target == coordination.ToInstance {
-		d.check(c, payload, &done)
-		d.shown.Call(targetNames[c.Target], c.Method, "", done, began)
-		d.in <- done
-		return
-	}
-	err := d.dialers[c.Target].Do(addr, payload, time.Duration(c.Timeout)*time.Microsecond, func(buf []byte, eof bool) (int, bool, error) {
-		if c.Target == coordination.ToPeer {
-			frame, used, err := protocol.SplitPeer(buf)
-			if used > 0 {
-				done.Status, done.Body = 200, frame
-			}
-			return used, true, err
-		}
-		r, used, err := transport.ParseResponse(buf, eof)
-		if err != nil || used == 0 {
-			return 0, false, err
-		}
-		done.Status, done.Body = r.Status, r.Body
-		return used, !r.Close, nil
-	})
-	if err != nil {
-		done.Status, done.Body = 0, nil
-		done.Refused = err == transport.ErrRefused
-		done.Unsent = done.Refused || err == transport.ErrSockets
-	}
+	done := d.exchange(c, addr)
 	d.shown.Call(targetNames[c.Target], c.Method, c.Path, done, began)
 	d.in <- done
 }
@@ -317,40 +287,46 @@
 // mostCheckAnswer is how long the answer to a check may be.
 const mostCheckAnswer = 64 << 10
 
-// check makes a check of an instance: a connection that is accepted, or the answer to
-// a GET. The time-out covers all of it, an answer that comes a byte at a time too, and
-// the socket is closed with it.
-func (d *driver) check(c coordination.Call, payload []byte, done *coordination.CallDone) {
-	dialer := d.dialers[c.Target]
-	if dialer == nil {
-		done.Unsent = true // roll-outs are off here
-		return
-	}
-	timeout := time.Duration(c.Timeout) * time.Microsecond
-	if c.Method == "" {
-		switch err := dialer.Probe(c.Addr, timeout); err {
-		case nil:
-			done.Status = 200
-		default:
-			done.Refused = err == transport.ErrRefused
-			done.Unsent = done.Refused || err == transport.ErrSockets
-		}
-		return
+// exchange sends a call to an address and waits for the answer. A check of an instance
+// is a connection that is accepted, or the answer to a GET: the time-out covers all of
+// it, an answer that comes a byte at a time too, and the socket is closed with it.
+func (d *driver) exchange(c coordination.Call, addr string) coordination.CallDone {
+	done := coordination.CallDone{ID: c.ID}
+	dialer, timeout := d.dialers[c.Target], time.Duration(c.Timeout)*time.Microsecond
+	var err error
+	switch {
+	case dialer == nil:
+		err = transport.ErrSockets // roll-outs are off here
+	case c.Target == coordination.ToInstance && c.Method == "":
+		err = dialer.Probe(addr, timeout)
+		done.Status = 200
+	case c.Target == coordination.ToPeer:
+		err = dialer.Do(addr, c.Body, timeout, func(buf []byte, _ bool) (int, bool, error) {
+			frame, used, err := protocol.SplitPeer(buf)
+			if used > 0 {
+				done.Status, done.Body = 200, frame
+			}
+			return used, true, err
+		})
+	default:
+		check := c.Target == coordination.ToInstance
+		payload := transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
+		err = dialer.Do(addr, payload, timeout, func(buf []byte, eof bool) (int, bool, error) {
+			if check && len(buf) > mostCheckAnswer {
+				return 0, false, transport.ErrTooLong
+			}
+			r, used, err := transport.ParseResponse(buf, eof)
+			if err != nil || used == 0 {
+				return 0, false, err
+			}
+			done.Status, done.Body = r.Status, r.Body
+			return used, !r.Close && !check, nil
+		})
 	}
-	err := dialer.Do(c.Addr, payload, timeout, func(buf []byte, eof bool) (int, bool, error) {
-		if len(buf) > mostCheckAnswer {
-			return 0, false, transport.ErrTooLong
-		}
-		r, used, err := transport.ParseResponse(buf, eof)
-		if err != nil || used == 0 {
-			return 0, false, err
-		}
-		done.Status = r.Status
-		return used, false, nil
-	})
 	if err != nil {
-		done.Status = 0
+		done.Status, done.Body = 0, nil
 		done.Refused = err == transport.ErrRefused
 		done.Unsent = done.Refused || err == transport.ErrSockets
 	}
+	return done
 }
--- a/cmd/mapleslip/user.go
+++ b/cmd/mapleslip/user.go
@@ -55,22 +55,84 @@
 	return list
 }
 
-func (u *users) client(cmd *cobra.Command) (*client.Client, context.Context, func(), error) {
+// session is one command's talk with the controllers.
+type session struct {
+	*client.Client
+	ctx  context.Context
+	stop func()
+}
+
+func (u *users) session(cmd *cobra.Command) (*session, error) {
 	if u.server == "" {
-		return nil, nil, nil, fmt.Errorf("--server: missing, and %s is not set", serverVariable)
+		return nil, fmt.Errorf("--server: missing, and %s is not set", serverVariable)
 	}
 	c, err := client.New(u.server)
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, err
 	}
 	c.Retried = func(why string, wait time.Duration) {
 		fmt.Fprintf(cmd.ErrOrStderr(), "%s; again in %.1f s\n", why, wait.Seconds())
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	return c, ctx, stop, nil
+	return &session{c, ctx, stop}, nil
 }
 
-// drawn is a name that nobody else draws.
+// ask makes one request.
+func (s *session) ask(method, path string, body []byte) ([]byte, error) {
+	_, answer, err := s.Do(s.ctx, method, path, body)
+	return answer, err
+}
+
+// follow asks how something stands, again and again, until look says that it is over.
+func (s *session) follow(out io.Writer, path, what string, every time.Duration, answer []byte, look func([]byte) (line string, over bool, err error)) ([]byte, error) {
+	progress := newProgress(out)
+	for {
+		line, over, err := look(answer)
+		if err != nil {
+			return nil, err
+		}
+		if over {
+			progress.end()
+			return answer, nil
+		}
+		progress.show(line)
+		select {
+		case <-s.ctx.Done():
+			progress.end()
+			return nil, fmt.Errorf("interrupted; the %s goes on", what)
+		case <-time.After(every):
+		}
+		if answer, err = s.ask("GET", path, nil); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// once makes the one request of a command.
+func (u *users) once(cmd *cobra.Command, method, path string) ([]byte, error) {
+	s, err := u.session(cmd)
+	if err != nil {
+		return nil, err
+	}
+	defer s.stop()
+	return s.ask(method, path, nil)
+}
+
+// sent is what a file asks for: the request's body, and what it says.
+type sent[T any] struct {
+	body []byte
+	spec T
+}
+
+// load reads a file that people wrote; draw is what it gets where it has no name.
+func load[T any](path string, parse func(text []byte, draw string) ([]byte, T, error), draw string) (sent[T], error) {
+	return protocol.LoadFile(path, func(text []byte) (sent[T], error) {
+		body, spec, err := parse(text, draw)
+		return sent[T]{body, spec}, err
+	})
+}
+
+// drawnRef is a job's name that nobody else draws.
 func drawnRef() string {
 	most := new(big.Int).Exp(big.NewInt(10), big.NewInt(18), nil)
 	n, err := rand.Int(rand.Reader, most)
@@ -89,24 +151,16 @@
 }
 
 func (u *users) submit(cmd *cobra.Command, args []string) error {
-	ref := drawnRef()
-	type parsed struct {
-		body []byte
-		spec *protocol.JobSpec
-	}
-	job, err := protocol.LoadFile(args[0], func(text []byte) (parsed, error) {
-		body, spec, err := protocol.ParseJobFile(text, ref)
-		return parsed{body, spec}, err
-	})
+	job, err := load(args[0], protocol.ParseJobFile, drawnRef())
 	if err != nil {
 		return err
 	}
-	c, ctx, stop, err := u.client(cmd)
+	s, err := u.session(cmd)
 	if err != nil {
 		return err
 	}
-	defer stop()
-	_, answer, err := c.Do(ctx, "POST", "/api/jobs", job.body)
+	defer s.stop()
+	answer, err := s.ask("POST", "/api/jobs", job.body)
 	if err != nil {
 		return err
 	}
@@ -115,27 +169,19 @@
 	}
 	// Whoever stops waiting has to know the job's name.
 	fmt.Fprintf(cmd.ErrOrStderr(), "%s is accepted\n", job.spec.Ref)
-	progress := newProgress(cmd.ErrOrStderr())
-	for {
-		phase := fastjson.GetString(answer, "phase")
-		if phase == "done" || phase == "cancelled" {
-			progress.end()
-			if err := u.printJob(cmd.OutOrStdout(), answer); err != nil || phase == "done" {
-				return err
-			}
-			return errors.New("the job was cancelled")
-		}
-		progress.show(fmt.Sprintf("%s, %d of %d done, %d running", phase, fastjson.GetInt(answer, "done"), job.spec.Tasks, fastjson.GetInt(answer, "running")))
-		select {
-		case <-ctx.Done():
-			progress.end()
-			return errors.New("interrupted; the job goes on")
-		case <-time.After(2 * time.Second):
-		}
-		if _, answer, err = c.Do(ctx, "GET", "/api/jobs/"+job.spec.Ref, nil); err != nil {
-			return err
-		}
+	phase := ""
+	answer, err = s.follow(cmd.ErrOrStderr(), "/api/jobs/"+job.spec.Ref, "job", 2*time.Second, answer, func(answer []byte) (string, bool, error) {
+		phase = fastjson.GetString(answer, "phase")
+		line := fmt.Sprintf("%s, %d of %d done, %d running", phase, fastjson.GetInt(answer, "done"), job.spec.Tasks, fastjson.GetInt(answer, "running"))
+		return line, phase == "done" || phase == "cancelled", nil
+	})
+	if err != nil {
+		return err
 	}
+	if err := u.printJob(cmd.OutOrStdout(), answer); err != nil || phase == "done" {
+		return err
+	}
+	return errors.New("the job was cancelled")
 }
 
 func (u *users) status(cmd *cobra.Command, args []string) error {
@@ -150,12 +196,7 @@
 	if !protocol.ValidRef(ref) {
 		return fmt.Errorf("%q is no job: it has the form req-000412", ref)
 	}
-	c, ctx, stop, err := u.client(cmd)
-	if err != nil {
-		return err
-	}
-	defer stop()
-	_, answer, err := c.Do(ctx, method, "/api/jobs/"+ref+what, nil)
+	answer, err := u.once(cmd, method, "/api/jobs/"+ref+what)
 	if err != nil {
 		return err
 	}
@@ -172,66 +213,44 @@
 }
 
 func (u *users) startRollout(cmd *cobra.Command, args []string) error {
-	type parsed struct {
-		body []byte
-		spec *protocol.RolloutSpec
-	}
-	r, err := protocol.LoadFile(args[0], func(text []byte) (parsed, error) {
-		body, spec, err := protocol.ParseRolloutFile(text, drawnID())
-		return parsed{body, spec}, err
-	})
+	r, err := load(args[0], protocol.ParseRolloutFile, drawnID())
 	if err != nil {
 		return err
 	}
-	c, ctx, stop, err := u.client(cmd)
+	s, err := u.session(cmd)
 	if err != nil {
 		return err
 	}
-	defer stop()
-	_, answer, err := c.Do(ctx, "POST", "/api/rollouts", r.body)
+	defer s.stop()
+	answer, err := s.ask("POST", "/api/rollouts", r.body)
 	if err != nil {
 		return err
 	}
 	if !u.wait {
 		return u.printRollout(cmd.OutOrStdout(), answer)
 	}
-	progress := newProgress(cmd.ErrOrStderr())
-	for {
-		s, err := protocol.ParseRolloutStatus(answer)
-		if err != nil {
-			return err
-		}
-		switch s.State {
-		case "done", "paused", "reverted", "failed":
-			progress.end()
-			if err := u.printRollout(cmd.OutOrStdout(), answer); err != nil || s.State == "done" {
-				return err
-			}
-			return fmt.Errorf("the roll-out is %s: %s", s.State, s.Reason)
-		}
-		progress.show(rolloutLine(s))
-		select {
-		case <-ctx.Done():
-			progress.end()
-			return errors.New("interrupted; the roll-out goes on")
-		case <-time.After(time.Second):
-		}
-		if _, answer, err = c.Do(ctx, "GET", "/api/rollouts/"+r.spec.Service, nil); err != nil {
-			return err
+	var last *protocol.RolloutStatus
+	answer, err = s.follow(cmd.ErrOrStderr(), "/api/rollouts/"+r.spec.Service, "roll-out", time.Second, answer, func(answer []byte) (string, bool, error) {
+		var err error
+		if last, err = protocol.ParseRolloutStatus(answer); err != nil {
+			return "", false, err
 		}
+		return rolloutLine(last), last.Stopped(), nil
+	})
+	if err != nil {
+		return err
 	}
+	if err := u.printRollout(cmd.OutOrStdout(), answer); err != nil || last.State == "done" {
+		return err
+	}
+	return fmt.Errorf("the roll-out is %s: %s", last.State, last.Reason)
 }
 
 func (u *users) showRollout(cmd *cobra.Command, args []string) error {
 	if len(args) == 1 {
 		return u.rollout(cmd, "GET", args[0], "")
 	}
-	c, ctx, stop, err := u.client(cmd)
-	if err != nil {
-		return err
-	}
-	defer stop()
-	_, answer, err := c.Do(ctx, "GET", "/api/rollouts", nil)
+	answer, err := u.once(cmd, "GET", "/api/rollouts")
 	if err != nil {
 		return err
 	}
@@ -255,12 +274,7 @@
 	if !protocol.ValidService(service) {
 		return fmt.Errorf("%q is no service's name", service)
 	}
-	c, ctx, stop, err := u.client(cmd)
-	if err != nil {
-		return err
-	}
-	defer stop()
-	_, answer, err := c.Do(ctx, method, "/api/rollouts/"+service+what, nil)
+	answer, err := u.once(cmd, method, "/api/rollouts/"+service+what)
 	if err != nil {
 		return err
 	}
@@ -270,7 +284,7 @@
 func rolloutLine(s *protocol.RolloutStatus) string {
 	line := fmt.Sprintf("%s %s: %s, stage %d of %d, new %d of %d healthy, old %d of %d healthy, floor %d", s.Service, s.ID, s.State, s.Stage, len(s.Stages),
 		s.New.Healthy, s.New.Instances, s.Old.Healthy, s.Old.Instances, s.Floor)
-	if s.State == "done" || s.State == "reverted" || s.State == "failed" {
+	if s.Ended() {
 		line = fmt.Sprintf("%s %s: %s, %d new instances, %d old ones", s.Service, s.ID, s.State, s.New.Instances, s.Old.Instances)
 	}
 	if s.Reason != "" {
--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -234,22 +234,12 @@
 	var f platformFile
 	f.NodeName, f.Area, f.ClientListen, f.ClusterListen = p.Node, p.Zone, p.ClientListen, p.ClusterListen
 	for _, s := range p.Siblings {
-		f.Siblings = append(f.Siblings, struct {
-			NodeName string `toml:"node_name"`
-			Area     string `toml:"area"`
-			Address  string `toml:"address"`
-		}{s.Name, s.Zone, s.Address})
+		f.Siblings = append(f.Siblings, siblingFile{s.Name, s.Zone, s.Address})
 	}
 	f.Services.Cloud, f.Services.State = p.CloudAddr, p.StateAddr
 	f.Facts.Nodes, f.Facts.Zones, f.Facts.ClockOffMS = len(p.Siblings)+1, p.Zones, math.Round(p.ClockOff.Seconds()*1000)
 	for _, t := range p.Teams {
-		f.Facts.Teams = append(f.Facts.Teams, struct {
-			Name    string  `toml:"name"`
-			CPUs    float64 `toml:"cpus"`
-			CPUsMax float64 `toml:"cpus_max"`
-			GPUs    float64 `toml:"gpus"`
-			GPUsMax float64 `toml:"gpus_max"`
-		}{t.Name, float64(t.Guarantee.CPU) / 1000, float64(t.Limit.CPU) / 1000, float64(t.Guarantee.GPU) / 1000, float64(t.Limit.GPU) / 1000})
+		f.Facts.Teams = append(f.Facts.Teams, teamFile{t.Name, float64(t.Guarantee.CPU) / 1000, float64(t.Limit.CPU) / 1000, float64(t.Guarantee.GPU) / 1000, float64(t.Limit.GPU) / 1000})
 	}
 	w := &f.Facts.Workers
 	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = p.ReportEvery.Seconds(), p.WorkerLease.Seconds(), p.GangWait.Seconds(), p.GangPeer.Seconds(), p.Cancel.Seconds()
--- a/internal/protocol/rollout.go
+++ b/internal/protocol/rollout.go
@@ -205,45 +205,28 @@
 func AppendRollout(b []byte, s *RolloutSpec) []byte {
 	job := *s.Job
 	job.Ref, job.Tasks, job.Kind = "req-000000", 1, Service
-	b = append(AppendQuoted(append(b, `{"id":`...), s.ID), `,"service":`...)
-	b = append(AppendQuoted(b, s.Service), `,"job":`...)
-	b = AppendJob(b, &job)
-	number := func(name string, n int) {
-		b = strconv.AppendInt(append(append(append(b, `,"`...), name...), `":`...), int64(n), 10)
-	}
-	span := func(name string, v Micros) {
-		b = appendSeconds(append(append(append(b, `,"`...), name...), `":`...), v)
-	}
+	b = append(b, '{')
+	b = append(AppendQuoted(appendName(b, "id"), s.ID), ',')
+	b = append(AppendQuoted(appendName(b, "service"), s.Service), ',')
+	b = AppendJob(appendName(b, "job"), &job)
+	number := func(name string, n int) { b = appendInt(appendName(append(b, ','), name), n) }
+	span := func(name string, v Micros) { b = appendSeconds(appendName(append(b, ','), name), v) }
 	number("count", s.Count)
 	number("floor", s.Floor)
 	number("surge", s.Surge)
 	number("faulty", s.Faulty)
-	b = append(b, `,"stages":[`...)
-	for i, n := range s.Stages {
-		if i > 0 {
-			b = append(b, ',')
-		}
-		b = strconv.AppendInt(b, int64(n), 10)
-	}
-	b = append(b, ']')
+	b = appendList(appendName(append(b, ','), "stages"), s.Stages, appendInt)
 	span("soakS", s.Soak)
 	span("startS", s.StartWithin)
 	span("healthyS", s.HealthyWithin)
 	if len(s.Adopt) > 0 {
-		b = append(b, `,"adopt":[`...)
-		for i, ref := range s.Adopt {
-			if i > 0 {
-				b = append(b, ',')
-			}
-			b = AppendQuoted(b, ref)
-		}
-		b = append(b, ']')
+		b = appendList(appendName(append(b, ','), "adopt"), s.Adopt, AppendQuoted)
 	}
-	b = append(b, `,"check":{"how":`...)
-	b = append(AppendQuoted(b, s.Check.Kind.String()), `,"at":`...)
-	b = AppendQuoted(b, s.Check.At)
+	b = append(appendName(append(b, ','), "check"), '{')
+	b = append(AppendQuoted(appendName(b, "how"), s.Check.Kind.String()), ',')
+	b = AppendQuoted(appendName(b, "at"), s.Check.At)
 	if s.Check.Kind == CheckHTTP {
-		b = AppendQuoted(append(b, `,"path":`...), s.Check.Path)
+		b = AppendQuoted(appendName(append(b, ','), "path"), s.Check.Path)
 	}
 	span("everyS", s.Check.Every)
 	span("timeoutS", s.Check.Timeout)
@@ -272,10 +255,8 @@
 
 // AppendRolloutStatus writes how a roll-out stands; jobs: with the names of its jobs.
 func AppendRolloutStatus(b []byte, s *RolloutStatus, jobs bool) []byte {
-	text := func(name, v string) { b = AppendQuoted(append(append(append(b, `"`...), name...), `":`...), v) }
-	number := func(name string, n int) {
-		b = strconv.AppendInt(append(append(append(b, `,"`...), name...), `":`...), int64(n), 10)
-	}
+	text := func(name, v string) { b = AppendQuoted(appendName(b, name), v) }
+	number := func(name string, n int) { b = appendInt(appendName(append(b, ','), name), n) }
 	b = append(b, '{')
 	text("service", s.Service)
 	b = append(b, ',')
@@ -285,14 +266,7 @@
 	b = append(b, ',')
 	text("reason", s.Reason)
 	number("stage", s.Stage)
-	b = append(b, `,"stages":[`...)
-	for i, n := range s.Stages {
-		if i > 0 {
-			b = append(b, ',')
-		}
-		b = strconv.AppendInt(b, int64(n), 10)
-	}
-	b = append(b, ']')
+	b = appendList(appendName(append(b, ','), "stages"), s.Stages, appendInt)
 	number("count", s.Count)
 	number("floor", s.Floor)
 	number("surge", s.Surge)
@@ -301,7 +275,7 @@
 		name string
 		v    *VersionStatus
 	}{{"new", &s.New}, {"old", &s.Old}} {
-		b = append(append(append(b, `,"`...), v.name...), `":{`...)
+		b = append(appendName(append(b, ','), v.name), '{')
 		text("version", v.v.Version)
 		number("instances", v.v.Instances)
 		number("running", v.v.Running)
@@ -309,20 +283,21 @@
 		number("failing", v.v.Failing)
 		number("faulty", v.v.Faulty)
 		if jobs {
-			b = append(b, `,"jobs":[`...)
-			for i, ref := range v.v.Jobs {
-				if i > 0 {
-					b = append(b, ',')
-				}
-				b = AppendQuoted(b, ref)
-			}
-			b = append(b, ']')
+			b = appendList(appendName(append(b, ','), "jobs"), v.v.Jobs, AppendQuoted)
 		}
 		b = append(b, '}')
 	}
 	return append(b, '}')
 }
 
+// Stopped reports whether nothing more happens without an operator.
+func (s *RolloutStatus) Stopped() bool { return s.Ended() || s.State == "paused" }
+
+// Ended reports whether the roll-out is over.
+func (s *RolloutStatus) Ended() bool {
+	return s.State == "done" || s.State == "reverted" || s.State == "failed"
+}
+
 // ParseRolloutStatus reads how a roll-out stands.
 func ParseRolloutStatus(body []byte) (*RolloutStatus, error) {
 	p := Parsers.Get()
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -52,31 +52,35 @@
 	MaxConnections             int
 }
 
+type siblingFile struct {
+	NodeName string `toml:"node_name"`
+	Area     string `toml:"area"`
+	Address  string `toml:"address"`
+}
+
+type teamFile struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
 type platformFile struct {
-	NodeName      string `toml:"node_name"`
-	Area          string `toml:"area"`
-	ClientListen  string `toml:"client_listen"`
-	ClusterListen string `toml:"cluster_listen"`
-	Siblings      []struct {
-		NodeName string `toml:"node_name"`
-		Area     string `toml:"area"`
-		Address  string `toml:"address"`
-	} `toml:"siblings"`
-	Services struct {
+	NodeName      string        `toml:"node_name"`
+	Area          string        `toml:"area"`
+	ClientListen  string        `toml:"client_listen"`
+	ClusterListen string        `toml:"cluster_listen"`
+	Siblings      []siblingFile `toml:"siblings"`
+	Services      struct {
 		Cloud string `toml:"cloud"`
 		State string `toml:"state"`
 	} `toml:"services"`
 	Facts struct {
-		Nodes      int      `toml:"nodes"`
-		Zones      []string `toml:"zones"`
-		ClockOffMS float64  `toml:"clock_off_ms"`
-		Teams      []struct {
-			Name    string  `toml:"name"`
-			CPUs    float64 `toml:"cpus"`
-			CPUsMax float64 `toml:"cpus_max"`
-			GPUs    float64 `toml:"gpus"`
-			GPUsMax float64 `toml:"gpus_max"`
-		} `toml:"teams"`
+		Nodes      int        `toml:"nodes"`
+		Zones      []string   `toml:"zones"`
+		ClockOffMS float64    `toml:"clock_off_ms"`
+		Teams      []teamFile `toml:"teams"`
 		Objectives []struct {
 			Kind    string  `toml:"kind"`
 			Class   string  `toml:"class"`
@@ -283,21 +287,26 @@
 		{"idle_return_s", f.IdleReturnS, &o.IdleReturn, 1, 86400},
 	}
 	for _, s := range spans {
-		if s.from == nil {
-			continue
-		}
-		if math.IsNaN(*s.from) || *s.from < s.min || *s.from > s.max {
-			return o, &KeyError{s.key, fmt.Sprintf("must be from %g to %g", s.min, s.max)}
+		seconds := s.to.Seconds()
+		if err := SetBounded(s.key, s.from, &seconds, s.min, s.max); err != nil {
+			return o, err
 		}
-		*s.to = FromSeconds(*s.from)
+		*s.to = FromSeconds(seconds)
 	}
-	if f.WarmSpare != nil {
-		if math.IsNaN(*f.WarmSpare) || *f.WarmSpare < 0 || *f.WarmSpare > 100 {
-			return o, &KeyError{"warm_spare", "must be from 0 to 100"}
-		}
-		o.WarmSpare = *f.WarmSpare
+	return o, SetBounded("warm_spare", f.WarmSpare, &o.WarmSpare, 0, 100)
+}
+
+// SetBounded takes a setting over where the operators' file has it; one that is not a
+// number from low to high is an error that names the key.
+func SetBounded[T int | float64](key string, from *T, to *T, low, high T) error {
+	if from == nil {
+		return nil
 	}
-	return o, nil
+	if !(*from >= low && *from <= high) { // also what is no number
+		return &KeyError{key, fmt.Sprintf("must be from %v to %v", low, high)}
+	}
+	*to = *from
+	return nil
 }
 
 // DecodeStrict reads a file of the operators' own: an unknown key is an error
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -262,34 +262,10 @@
 // AppendJob writes a job in the form of the interface, which is also the form
 // in which it is kept.
 func AppendJob(b []byte, s *JobSpec) []byte {
-	text := func(name, v string) {
-		b = append(b, '"')
-		b = append(b, name...)
-		b = append(b, `":`...)
-		b = AppendQuoted(b, v)
-		b = append(b, ',')
-	}
-	amount := func(name string, v int64) {
-		b = append(b, '"')
-		b = append(b, name...)
-		b = append(b, `":`...)
-		b = appendThousandths(b, v)
-		b = append(b, ',')
-	}
-	span := func(name string, v Micros) {
-		b = append(b, '"')
-		b = append(b, name...)
-		b = append(b, `":`...)
-		b = appendSeconds(b, v)
-		b = append(b, ',')
-	}
-	flag := func(name string, v bool) {
-		b = append(b, '"')
-		b = append(b, name...)
-		b = append(b, `":`...)
-		b = strconv.AppendBool(b, v)
-		b = append(b, ',')
-	}
+	text := func(name, v string) { b = append(AppendQuoted(appendName(b, name), v), ',') }
+	amount := func(name string, v int64) { b = append(appendThousandths(appendName(b, name), v), ',') }
+	span := func(name string, v Micros) { b = append(appendSeconds(appendName(b, name), v), ',') }
+	flag := func(name string, v bool) { b = append(strconv.AppendBool(appendName(b, name), v), ',') }
 	b = append(b, '{')
 	text("ref", s.Ref)
 	text("jobclass", s.Class)
@@ -305,14 +281,7 @@
 	text("bundle", s.Image)
 	amount("sizeGb", s.ImageSize)
 	if s.Types != nil {
-		b = append(b, `"flavors":[`...)
-		for i, t := range s.Types {
-			if i > 0 {
-				b = append(b, ',')
-			}
-			b = AppendQuoted(b, t)
-		}
-		b = append(b, "],"...)
+		b = append(appendList(appendName(b, "flavors"), s.Types, AppendQuoted), ',')
 	}
 	if s.Zone != "" {
 		text("region", s.Zone)
@@ -330,6 +299,25 @@
 	return append(b, '}')
 }
 
+// appendName writes the name of a member of a JSON object.
+func appendName(b []byte, name string) []byte {
+	return append(append(append(b, '"'), name...), `":`...)
+}
+
+// appendList writes a JSON array.
+func appendList[T any](b []byte, list []T, item func([]byte, T) []byte) []byte {
+	b = append(b, '[')
+	for i, v := range list {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = item(b, v)
+	}
+	return append(b, ']')
+}
+
+func appendInt(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
+
 // AppendQuoted writes a JSON string.
 func AppendQuoted(b []byte, s string) []byte {
 	var a fastjson.Arena
--- a/internal/rollout/settings.go
+++ b/internal/rollout/settings.go
@@ -1,11 +1,6 @@
 package rollout
 
-import (
-	"fmt"
-	"math"
-
-	"mapleslip/internal/protocol"
-)
+import "mapleslip/internal/protocol"
 
 // Defaults are the settings used where the operators' file sets none.
 func Defaults() Settings { return Settings{ChecksPerS: 50, AtOnce: 64, Services: 32} }
@@ -30,25 +25,14 @@
 	if err := protocol.DecodeStrict(text, &f); err != nil {
 		return s, err
 	}
-	if v := f.ChecksPerS; v != nil {
-		if math.IsNaN(*v) || *v < 1 || *v > 10_000 {
-			return s, &protocol.KeyError{Key: "checks_per_s", Problem: "must be from 1 to 10000"}
-		}
-		s.ChecksPerS = *v
-	}
-	for _, n := range []struct {
-		key  string
-		v    *int
-		to   *int
-		high int
-	}{{"checks_at_once", f.AtOnce, &s.AtOnce, 4096}, {"services", f.Services, &s.Services, mostServices}} {
-		if n.v == nil {
-			continue
-		}
-		if *n.v < 1 || *n.v > n.high {
-			return s, &protocol.KeyError{Key: n.key, Problem: fmt.Sprintf("must be from 1 to %d", n.high)}
+	for _, err := range []error{
+		protocol.SetBounded("checks_per_s", f.ChecksPerS, &s.ChecksPerS, 1, 10_000),
+		protocol.SetBounded("checks_at_once", f.AtOnce, &s.AtOnce, 1, 4096),
+		protocol.SetBounded("services", f.Services, &s.Services, 1, mostServices),
+	} {
+		if err != nil {
+			return s, err
 		}
-		*n.to = *n.v
 	}
 	if f.Message != nil && *f.Message != "" {
 		t, err := CompileMessage(*f.Message)
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -176,6 +176,8 @@
 	switch {
 	case service == "worker" || service == "controller":
 		return "call"
+	case service == "instance": // its path is its own
+		return "other"
 	case path == "/commit":
 		return "commit"
 	case path == "/follow":
--- a/internal/telemetry/settings.go
+++ b/internal/telemetry/settings.go
@@ -6,8 +6,6 @@
 package telemetry
 
 import (
-	"fmt"
-	"math"
 	"net/netip"
 	"net/url"
 
@@ -67,32 +65,12 @@
 	if s.Listen == "" && s.Traces == "" {
 		return s, &protocol.KeyError{Key: "listen", Problem: "missing, and so is traces: nothing to do"}
 	}
-	number := func(key string, from *float64, to *float64, low, high float64) error {
-		if from == nil {
-			return nil
-		}
-		if math.IsNaN(*from) || *from < low || *from > high {
-			return &protocol.KeyError{Key: key, Problem: fmt.Sprintf("must be from %g to %g", low, high)}
-		}
-		*to = *from
-		return nil
-	}
-	whole := func(key string, from *int, to *int, low, high int) error {
-		if from == nil {
-			return nil
-		}
-		if *from < low || *from > high {
-			return &protocol.KeyError{Key: key, Problem: fmt.Sprintf("must be from %d to %d", low, high)}
-		}
-		*to = *from
-		return nil
-	}
 	every := s.SnapshotEvery.Seconds()
 	for _, err := range []error{
-		number("trace_ratio", f.Ratio, &s.Ratio, 0, 1),
-		whole("trace_queue", f.Queue, &s.Queue, 1, 100_000),
-		whole("classes", f.Classes, &s.Classes, 1, 256),
-		number("snapshot_s", f.SnapshotS, &every, 0.1, 3600),
+		protocol.SetBounded("trace_ratio", f.Ratio, &s.Ratio, 0, 1),
+		protocol.SetBounded("trace_queue", f.Queue, &s.Queue, 1, 100_000),
+		protocol.SetBounded("classes", f.Classes, &s.Classes, 1, 256),
+		protocol.SetBounded("snapshot_s", f.SnapshotS, &every, 0.1, 3600),
 	} {
 		if err != nil {
 			return s, err
