--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -112,17 +112,25 @@
 // An epoch of the form before is read; a controller of that form can't read
 // ours and so can't lead without seeing the hosts that share a record.
 func TestEpochRecord(t *testing.T) {
-	for text, want := range map[string]uint64{"7": 7, string(EncodeEpoch(8, false)): 8, string(EncodeEpoch(9, true)): 9} {
-		if got, unlisted, err := DecodeEpoch([]byte(text)); err != nil || got != want || unlisted != (want != 8) {
-			t.Errorf("%s: %d %v", text, got, err)
+	for text, want := range map[string]uint64{"7": 7, string(EncodeEpoch(Epoch{N: 8})): 8, string(EncodeEpoch(Epoch{N: 9, Unlisted: true})): 9} {
+		if got, err := DecodeEpoch([]byte(text)); err != nil || got.N != want || got.Unlisted != (want != 8) {
+			t.Errorf("%s: %+v %v", text, got, err)
 		}
 	}
-	if _, err := strconv.ParseUint(string(EncodeEpoch(8, false)), 10, 64); err == nil {
+	if _, err := strconv.ParseUint(string(EncodeEpoch(Epoch{N: 8})), 10, 64); err == nil {
 		t.Error("the form before would read it")
 	}
+	yields := []protocol.Yield{{Node: "n1", To: "n2", Epoch: 8, At: 77, Heard: map[string]int{"a": 1, "b": 22}}, {Node: "n2", Epoch: 9, At: 78, Heard: map[string]int{}}}
+	text := EncodeEpoch(Epoch{N: 9, Yields: yields})
+	if want := `{"form":2,"epoch":9,"yields":[{"node":"n1","to":"n2","epoch":8,"at":77,"heard":{"a":1,"b":22}},{"node":"n2","to":"","epoch":9,"at":78,"heard":{}}]}`; string(text) != want {
+		t.Errorf("%s", text)
+	}
+	if got, err := DecodeEpoch(text); err != nil || !cmp.Equal(got.Yields, yields) {
+		t.Errorf("%+v %v", got, err)
+	}
 	for _, bad := range []string{`{"form":3,"epoch":9}`, `{"form":2}`, `"7"`, `-1`, ``} {
-		if n, _, err := DecodeEpoch([]byte(bad)); err == nil {
-			t.Errorf("%s: read as %d", bad, n)
+		if n, err := DecodeEpoch([]byte(bad)); err == nil {
+			t.Errorf("%s: read as %+v", bad, n)
 		}
 	}
 }
@@ -192,3 +200,31 @@
 		t.Errorf("%v", h.Images)
 	}
 }
+
+// What leaders have seen, and that a user asked to cancel a job, come back as they were
+// written. A record of a job without the request is the one of before.
+func TestMemoryAndRequestRecords(t *testing.T) {
+	m := protocol.Memory{Epoch: 4, At: 99, Cuts: []protocol.Cut{{Zone: "b", Since: 5, Seen: 6}}, Silent: []protocol.Silence{{Host: "n-000007", Since: 8}}}
+	text := EncodeMemory(m)
+	if want := `{"form":2,"seen":4,"at":99,"cuts":{"b":[5,6]},"silent":{"n-000007":8}}`; string(text) != want {
+		t.Errorf("%s", text)
+	}
+	if got, err := DecodeMemory(text); err != nil || !cmp.Equal(got, m) {
+		t.Errorf("%+v %v", got, err)
+	}
+	if got, err := DecodeMemory([]byte(`{"form":9}`)); err == nil {
+		t.Errorf("%+v", got)
+	}
+	j := job(1)
+	j.SubmittedWall = 7
+	plain := EncodeJob(j, false)
+	j.To(JobCancelling)
+	j.CancelledWall = 55
+	asked := EncodeJob(j, false)
+	for text, want := range map[string]JobState{string(plain): JobLive, string(asked): JobCancelling, string(EncodeJob(j, true)): JobCancelled} {
+		got, err := DecodeJob([]byte(text))
+		if err != nil || got.State != want || want != JobLive && got.CancelledWall != 55 || got.AskKept != (want == JobCancelling) {
+			t.Errorf("%s: %+v %v", text, got, err)
+		}
+	}
+}
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -20,8 +20,8 @@
 // States of a job.
 const (
 	JobLive       JobState = iota // accepted, tasks wait or run
-	JobCancelling                 // its user asked to cancel, the record is on its way
-	JobCancelled                  // durable and told, tasks may still be on hosts
+	JobCancelling                 // its user asked to cancel; tasks are being stopped, nobody was told yet
+	JobCancelled                  // an earlier version told its user while tasks may still be on hosts
 	JobFinishing                  // all tasks are done, the record is on its way
 	JobDone                       // durable and told
 	JobClosed                     // cancelled and no task is left
@@ -33,7 +33,7 @@
 
 var jobMoves = map[JobState][]JobState{
 	JobLive:       {JobCancelling, JobFinishing, JobCancelled},
-	JobCancelling: {JobCancelled},
+	JobCancelling: {JobCancelled, JobClosed, JobDone},
 	JobCancelled:  {JobClosed},
 	JobFinishing:  {JobDone, JobCancelled},
 }
@@ -79,6 +79,8 @@
 	Suspect       bool           // fails wherever it is tried, nothing shows that it can run
 	Strikes       int            // times it was held for that
 	Closing       bool           // cancelled, its record is being moved
+	AskKept       bool           // that its user asked to cancel is in the state service
+	Asking        bool           // or on its way there
 	Held          micros         // not placed before, after failures
 	Chunks        map[int]bool
 	FirstStart    micros
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/base64"
 	"errors"
+	"maps"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -15,6 +17,8 @@
 	KeyLeader = "lead"
 	KeyEpoch  = "epoch"
 	KeyTypes  = "types"
+	// What leaders have seen that their successors must know; see EncodeMemory.
+	KeyMemory = "seen"
 	JobPrefix = "j/"
 	// Finished jobs leave the live prefix, so that a new leader reads only
 	// what it needs.
@@ -56,40 +60,137 @@
 	return append(append(b, field...), `":`...)
 }
 
+// Epoch is the record of the counter of epochs.
+type Epoch struct {
+	N uint64
+	// Unlisted: launches of an earlier epoch may be in no record, because a leader
+	// of form 1 came before and not all of its hosts have been heard of since.
+	Unlisted bool
+	// Yields are the newest leases that were given back, the newest last. A
+	// controller that doesn't know them drops them when it comes to lead.
+	Yields []protocol.Yield
+}
+
 // EncodeEpoch writes the counter of epochs.
-//
-// unlisted says that launches of an earlier epoch may be in no record, because a
-// leader of form 1 came before and not all of its hosts have been heard of since.
-func EncodeEpoch(n uint64, unlisted bool) []byte {
-	b := strconv.AppendUint(begin("epoch"), n, 10)
-	if unlisted {
+func EncodeEpoch(e Epoch) []byte {
+	b := strconv.AppendUint(begin("epoch"), e.N, 10)
+	if e.Unlisted {
 		b = append(b, `,"unlisted":true`...)
 	}
+	for i, y := range e.Yields {
+		if i == 0 {
+			b = append(b, `,"yields":[`...)
+		} else {
+			b = append(b, ',')
+		}
+		b = protocol.AppendQuoted(append(b, `{"node":`...), y.Node)
+		b = protocol.AppendQuoted(append(b, `,"to":`...), y.To)
+		b = strconv.AppendUint(append(b, `,"epoch":`...), y.Epoch, 10)
+		b = strconv.AppendInt(append(b, `,"at":`...), int64(y.At), 10)
+		b = append(b, `,"heard":{`...)
+		for k, zone := range slices.Sorted(maps.Keys(y.Heard)) {
+			if k > 0 {
+				b = append(b, ',')
+			}
+			b = strconv.AppendInt(append(protocol.AppendQuoted(b, zone), ':'), int64(y.Heard[zone]), 10)
+		}
+		b = append(b, "}}"...)
+	}
+	if len(e.Yields) > 0 {
+		b = append(b, ']')
+	}
 	return append(b, '}')
 }
 
-// DecodeEpoch reads the counter of epochs, also that of form 1.
-func DecodeEpoch(value []byte) (n uint64, unlisted bool, err error) {
+// DecodeEpoch reads the counter of epochs, also that of form 1. What it can't
+// read of the yields it leaves out: they keep leaders from changing too often,
+// and nothing is unsafe without them.
+func DecodeEpoch(value []byte) (Epoch, error) {
 	if n, err := strconv.ParseUint(string(value), 10, 64); err == nil {
-		return n, true, nil
+		return Epoch{N: n, Unlisted: true}, nil
 	}
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
 	v, err := open(p, value)
 	if err != nil {
-		return 0, false, err
+		return Epoch{}, err
+	}
+	n, err := protocol.Member(v, "epoch").Uint64()
+	if err != nil {
+		return Epoch{}, errForm
+	}
+	e := Epoch{N: n, Unlisted: v.GetBool("unlisted")}
+	for _, row := range v.GetArray("yields") {
+		y := protocol.Yield{Node: string(row.GetStringBytes("node")), To: string(row.GetStringBytes("to")), Epoch: row.GetUint64("epoch"),
+			At: micros(row.GetInt64("at")), Heard: make(map[string]int)}
+		if heard := row.GetObject("heard"); heard != nil {
+			heard.Visit(func(zone []byte, n *fastjson.Value) { y.Heard[string(zone)] = n.GetInt() })
+		}
+		if y.Node != "" {
+			e.Yields = append(e.Yields, y)
+		}
+	}
+	return e, nil
+}
+
+// EncodeMemory writes what a leader has seen: zones that look cut off, each with
+// since when and when it last looked so, and since when machines are silent.
+func EncodeMemory(m protocol.Memory) []byte {
+	b := strconv.AppendUint(begin("seen"), m.Epoch, 10)
+	b = strconv.AppendInt(append(b, `,"at":`...), int64(m.At), 10)
+	b = append(b, `,"cuts":{`...)
+	for i, c := range m.Cuts {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(append(protocol.AppendQuoted(b, c.Zone), ":["...), int64(c.Since), 10)
+		b = append(strconv.AppendInt(append(b, ','), int64(c.Seen), 10), ']')
+	}
+	b = append(b, `},"silent":{`...)
+	for i, s := range m.Silent {
+		if i > 0 {
+			b = append(b, ',')
+		}
+		b = strconv.AppendInt(append(protocol.AppendQuoted(b, s.Host), ':'), int64(s.Since), 10)
 	}
-	n, err = protocol.Member(v, "epoch").Uint64()
+	return append(b, "}}"...)
+}
+
+// SilenceBytes is about what a silent machine takes in the record of a memory.
+func SilenceBytes(s protocol.Silence) int { return len(s.Host) + 21 }
+
+// DecodeMemory reads it.
+func DecodeMemory(value []byte) (protocol.Memory, error) {
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := open(p, value)
 	if err != nil {
-		return 0, false, errForm
+		return protocol.Memory{}, err
 	}
-	return n, v.GetBool("unlisted"), nil
+	m := protocol.Memory{Epoch: v.GetUint64("seen"), At: micros(v.GetInt64("at"))}
+	if o := v.GetObject("cuts"); o != nil {
+		o.Visit(func(zone []byte, v *fastjson.Value) {
+			if f := v.GetArray(); len(f) == 2 {
+				m.Cuts = append(m.Cuts, protocol.Cut{Zone: string(zone), Since: micros(f[0].GetInt64()), Seen: micros(f[1].GetInt64())})
+			}
+		})
+	}
+	if o := v.GetObject("silent"); o != nil {
+		o.Visit(func(host []byte, v *fastjson.Value) {
+			m.Silent = append(m.Silent, protocol.Silence{Host: string(host), Since: micros(v.GetInt64())})
+		})
+	}
+	return m, nil
 }
 
 // ChunkTasks is how many tasks of an array one record of completions holds.
 const ChunkTasks = 8192
 
-// EncodeJob writes a job's record.
+// EncodeJob writes a job's record. A job that is being cancelled has the time at
+// which its user asked for it, so that a new leader goes on with that; it counts
+// as cancelled, and its user is told, only once none of its tasks can be anywhere.
+// A controller that doesn't know this takes the job for a live one: its user was
+// told nothing yet and asks again.
 func EncodeJob(j *Job, cancelled bool) []byte {
 	b := append([]byte(`{"at":`), strconv.FormatInt(int64(j.SubmittedWall), 10)...)
 	b = append(b, `,"epoch":`...)
@@ -97,6 +198,9 @@
 	if cancelled {
 		b = append(b, `,"cancelled":true,"cancelledAt":`...)
 		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
+	} else if j.State == JobCancelling {
+		b = append(b, `,"cancelAskedAt":`...)
+		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
 	}
 	b = append(b, `,"job":`...)
 	b = protocol.AppendJob(b, j.Spec)
@@ -125,6 +229,8 @@
 	if v.GetBool("cancelled") {
 		j.State = JobCancelled
 		j.CancelledWall = micros(v.GetInt64("cancelledAt"))
+	} else if at := v.GetInt64("cancelAskedAt"); at > 0 {
+		j.State, j.CancelledWall, j.AskKept = JobCancelling, micros(at), true
 	}
 	return j, nil
 }
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -55,6 +55,7 @@
 	Reply Address
 	Epoch uint64
 	From  string // the leader
+	Body  []byte // what it has seen
 }
 
 // PeerEvent is the event that a message of another controller makes here, nil:
@@ -67,7 +68,7 @@
 	case protocol.PeerCall:
 		return UserCall{Reply: to, Op: m.Op, Ref: m.Ref, Body: m.Body}
 	case protocol.PeerAsk:
-		return PeerQuestion{Reply: to, Epoch: m.Epoch, From: m.From}
+		return PeerQuestion{Reply: to, Epoch: m.Epoch, From: m.From, Body: m.Body}
 	case protocol.PeerReport:
 		return WorkerReport{Reply: to, Body: m.Body, Returned: m.Returned}
 	case protocol.PeerProbe:
@@ -204,25 +205,29 @@
 	lagged   micros // when this node was last found to fall behind
 	lagLog   micros
 
-	role       Role
-	roleSince  micros
-	seat       seat
-	leader     bookkeeping.Leadership // as known from the state service
-	suspect    micros                 // the leader did not answer, until then it is not asked
-	rechecked  micros                 // when the leader's record was read again after that
-	born       micros
-	asked      micros            // when a leader last asked this node
-	answered   micros            // when this node last answered a worker without leading
-	callers    map[string]caller // workers that came here while another node led
-	relaying   int               // their reports that are on their way to the leader
-	relayAfter micros            // the leader did not answer one: none is passed on before
-	shy        micros            // this node resigned: until then others go first
-	stateHeard micros            // when the state service last answered
-	direct     int               // users' calls that are being served from the state service
-	looking    int               // questions to the leader that the state service is asked for
-	finals     map[string]final
-	types      []*protocol.MachineType
-	typeByName map[string]*protocol.MachineType
+	role        Role
+	roleSince   micros
+	seat        seat
+	leader      bookkeeping.Leadership // as known from the state service
+	suspect     micros                 // the leader did not answer, until then it is not asked
+	rechecked   micros                 // when the leader's record was read again after that
+	born        micros
+	asked       micros            // when a leader last asked this node
+	answered    micros            // when this node last answered a worker without leading
+	callers     map[string]caller // workers that came here while another node led
+	relaying    int               // their reports that are on their way to the leader
+	relayAfter  micros            // the leader did not answer one: none is passed on before
+	shy         micros            // this node gave its lease back: until then others go first
+	memory      protocol.Memory   // the newest that a leader told of
+	leaderHeard micros            // when the leader last answered a call that was passed on
+	narrow      bool              // the last leader that asked knows only of controllers that answer their own zone
+	waited      uint64            // the epoch after which another one was let go first
+	stateHeard  micros            // when the state service last answered
+	direct      int               // users' calls that are being served from the state service
+	looking     int               // questions to the leader that the state service is asked for
+	finals      map[string]final
+	types       []*protocol.MachineType
+	typeByName  map[string]*protocol.MachineType
 
 	term *term // what a leader knows; nil unless it leads
 
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -4,6 +4,7 @@
 	"strconv"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 )
 
@@ -17,6 +18,7 @@
 	nextRenew   micros
 	predAnswers micros // until then a predecessor may answer workers
 	unlisted    bool   // launches of earlier epochs may be in no record
+	yields      []protocol.Yield
 	asked       micros // when the lease was asked for
 }
 
@@ -178,7 +180,7 @@
 		}
 		var last uint64
 		if found {
-			n, unlisted, err := bookkeeping.DecodeEpoch(e.Value)
+			rec, err := bookkeeping.DecodeEpoch(e.Value)
 			if err != nil {
 				// Records of a form that this program does not know: it must
 				// not lead without seeing what they say.
@@ -186,14 +188,28 @@
 				c.retryFollow()
 				return
 			}
-			last = n
-			c.seat.unlisted = unlisted
+			last = rec.N
+			c.seat.unlisted, c.seat.yields = rec.Unlisted, leadership.Recent(rec.Yields, c.at.Wall)
+			if leadership.Waits(c.platform.Node, last, c.at.Wall, rec.Yields) && c.waited != last {
+				// The lease was given back for another one to lead. It has its turn
+				// first, once.
+				c.waited = last
+				c.become(Following)
+				c.callGen++
+				gen := c.callGen
+				c.after(leadership.FirstTurn, func() {
+					if gen == c.callGen && c.role == Following {
+						c.follow()
+					}
+				})
+				return
+			}
 		}
 		epoch := last + 1
 		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
 		when := []protocol.Condition{{Key: bookkeeping.KeyLeader}, {Key: bookkeeping.KeyEpoch, Stamp: e.Stamp}}
 		then := []protocol.Change{
-			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch, c.seat.unlisted)},
+			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: epoch, Unlisted: c.seat.unlisted, Yields: c.seat.yields})},
 			{Key: bookkeeping.KeyLeader, Value: bookkeeping.EncodeLeader(lead), Lease: c.seat.lease},
 		}
 		pred := c.leader
--- /dev/null
+++ b/internal/coordination/memory.go
@@ -0,0 +1,216 @@
+package coordination
+
+import (
+	"strconv"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/leadership"
+	"mapleslip/internal/protocol"
+)
+
+// What a leader has seen outlives it: since when machines are silent, which zones
+// look cut off, and which leases were given back. It is in the state service and, as
+// far as it changed, in what the leader asks the others every second, so that it is
+// there also if the state service was down since. A new leader that began from
+// nothing needed the whole time of silence again before it did anything, and if
+// leaders followed each other faster than that, nothing was ever done.
+
+// remembering is how a leader keeps its memory.
+type remembering struct {
+	kept    protocol.Memory // as the state service has it
+	told    map[string]micros
+	next    micros // when it is looked at again
+	writing bool
+}
+
+// Spans of that. A cut that lasts is written again now and then, since a successor
+// goes by when it was last seen.
+const (
+	memoryEvery = protocol.Second
+	cutsAgain   = 10 * protocol.Second
+	retryMemory = 2 * protocol.Second
+)
+
+// wallOf turns the steady clock's time into a time of day.
+func (c *Controller) wallOf(steady micros) micros { return steady - c.at.Steady + c.at.Wall }
+
+// keepMemory brings the memory up to date, and the record of it where it differs.
+func (c *Controller) keepMemory(release micros) {
+	t := c.term
+	at := c.at.Steady
+	if at < t.memory.next || !c.mayStart() {
+		return
+	}
+	t.memory.next = at + memoryEvery
+	m := protocol.Memory{Epoch: t.epoch, At: c.at.Wall}
+	cuts := make(map[string]*protocol.Cut)
+	for zone, seen := range t.cutSeen {
+		if at-seen < c.cutHolds() {
+			cuts[zone] = &protocol.Cut{Zone: zone, Since: c.at.Wall, Seen: c.wallOf(seen)}
+		}
+	}
+	bytes, room := 200, c.platform.ValueBytes-200
+	for _, h := range t.book.Hosts() {
+		if h.State != bookkeeping.HostReady && (!h.FromRecord || h.Proven) || at-h.Heard <= release {
+			continue
+		}
+		if cut := cuts[h.Zone]; cut != nil {
+			cut.Since = min(cut.Since, c.wallOf(h.Heard))
+			continue
+		}
+		s := protocol.Silence{Host: h.Name, Since: c.wallOf(h.Heard)}
+		m.Silent = append(m.Silent, s)
+		bytes += bookkeeping.SilenceBytes(s)
+	}
+	for _, cut := range cuts {
+		m.Cuts = append(m.Cuts, *cut)
+		bytes += len(cut.Zone) + 48
+	}
+	most := min(len(m.Silent), protocol.MaxSilent)
+	if bytes > room { // those that have been silent for longest fit
+		most = min(most, max(0, room/(bytes/max(1, len(m.Silent)))))
+	}
+	m = leadership.Trim(m, most)
+	if same := leadership.Same(m, c.memory); !same || c.memory.Epoch != m.Epoch {
+		c.memory = m
+	}
+	kept := &t.memory.kept
+	again := len(m.Cuts) > 0 && m.At-kept.At >= cutsAgain
+	if t.memory.writing || leadership.Same(m, *kept) && !again {
+		return
+	}
+	t.memory.writing = true
+	c.lead(prioUrgent, nil, []protocol.Change{{Key: bookkeeping.KeyMemory, Value: bookkeeping.EncodeMemory(m)}}, func(o txnOutcome, _ protocol.TxnResult) {
+		t.memory.writing = false
+		t.memory.next = c.at.Steady + retryMemory
+		if o == txnApplied {
+			*kept = m
+		}
+	})
+}
+
+// cutHolds is how long a zone counts as cut off after it last looked so: when a cut
+// ends, its hosts do not all come back at the same instant.
+func (c *Controller) cutHolds() micros { return 2*c.platform.ReportEvery + 4*protocol.Second }
+
+// inherit takes what earlier leaders have seen into a new leader's book.
+func (c *Controller) inherit() {
+	t := c.term
+	at := c.at.Steady
+	t.memory.kept, t.memory.told = c.memory, make(map[string]micros)
+	in := leadership.Inherit(c.memory)
+	for zone := range in.Cuts() {
+		t.cutSeen[zone] = at // its hosts soon show whether it still is
+	}
+	silent := 0
+	for _, h := range t.book.Hosts() {
+		h.Heard = at
+		if wall, ok := in.SilentSince(h.Name, h.Zone); ok {
+			h.Heard = min(at, c.steadyOf(wall))
+			silent++
+		}
+	}
+	if silent > 0 {
+		c.log.Info("taken from earlier leaders", "epoch", t.epoch, "silent", silent, "zones_cut", len(in.Cuts()), "seen_ms_ago", int64((c.at.Wall-c.memory.At)/protocol.Millisecond))
+	}
+}
+
+// question makes a leader's question, with what it has seen. That is empty where the
+// other side has it already.
+func (c *Controller) question(m protocol.Memory) []byte {
+	return protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: c.term.epoch, From: c.platform.Node, Body: protocol.AppendMemory(nil, m)})
+}
+
+// hearMemory keeps what a leader tells.
+func (c *Controller) hearMemory(body []byte) {
+	if len(body) == 0 || leads(c.role) {
+		return
+	}
+	m, err := protocol.ParseMemory(body)
+	if err != nil {
+		c.malformed("controller", err)
+		return
+	}
+	c.memory = leadership.Newer(c.memory, m)
+}
+
+// hearingOf reads how many workers another controller hears that can't reach this
+// one. One that doesn't tell zones apart counts all that came to it.
+func (c *Controller) hearingOf(m *protocol.PeerMessage) leadership.Hearing {
+	if len(m.Body) == 0 {
+		return leadership.Hearing{"": int(m.Heard)}
+	}
+	heard, err := protocol.ParseHearing(m.Body)
+	if err != nil {
+		c.malformed("controller", err)
+		return nil
+	}
+	return heard
+}
+
+// considerYield gives the lease back if it is this node that the workers can't reach,
+// and not the workers that are gone. To release them for that would end all that runs.
+// It reports whether it does. Where it may not, though others hear them, the zones count
+// as cut off.
+func (c *Controller) considerYield(zones map[string]leadership.Zone) bool {
+	t := c.term
+	if t.yielding {
+		return true
+	}
+	if !c.mayStart() || c.at.Steady-t.led <= c.silence() {
+		return false
+	}
+	others := make(map[string]leadership.Hearing)
+	for name, o := range t.others {
+		if o.asked > 0 && c.at.Steady-o.asked <= standHolds {
+			others[name] = o.hearing
+		}
+	}
+	to, v := leadership.Judge(c.at.Wall, zones, others, t.yields)
+	if v != t.verdict {
+		t.verdict = v
+		c.log.Info("workers heard", "verdict", v.String(), "epoch", t.epoch)
+	}
+	switch v {
+	case leadership.Yields:
+		c.yield(to, leadership.HeardOf(zones))
+		return true
+	case leadership.HearsMost, leadership.NobodyHears:
+	default:
+		for name, z := range zones {
+			heard := 0
+			for _, o := range others {
+				heard += o[name]
+			}
+			if missed := z.Silent + z.Relayed; missed > 0 && 2*heard >= missed {
+				t.cutSeen[name] = c.at.Steady
+			}
+		}
+	}
+	return false
+}
+
+// shyFor is how long a node that gave its lease back lets others go first.
+const shyFor = 30 * protocol.Second
+
+// yield gives leadership up, so that a node that the workers reach can lead. Who heard
+// how many is in the record of the epoch: the successor goes by it. The key goes in
+// the same transaction, so that nobody leads who does not see that.
+func (c *Controller) yield(to string, heard map[string]int) {
+	t := c.term
+	t.yielding = true
+	y := protocol.Yield{Node: c.platform.Node, To: to, Epoch: t.epoch, At: c.at.Wall, Heard: heard}
+	rec := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: leadership.Recent(append(t.yields, y), c.at.Wall)}
+	then := []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(rec)}, {Key: bookkeeping.KeyLeader}}
+	c.lead(prioLeadership, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
+		if o == txnRejected {
+			t.yielding = false // nothing was done: it is looked at again
+			return
+		}
+		c.log.Info("giving the lease back: workers are heard by other nodes and not by this one", "epoch", t.epoch, "to", to,
+			"heard", leadership.Hearing(heard).Total())
+		c.shy = c.at.Steady + shyFor
+		c.call(ToState, prioLeadership, "DELETE", "/leases/"+strconv.FormatUint(c.seat.lease, 10), nil, stateTimeout, 0, func(CallDone) {})
+		c.follow()
+	})
+}
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -1,9 +1,10 @@
 package coordination
 
 import (
-	"strconv"
+	"slices"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 )
 
@@ -24,9 +25,9 @@
 
 // stand is what another controller last said of itself.
 type stand struct {
-	asked    micros // when it was asked; 0: it has not answered in this term
-	answered micros // when it last answered a worker
-	heard    int    // workers that it lately sent to this node
+	asked    micros             // when it was asked; 0: it has not answered in this term
+	answered micros             // when it last answered a worker
+	hearing  leadership.Hearing // workers that come to it because they can't reach this node
 }
 
 // askOthers asks the other controllers whether they answer workers, as long as
@@ -36,8 +37,12 @@
 		return
 	}
 	asked := c.at.Steady
-	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, Epoch: t.epoch, From: c.platform.Node})
+	plain, full := c.question(protocol.Memory{}), c.question(c.memory)
 	for _, s := range c.platform.Siblings {
+		frame, told := plain, c.memory.At
+		if t.memory.told[s.Name] != told {
+			frame = full
+		}
 		c.callAddr(ToPeer, "", s.Address, "", frame, askEvery, func(r CallDone) {
 			if c.term != t || r.Status != 200 {
 				return
@@ -51,7 +56,8 @@
 				return
 			}
 			o := t.others[s.Name]
-			o.asked, o.heard = max(o.asked, asked), int(m.Heard)
+			o.asked, o.hearing = max(o.asked, asked), c.hearingOf(m)
+			t.memory.told[s.Name] = told
 			if m.Age < protocol.Forever {
 				o.answered = max(o.answered, c.at.Steady-m.Age)
 			}
@@ -89,7 +95,7 @@
 	at, lease := c.at.Steady, c.platform.WorkerLease
 	answered := h.Answered
 	for _, s := range c.platform.Siblings {
-		if s.Zone != h.Zone {
+		if !c.keepsZone(s.Zone, h.Zone) {
 			continue
 		}
 		o := c.term.others[s.Name]
@@ -101,12 +107,27 @@
 	return at > answered+lease+drift(lease)+100*protocol.Millisecond
 }
 
+// keepsZone reports whether a controller of one zone may answer the workers of
+// another when it is cut off: of its own, and of a zone without a controller each of
+// them. Otherwise those workers lost all that ran on them in any outage of the state
+// service that the end of the leader fell into, because no other controller was theirs.
+func (c *Controller) keepsZone(of, workers string) bool {
+	if of == workers {
+		return true
+	}
+	if c.platform.Zone == workers {
+		return false
+	}
+	return !slices.ContainsFunc(c.platform.Siblings, func(s protocol.Sibling) bool { return s.Zone == workers })
+}
+
 // onAsk tells a leader whether this node answers workers. One that led under an
 // earlier epoch stops.
 func (c *Controller) onAsk(e PeerQuestion) {
 	if leads(c.role) && e.Epoch > c.seat.epoch {
 		c.deposed("another controller leads")
 	}
+	c.narrow = len(e.Body) == 0
 	m := &protocol.PeerMessage{Kind: protocol.PeerStand, Age: protocol.Forever}
 	if leads(c.role) || c.role == Claiming {
 		m.Answers = true
@@ -118,47 +139,14 @@
 			c.suspect = 0
 		}
 	}
-	m.Heard = c.countCallers()
+	m.Heard, m.Body = c.countCallers()
+	c.hearMemory(e.Body)
 	if c.answered > 0 {
 		m.Age = c.at.Steady - c.answered
 	}
 	c.emit(Reply{To: e.Reply, Status: 200, Body: protocol.AppendPeer(nil, m), Frame: true})
 }
 
-// deaf reports whether it is this node that the workers can't reach, and not the
-// workers that are gone: most are silent here or only heard through other nodes,
-// and those hear them. To release them for that would end all that runs.
-func (c *Controller) deaf(zones map[string]*zoneCount) bool {
-	silent, relayed, all := 0, 0, 0
-	for _, z := range zones {
-		silent += z.silent
-		relayed += z.relayed
-		all += z.all
-	}
-	missed := silent + relayed
-	if missed < 3 || 2*missed < all || !c.mayStart() {
-		return false
-	}
-	heard := 0
-	for _, o := range c.term.others {
-		if o.asked > 0 && c.at.Steady-o.asked <= standHolds {
-			heard = max(heard, o.heard)
-		}
-	}
-	return 2*max(heard, relayed) >= missed
-}
-
-// shyFor is how long a node that resigned lets others go first.
-const shyFor = 30 * protocol.Second
-
-// resign gives leadership up, so that a node that the workers reach can lead.
-func (c *Controller) resign() {
-	c.log.Info("resigning: workers are heard by other nodes and not by this one", "epoch", c.seat.epoch)
-	c.shy = c.at.Steady + shyFor
-	c.call(ToState, prioLeadership, "DELETE", "/leases/"+strconv.FormatUint(c.seat.lease, 10), nil, stateTimeout, 0, func(CallDone) {})
-	c.follow()
-}
-
 // isolated reports whether this node is cut off: it has heard neither a leader
 // nor the state service for a while.
 func (c *Controller) isolated() bool {
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -17,6 +17,9 @@
 	last   micros // when it last came
 	sent   micros // when it was last sent to the leader
 	relays micros // until then its reports are passed on without asking it to try
+	astray micros // when it last showed that it can't reach the leader of epoch
+	epoch  uint64
+	zone   string
 }
 
 // Spans of that. A worker that can't reach the leader comes back within
@@ -43,7 +46,10 @@
 	}
 	first := !known || at-k.last >= returnsIn
 	yes = returned || first && r.Epoch > 0 && r.Epoch == c.leader.Epoch
-	k.last, k.sent = at, 0
+	k.last, k.sent, k.zone = at, 0, r.Zone
+	if yes {
+		k.astray, k.epoch = at, c.leader.Epoch
+	}
 	c.callers[r.Host] = k
 	return yes, returned
 }
@@ -83,18 +89,26 @@
 	c.reply(e.Reply, 421, protocol.LeaderBody(leader), 0)
 }
 
-// countCallers counts the workers that came here lately, and forgets the others.
-func (c *Controller) countCallers() uint32 {
+// countCallers counts the workers that came here lately, and forgets the others. The
+// body tells, zone by zone, how many of them can't reach the leader: workers that come
+// by and are sent on to it are no sign that it can't be reached. After the end of all
+// controllers each worker comes by, so that a leader which missed a zone behind a cut
+// took all the others for out of its reach.
+func (c *Controller) countCallers() (uint32, []byte) {
 	n := uint32(0)
+	astray := make(map[string]int)
 	for host, k := range c.callers {
 		switch age := c.at.Steady - k.last; {
 		case age <= returnsIn:
 			n++
+			if k.astray > 0 && c.at.Steady-k.astray <= returnsIn && k.epoch == c.leader.Epoch {
+				astray[k.zone]++
+			}
 		case c.at.Steady >= k.relays:
 			delete(c.callers, host)
 		}
 	}
-	return n
+	return n, protocol.AppendHearing(nil, astray)
 }
 
 // peerAnswer reads what another controller answered to a call, a report or a
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -13,7 +13,7 @@
 // follower is a node that knows that n1 leads under epoch 3.
 func follower(t *testing.T) *Controller {
 	t.Helper()
-	p := &protocol.Platform{Node: "n0", Siblings: []protocol.Sibling{{Name: "n1", Address: "n1:1"}}, StateRate: 100, StateWriteRate: 20,
+	p := &protocol.Platform{Node: "n0", Zone: "y", Siblings: []protocol.Sibling{{Name: "n1", Zone: "z", Address: "n1:1"}}, StateRate: 100, StateWriteRate: 20,
 		WorkerLease: 24 * protocol.Second}
 	c := New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	first := c.Start(now{})
@@ -101,3 +101,40 @@
 		t.Errorf("%+v %+v", call, answer)
 	}
 }
+
+// A leader may keep a submission or a cancellation for longer than a question. A node
+// that heard it a moment ago waits for that long, and does not take it for dead if it
+// was heard meanwhile.
+func TestALeaderThatIsHeardIsWaitedFor(t *testing.T) {
+	c := follower(t)
+	sec := protocol.Second
+	ask := func(at micros) {
+		c.Step(now{Steady: at}, PeerQuestion{Epoch: 3, From: "n1", Body: protocol.AppendMemory(nil, protocol.Memory{})})
+	}
+	cancel := func(at micros) *Call {
+		for _, e := range c.Step(now{Steady: at}, UserCall{Op: protocol.OpCancel, Ref: "req-000001"}) {
+			if call, ok := e.(Call); ok && call.Target == ToPeer {
+				return &call
+			}
+		}
+		return nil
+	}
+	if call := cancel(sec); call == nil || call.Timeout != forwardTimeout {
+		t.Fatalf("to a leader that was not heard: %+v", call)
+	}
+	ask(9 * sec)
+	call := cancel(10 * sec)
+	if call == nil || call.Timeout != patientTimeout {
+		t.Fatalf("to a leader that was heard a second ago: %+v", call)
+	}
+	ask(11 * sec)
+	c.Step(now{Steady: 12 * sec}, CallDone{ID: call.ID})
+	call = cancel(12*sec + 1)
+	if call == nil {
+		t.Fatal("a leader that asked meanwhile counts as dead")
+	}
+	c.Step(now{Steady: 15 * sec}, CallDone{ID: call.ID})
+	if cancel(15*sec+1) != nil {
+		t.Error("a leader that said nothing since is still called")
+	}
+}
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -18,6 +18,7 @@
 	refusedQuestions = "too many questions"
 	refusedNotReady  = "not ready"
 	refusedGone      = "the machine is gone"
+	refusedStops     = "tasks of the job may still be on machines"
 )
 
 // Span is something that took time, for tracing. It is over when it is emitted.
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -9,6 +9,7 @@
 
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/coordination/slottable"
+	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 )
@@ -18,6 +19,7 @@
 	book      *bookkeeping.Book
 	epoch     uint64
 	started   micros
+	led       micros      // when the records were read
 	stages    []SpanStage // of the take-over, for tracing
 	recovered bool        // every recorded host has reported or is proven empty
 	dirty     bool        // something changed that a round should look at
@@ -44,7 +46,11 @@
 	donePages    *pages
 	launchPages  *pages
 	launches     map[string]*bookkeeping.Attempt // by task, those that a record names or will
-	unlisted     bool                            // earlier launches may be in no record, see EncodeEpoch
+	memory       remembering
+	yields       []protocol.Yield   // leases that were given back lately
+	yielding     bool               // this one is being given back
+	verdict      leadership.Verdict // last found
+	unlisted     bool               // earlier launches may be in no record, see EncodeEpoch
 	chunks       chunkWriter
 
 	toCall  []*bookkeeping.Host // hosts that commands wait for
@@ -73,7 +79,7 @@
 	t.donePages = c.newPages(bookkeeping.CompletionPages, c.doneRecord)
 	t.launchPages = c.newPages(bookkeeping.LaunchPages, c.launchRecord)
 	t.launches = make(map[string]*bookkeeping.Attempt)
-	t.unlisted = c.seat.unlisted
+	t.unlisted, t.yields = c.seat.unlisted, c.seat.yields
 	c.initRollouts(t)
 	return t
 }
@@ -110,6 +116,17 @@
 				c.tookTypes(e.Value)
 			}
 		}},
+		{bookkeeping.KeyMemory, func(e protocol.Entry) {
+			if e.Key != bookkeeping.KeyMemory {
+				return
+			}
+			m, err := bookkeeping.DecodeMemory(e.Value)
+			if err != nil {
+				damaged(e, err) // what it says is found out again
+				return
+			}
+			c.memory = leadership.Newer(c.memory, m)
+		}},
 		{bookkeeping.HostPages, func(e protocol.Entry) {
 			hosts, err := bookkeeping.DecodeHosts(c.at.Steady, e.Value)
 			if err != nil {
@@ -334,8 +351,9 @@
 func (c *Controller) loaded(rev uint64, launches map[string]recordedLaunch) {
 	t := c.term
 	c.become(Leading)
+	t.led = c.at.Steady
+	c.inherit()
 	for _, h := range t.book.Hosts() {
-		h.Heard = c.at.Steady
 		h.Type = c.typeByName[h.TypeName]
 		if h.OldRecord {
 			t.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, true)
@@ -373,7 +391,8 @@
 			return
 		}
 	}
-	c.lead(prioUrgent, nil, []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(t.epoch, false)}}, func(o txnOutcome, _ protocol.TxnResult) {
+	value := bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: t.epoch, Yields: t.yields})
+	c.lead(prioUrgent, nil, []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: value}}, func(o txnOutcome, _ protocol.TxnResult) {
 		if o != txnApplied {
 			c.after(protocol.Second, func() { c.allListed(t) })
 			return
@@ -738,7 +757,7 @@
 	t := c.term
 	ref := j.Spec.Ref
 	phase := protocol.Done
-	if j.State == bookkeeping.JobCancelled {
+	if j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling {
 		phase = protocol.Cancelled
 	}
 	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref},
@@ -771,7 +790,16 @@
 						return
 					}
 				}
-				c.after(protocol.Second, func() { c.finishAgain(t, j) })
+				// Or a write to the job's record was: its stamp is another.
+				c.get(prioUrgent, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
+					if c.term != t {
+						return
+					}
+					if found {
+						j.Stamp = e.Stamp
+					}
+					c.after(500*protocol.Millisecond, func() { c.finishAgain(t, j) })
+				})
 			})
 		default:
 			c.after(400*protocol.Millisecond, func() { c.finishAgain(t, j) })
@@ -780,7 +808,7 @@
 }
 
 func (c *Controller) finishAgain(t *term, j *bookkeeping.Job) {
-	if c.term == t && (j.State == bookkeeping.JobFinishing || j.State == bookkeeping.JobCancelled) {
+	if c.term == t && (j.State == bookkeeping.JobFinishing || j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling) {
 		c.finish(j)
 	}
 }
@@ -793,7 +821,7 @@
 		if j.State == bookkeeping.JobFinishing {
 			j.To(bookkeeping.JobDone)
 		}
-	} else if j.State == bookkeeping.JobCancelled {
+	} else if j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling {
 		j.To(bookkeeping.JobClosed)
 	}
 	for i := range j.Tasks {
@@ -832,7 +860,10 @@
 			if j.Settled() {
 				over = append(over, j)
 			}
-		case bookkeeping.JobCancelled:
+		case bookkeeping.JobCancelling:
+			c.endCancelled(j)
+			c.keepAsk(j)
+		case bookkeeping.JobCancelled: // by an earlier version
 			if j.Settled() && t.recovered && !j.Closing && len(t.cancels[j.Spec.Ref]) == 0 {
 				j.Closing = true
 				c.finish(j)
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -9,6 +9,15 @@
 // the node goes to the state service itself.
 const forwardTimeout = 600 * protocol.Millisecond
 
+// A leader that was heard within leaderAlive has patientTimeout for a submission or a
+// cancellation, which it may keep for a second and a half itself. With less, a leader
+// with a full second of submissions to write counted as dead: users were sent to the
+// state service, which was what it waited for.
+const (
+	leaderAlive    = 1500 * protocol.Millisecond
+	patientTimeout = 1900 * protocol.Millisecond
+)
+
 func (c *Controller) onHealth(e HealthCall) { c.reply(e.Reply, 200, []byte(`{}`), 0) }
 
 // onUser handles a user's call, wherever it came in.
@@ -63,9 +72,13 @@
 // passOn gives a user's call to the leader, or goes to the state service
 // where it can't be reached.
 func (c *Controller) passOn(e UserCall, spec *protocol.JobSpec) {
-	epoch := c.leader.Epoch
-	sent := c.toLeader(e, forwardTimeout, func(r CallDone) {
-		if c.leader.Epoch == epoch && r.Status != 200 {
+	epoch, began := c.leader.Epoch, c.at.Steady
+	timeout := forwardTimeout
+	if heard := max(c.asked, c.leaderHeard); e.Op != protocol.OpQuery && heard > 0 && began-heard <= leaderAlive {
+		timeout = patientTimeout
+	}
+	sent := c.toLeader(e, timeout, func(r CallDone) {
+		if c.leader.Epoch == epoch && r.Status != 200 && max(c.asked, c.leaderHeard) < began {
 			c.suspect = c.at.Steady + 2*protocol.Second
 		}
 		if c.mayStart() {
@@ -90,6 +103,7 @@
 	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerCall, Op: e.Op, Ref: e.Ref, From: c.platform.Node, Body: e.Body})
 	c.callAddr(ToPeer, "", addr, "", frame, timeout, func(r CallDone) {
 		if m := c.peerAnswer(r); m != nil && m.Status != 0 {
+			c.leaderHeard = c.at.Steady
 			c.reply(e.Reply, int(m.Status), m.Body, m.RetryAfter)
 			return
 		}
@@ -467,64 +481,84 @@
 		j.To(bookkeeping.JobCancelling)
 		j.CancelledWall = c.at.Wall
 		c.stopJob(j)
-		c.writeCancel(t, j)
+		c.endCancelled(j)
 	}
-	// Nobody is kept waiting for the state service longer than this.
+	// Nobody is kept waiting longer than this: what can't be said yet is asked again.
 	c.after(1500*protocol.Millisecond, func() {
 		for i, a := range t.cancels[ref] {
 			if a == to {
 				t.cancels[ref] = append(t.cancels[ref][:i:i], t.cancels[ref][i+1:]...)
-				c.unavailable(to, refusedState)
+				// This node may lead no more, and knows of no tasks then.
+				if c.term == t && j.State == bookkeeping.JobCancelling && !c.nowhere(j) {
+					c.unavailable(to, refusedStops)
+				} else {
+					c.unavailable(to, refusedState)
+				}
 				return
 			}
 		}
 	})
 }
 
-func (c *Controller) writeCancel(t *term, j *bookkeeping.Job) {
-	if c.term != t || j.State != bookkeeping.JobCancelling {
+// nowhere reports whether no task of a job is on a machine, nor can be any more: each
+// attempt is proven gone, and none of an earlier leader is unheard of.
+func (c *Controller) nowhere(j *bookkeeping.Job) bool {
+	return j.Settled() && (c.term.recovered || !c.term.unlisted)
+}
+
+// endCancelled ends a job that its user asked to cancel, once none of its tasks can
+// be anywhere. Only then the cancellation is written, and only after that the user is
+// told: so whatever is cut off, down or ends afterwards, there is nothing left to
+// stop. Told before, it was a promise that no later leader could keep when a cut, an
+// outage of the state service and the end of all controllers came together.
+func (c *Controller) endCancelled(j *bookkeeping.Job) {
+	if j.State == bookkeeping.JobCancelling && !j.Closing && !j.Asking && c.nowhere(j) {
+		j.Closing = true
+		c.finish(j)
+	}
+}
+
+// askKeptAfter is how long the tasks of a job that is being cancelled may take to
+// end before the request is kept in the state service. Mostly they end before.
+const askKeptAfter = 400 * protocol.Millisecond
+
+// keepAsk keeps the request in the state service, so that a new leader goes on with
+// it also if its user has given up asking.
+func (c *Controller) keepAsk(j *bookkeeping.Job) {
+	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.Held {
 		return
 	}
+	j.Asking = true
 	ref := j.Spec.Ref
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
-	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j, true)}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j, false)}}
 	c.lead(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
-		switch o {
-		case txnApplied:
-			c.cancelled(j, r.Stamp)
-		case txnRefused:
-			// An earlier try may have been applied late.
-			c.get(prioUser, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
-				if c.term != t {
-					return
-				}
-				if found {
-					if k, err := bookkeeping.DecodeJob(e.Value); err == nil && k.State == bookkeeping.JobCancelled {
-						c.cancelled(j, e.Stamp)
-						return
-					}
-					j.Stamp = e.Stamp
-				}
-				c.after(500*protocol.Millisecond, func() { c.writeCancel(t, j) })
-			})
-		default:
-			c.after(300*protocol.Millisecond, func() { c.writeCancel(t, j) })
+		j.Asking = false
+		if o == txnApplied {
+			j.Stamp, j.AskKept = r.Stamp, true
+			c.endCancelled(j)
+			return
+		}
+		j.Held = c.at.Steady + 500*protocol.Millisecond
+		if o == txnUnknown || o == txnRefused {
+			c.restampJob(j) // an earlier try may have been applied late
 		}
 	})
 }
 
-func (c *Controller) cancelled(j *bookkeeping.Job, stamp uint64) {
+// restampJob reads the stamp of a job's record after a write without an answer.
+func (c *Controller) restampJob(j *bookkeeping.Job) {
 	t := c.term
-	if j.State != bookkeeping.JobCancelling {
-		return
-	}
-	j.To(bookkeeping.JobCancelled)
-	j.Stamp = stamp
-	c.stopJob(j)
-	for _, a := range t.cancels[j.Spec.Ref] {
-		c.reply(a, 200, protocol.JobAnswer(j.Spec.Ref, protocol.Cancelled, 0, 0), 0)
-	}
-	delete(t.cancels, j.Spec.Ref)
+	j.Asking = true
+	c.get(prioUser, bookkeeping.JobPrefix+j.Spec.Ref, func(e protocol.Entry, found, ok bool) {
+		if c.term != t {
+			return
+		}
+		j.Asking = false
+		if found {
+			j.Stamp = e.Stamp
+		}
+	})
 }
 
 // stopJob stops all attempts of a job that nobody has any use for.
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -2,6 +2,7 @@
 
 import (
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 )
 
@@ -31,7 +32,7 @@
 			c.reply(e.Reply, 0, nil, 0) // this node does not lead
 			return
 		}
-		if c.isolated() && r.Zone == c.platform.Zone && r.Epoch > 0 {
+		if c.isolated() && (r.Zone == c.platform.Zone || !c.narrow && c.keepsZone(c.platform.Zone, r.Zone)) && r.Epoch > 0 {
 			// Cut off together with the worker: under the token that it knows its
 			// tasks go on. It gets no commands.
 			c.answered = c.at.Steady
@@ -265,6 +266,7 @@
 func (c *Controller) settle(j *bookkeeping.Job) {
 	if j.Settled() {
 		j.GangAttempt, j.GangStarted = 0, false
+		c.endCancelled(j)
 	}
 }
 
@@ -639,9 +641,6 @@
 	}
 }
 
-// zoneCount counts the hosts of a zone.
-type zoneCount struct{ silent, relayed, all int }
-
 // silence is after how long without a report a host counts as silent: its
 // report is overdue by half of the time between two.
 func (c *Controller) silence() micros { return c.platform.ReportEvery * 3 / 2 }
@@ -659,7 +658,9 @@
 }
 
 // cutPatience is how many leases the machines of a zone that is cut off are kept.
-const cutPatience = 4
+// Four were fewer than a cut of two minutes takes: hsos-foldrenges-fleet released 280
+// machines just before it ended, and had to boot and fill as many.
+const cutPatience = 8
 
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
@@ -667,29 +668,25 @@
 	t := c.term
 	at := c.at.Steady
 	silent, reporting := 0, 0
-	zones := make(map[string]*zoneCount, len(c.platform.Zones))
+	zones := make(map[string]leadership.Zone, len(c.platform.Zones))
 	release := max(c.operator.SilentRelease, c.silence()+callTimeout)
 	for _, h := range t.book.Hosts() {
 		if h.State == bookkeeping.HostReady || h.FromRecord && !h.Proven {
 			z := zones[h.Zone]
-			if z == nil {
-				z = &zoneCount{}
-				zones[h.Zone] = z
-			}
 			reporting++
-			z.all++
+			z.All++
 			if at-h.Heard > c.silence() {
-				z.silent++
+				z.Silent++
 			} else if h.Unreached > 0 && at-h.Unreached < c.platform.WorkerLease {
-				z.relayed++
+				z.Relayed++
 			}
+			zones[h.Zone] = z
 			if at-h.Heard > release {
 				silent++
 			}
 		}
 	}
-	if c.deaf(zones) {
-		c.resign()
+	if c.considerYield(zones) {
 		return
 	}
 	limit := release
@@ -698,10 +695,11 @@
 		limit = 2 * limit
 	}
 	for name, z := range zones {
-		if z.silent >= 3 && float64(z.silent) >= c.cutShare(release, z.all)*float64(z.all) {
+		if z.Silent >= 3 && float64(z.Silent) >= c.cutShare(release, z.All)*float64(z.All) {
 			t.cutSeen[name] = at
 		}
 	}
+	c.keepMemory(release)
 	unproven := 0
 	lease := c.platform.WorkerLease
 	mayRelease := c.mayStart() && !c.lagging(release)
@@ -715,7 +713,7 @@
 			continue
 		}
 		limit := limit
-		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < 2*c.platform.ReportEvery+4*protocol.Second {
+		if seen, ok := t.cutSeen[h.Zone]; ok && at-seen < c.cutHolds() {
 			// The zone is cut off: its tasks go on within their leases, and a
 			// release would end them all. After that the machines are worth
 			// keeping for a while, with their images. When the cut ends, its
@@ -737,9 +735,9 @@
 				c.loseAll(h, "silent for longer than its lease")
 				h.To(bookkeeping.HostSilent)
 				h.Proven = true
-			} else if at-h.Heard > c.silence() && mayRelease && c.holdsCancelled(h) {
+			} else if at-h.Heard > c.silence() && (h.ProbeFailed || at-t.led > c.silence()) && mayRelease && c.holdsCancelled(h) {
 				c.release(h, "silent, and a cancelled task may be on it")
-			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-h.Heard > limit+limit/2) && mayRelease {
+			} else if at-h.Heard > limit && (h.ProbeFailed || h.Addr == "" || at-max(h.Heard, t.led) > limit+limit/2) && mayRelease {
 				// It neither reports nor answers.
 				c.release(h, "silent")
 			} else if at-h.Heard > c.silence() && at >= h.ProbeAt && c.mayStart() {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -249,7 +249,7 @@
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
 	case "count": // from here on: changes written, and workers asked
-		w.written, w.asked = w.store.written, w.questions
+		w.written, w.asked, w.led = w.store.written, w.questions, w.leaders
 	case "backlog": // so many events wait at every node
 		n, err := strconv.Atoi(words[1])
 		if err != nil {
@@ -286,11 +286,11 @@
 	case "heal-zone":
 		w.heal()
 	case "forget-launches": // the records become those of form 1: an epoch that is a number, no launches
-		epoch, _, err := bookkeeping.DecodeEpoch([]byte(w.store.keys[bookkeeping.KeyEpoch].value))
+		epoch, err := bookkeeping.DecodeEpoch([]byte(w.store.keys[bookkeeping.KeyEpoch].value))
 		if err != nil {
 			return err
 		}
-		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch, 10)
+		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch.N, 10)
 		for key := range w.store.keys {
 			if strings.HasPrefix(key, bookkeeping.LaunchPages) {
 				delete(w.store.keys, key)
@@ -309,6 +309,10 @@
 			m.apart = make(map[string]bool)
 		}
 		m.apart[n.name] = words[0] == "part"
+	case "if-here": // if-here MACHINE WORD: unless it is gone
+		if m := w.machines[words[1]]; m != nil {
+			w.actMachine(words[2], m)
+		}
 	case "hang", "wake", "die", "spoil", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls", "cut-off", "reach", "answer-behind":
 		m := w.machines[words[1]]
 		if m == nil {
@@ -443,7 +447,7 @@
 			got = "gone"
 		}
 		return differs(got, words[2])
-	case "at-most": // at-most N changes|questions, since the count began
+	case "at-most": // at-most N changes|questions|leaders, since the count began
 		most, err := strconv.Atoi(words[1])
 		if err != nil {
 			return err
@@ -452,6 +456,8 @@
 		switch words[2] {
 		case "questions":
 			got = w.questions - w.asked
+		case "leaders":
+			got = w.leaders - w.led
 		case "in-vain": // questions of storms that got no answer
 			got = w.inVain
 		case "tries": // at-most N tries REF
@@ -473,6 +479,18 @@
 		return differs(strconv.Itoa(w.endedLoading), words[1])
 	case "rollout": // rollout SERVICE STATE [healthy=N] [reason=TEXT]
 		return w.expectRollout(words[1:])
+	case "over": // over REF: its user was told that it is done or cancelled
+		if j := w.jobs[words[1]]; j.accepted && !j.toldDone && j.toldCancelled == 0 {
+			return fmt.Errorf("it is %q", j.phase)
+		}
+		return nil
+	case "nothing-stuck": // whatever was accepted runs or is over
+		for ref, j := range w.jobs {
+			if j.accepted && !j.toldDone && j.toldCancelled == 0 && (j.phase != "running" || j.spec.Kind != protocol.Service) {
+				return fmt.Errorf("%s is %q, done %d, running %d", ref, j.phase, j.done, j.running)
+			}
+		}
+		return nil
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
 	case "kept": // kept KEY yes|no
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -52,6 +52,7 @@
 	capacity       map[string]int // machines that the cloud still has, by kind; nil: any number
 	questions      int            // direct calls to workers that carry no command
 	written, asked int            // when a trace began to count
+	leaders, led   int            // how often a node came to lead, and when a trace began to count
 	backlog        int            // events that wait at every node
 	noCapacity     bool
 	removed        int
@@ -124,6 +125,7 @@
 	done, running int
 	asked         bool // to cancel
 	toldDone      bool
+	toldAt        micros // when it was first told that the job is over
 	toldCancelled micros
 }
 
@@ -242,6 +244,12 @@
 		return
 	}
 	was := n.ctl.Role()
+	defer func() {
+		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
+			w.leaders++
+			w.note("%s leads", n.name)
+		}
+	}()
 	if w.stepped == nil {
 		w.perform(n, n.ctl.Step(w.timeOf(n), ev))
 	} else {
@@ -299,11 +307,23 @@
 	}
 }
 
-// request hands a request to a controller.
+// userPatience is how long users wait for an answer.
+var userPatience = map[string]micros{"submit": 5 * protocol.Second, "query": 2 * protocol.Second, "cancel": 5 * protocol.Second}
+
+// request hands a request to a controller. Status 0: no answer came in time.
 func (w *World) request(n *node, what, body string, answer func(int, []byte)) {
 	w.nextConn++
-	w.answers[w.nextConn] = answer
-	to := coordination.Address{Conn: w.nextConn}
+	conn := w.nextConn
+	w.answers[conn] = answer
+	if patience := userPatience[what]; patience > 0 && w.live == nil {
+		w.after(patience, func() {
+			if _, waits := w.answers[conn]; waits {
+				delete(w.answers, conn) // what comes later is dropped
+				answer(0, nil)
+			}
+		})
+	}
+	to := coordination.Address{Conn: conn}
 	switch what {
 	case "hello":
 		w.step(n, coordination.WorkerReport{Reply: to, Body: []byte(body)})
@@ -536,11 +556,12 @@
 		if n == nil || !j.accepted {
 			continue
 		}
+		asked := w.now
 		w.request(n, "query", r, func(status int, body []byte) {
 			if status == 404 {
 				w.broken("forgotten: %s", r)
 			}
-			if status == 200 {
+			if status == 200 && j.toldAt <= asked { // otherwise the two answers crossed
 				j.done, j.running = fastjson.GetInt(body, "done"), fastjson.GetInt(body, "running")
 				w.heard(j, fastjson.GetString(body, "phase"))
 			}
@@ -565,8 +586,10 @@
 		if known {
 			ref = refs[i/2%len(refs)]
 		}
+		asked := w.now
 		w.request(n, "query", ref, func(status int, body []byte) {
 			switch {
+			case status == 200 && known && w.jobs[ref].toldAt > asked: // the two answers crossed
 			case status == 200 && known:
 				w.heard(w.jobs[ref], fastjson.GetString(body, "phase"))
 			case status == 200:
@@ -590,6 +613,9 @@
 		w.note("%s is %s", ref, phase)
 	}
 	j.phase = phase
+	if j.toldAt == 0 && (phase == "done" || phase == "cancelled") {
+		j.toldAt = w.now
+	}
 	switch phase {
 	case "done":
 		j.toldDone = true
