Gangs hold the places of all their tasks; one that its zone is too small for rents

A gang that needs more machines than its zone has was booked on those that there are, one task after the other, which a gang can't be: the booking never came, and as it had one nothing was rented for it. It waited for ever.

Change: a place found for one task of a gang is closed to the others, in planning and in plans for rental; the plain scan of the tests likewise. gang_larger_than_zone.trace fails without it.

--- a/internal/coordination/slottable/reference_test.go
+++ b/internal/coordination/slottable/reference_test.go
@@ -207,7 +207,7 @@
 					return false
 				}
 				p := c.place
-				t.mark(r, p, protocol.End(p.Ready, r.Length))
+				t.mark(r, p, r.holdsTill(p))
 				z.add(p.Machine.Zone)
 				start = max(start, p.Ready)
 				places = append(places, p)
@@ -417,7 +417,7 @@
 			break
 		}
 		z.add(p.Machine.Zone)
-		t.mark(r, p, protocol.End(p.Ready, r.Length))
+		t.mark(r, p, r.holdsTill(p))
 		if best >= 0 {
 			if c, ok := t.laterOnScan(r, p.Machine); ok {
 				heap.Push(&t.any, c)
--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -1,10 +1,6 @@
 package slottable
 
-import (
-	"slices"
-
-	"mapleslip/internal/protocol"
-)
+import "slices"
 
 // Offer is a kind of machine that could be rented.
 type Offer struct {
@@ -97,7 +93,7 @@
 			break
 		}
 		z.add(p.Machine.Zone)
-		t.mark(r, p, protocol.End(p.Ready, r.Length))
+		t.mark(r, p, r.holdsTill(p))
 		s.again(p.Machine)
 	}
 	return total
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -644,6 +644,17 @@
 		p.Machine.fits(r, p.Begin, protocol.End(p.Ready, r.Length))
 }
 
+// holdsTill is until when a place that was found for a task is closed to the others of
+// its request. The tasks of a gang run at the same time, so one can't have the place
+// that another leaves: a gang that its zone had too few machines for was booked on them
+// in turns, which never came, and nothing was rented for it, since it had its booking.
+func (r *Request) holdsTill(p Place) micros {
+	if r.Gang {
+		return protocol.Forever
+	}
+	return protocol.End(p.Ready, r.Length)
+}
+
 func (t *Table) tryGang(r *Request, book, strict bool) Result {
 	res := Result{Request: r, Viable: true}
 	if r.Limit < r.Tasks {
@@ -674,7 +685,7 @@
 					places = make([]Place, 0, r.Tasks)
 				}
 				p := c.place
-				t.mark(r, p, protocol.End(p.Ready, r.Length))
+				t.mark(r, p, r.holdsTill(p))
 				z.add(p.Machine.Zone)
 				start = max(start, p.Ready)
 				places = append(places, p)
