A session's lease runs from its beginning; quiet connections give way to new ones

The lease of one ended; a direct call showed its next session, tasks were launched on it by calls, and as its reports still did not arrive the leader counted its lease from the last answer to the session before: it took the tasks for gone 9 s later and started them elsewhere.

Change: a session that rises sets the time from which its lease can have run. When there is no room for a connection, the one that has been quiet for longest, and for 20 s at least, gives way; refusals are logged.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -68,7 +68,9 @@
 		log.Info("roll-outs are on", "checks_per_s", r.ChecksPerS)
 	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
-		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute}
+		MaxOpen: max(8, p.MaxConnections-outbound-p.MaxConnections/10), Idle: 5 * time.Minute,
+		// Whoever reports or polls is heard again before that.
+		Quiet: max(20*time.Second, 3*time.Duration(p.ReportEvery)*time.Microsecond)}
 	if t != nil {
 		shown, err := telemetry.Start(*t, p.Node, version, log)
 		if err != nil {
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -90,6 +90,13 @@
 		// The worker's lease expired: it has killed and forgotten everything.
 		c.loseAll(h, "its session ended")
 	}
+	if r.Session > h.Session {
+		// The lease of a session runs from its beginning, which may be now. Counted
+		// from an answer to the session before, or from none, a task that was launched
+		// by a direct call, of which the worker's reports don't get here, was gone
+		// before it had begun, and was started elsewhere too.
+		h.Answered = max(h.Answered, at)
+	}
 	h.Session, h.Tick, h.Heard, h.ProbeFailed = r.Session, r.Tick, at, false
 	h.Addr = r.Addr
 	if h.Type == nil {
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"container/list"
 	"errors"
 	"log/slog"
 	"net"
@@ -46,11 +47,52 @@
 	out     []byte
 	closing bool
 	since   time.Time
+	quiet   *list.Element // its place among those that nothing was heard on since the last answer
 }
 
-func (c *serverConn) to(s connState) {
-	c.state = s
+// to is the one place where a connection changes its state.
+func (s *Server) to(c *serverConn, state connState) {
+	c.state = state
 	c.since = time.Now()
+	if state == connReading {
+		s.rest(c)
+	} else {
+		s.stir(c)
+	}
+}
+
+// rest puts a connection last among the quiet ones, stir takes it out.
+func (s *Server) rest(c *serverConn) {
+	s.stir(c)
+	c.quiet = s.quiet.PushBack(c)
+}
+
+func (s *Server) stir(c *serverConn) {
+	if c.quiet != nil {
+		s.quiet.Remove(c.quiet)
+		c.quiet = nil
+	}
+}
+
+// giveWay closes the connection that has been quiet for longest, if that is long, and
+// reports whether it did. Machines that die leave theirs open: two hundred of them and
+// those that were rented in their place filled a leader's connections, new ones were
+// refused, and workers that could not come in lost their leases.
+func (s *Server) giveWay(now time.Time) bool {
+	e := s.quiet.Front()
+	if e == nil {
+		return false
+	}
+	c := e.Value.(*serverConn)
+	if now.Sub(c.since) < s.Quiet {
+		return false
+	}
+	s.stir(c)
+	c.closing = true
+	delete(s.conns, c.id)
+	s.gaveWay++
+	c.conn.Wake()
+	return true
 }
 
 // Server listens for users, workers and health checks on one address and for
@@ -61,10 +103,14 @@
 	Deliver func(Inbound) bool // false: no room, answered 503 at once
 	MaxOpen int
 	Idle    time.Duration
+	Quiet   time.Duration // after that a connection gives way to a new one, if there are MaxOpen
 
-	mu    sync.Mutex
-	next  ConnID
-	conns map[ConnID]*serverConn
+	mu      sync.Mutex
+	next    ConnID
+	conns   map[ConnID]*serverConn
+	quiet   list.List // of serverConn, the one that has been quiet for longest first
+	gaveWay uint64 // since that was last told
+	refused uint64
 }
 
 // CanListen reports why an address can't be listened on, after it was tried for a
@@ -89,6 +135,7 @@
 	for {
 		s.mu.Lock()
 		s.conns = make(map[ConnID]*serverConn)
+		s.quiet.Init()
 		s.mu.Unlock()
 		ev := evio.Events{NumLoops: 1, Opened: s.opened, Closed: s.closed, Data: s.data, Tick: s.tick}
 		err := evio.Serve(ev, "tcp://"+client, "tcp://"+cluster)
@@ -104,14 +151,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	opts := evio.Options{ReuseInputBuffer: true}
-	if len(s.conns) >= s.MaxOpen {
+	now := time.Now()
+	if len(s.conns) >= s.MaxOpen && !s.giveWay(now) {
+		s.refused++
 		// Accepting without end would take the sockets that outbound calls
 		// need, and at the limit accept fails and ends the loop.
 		return nil, opts, evio.Close
 	}
 	s.next++
-	c := &serverConn{id: s.next, conn: ec, cluster: ec.AddrIndex() == 1, since: time.Now()}
+	c := &serverConn{id: s.next, conn: ec, cluster: ec.AddrIndex() == 1, since: now}
 	s.conns[c.id] = c
+	s.rest(c)
 	ec.SetContext(c)
 	return nil, opts, evio.None
 }
@@ -120,6 +170,7 @@
 	if c, ok := ec.Context().(*serverConn); ok {
 		s.mu.Lock()
 		delete(s.conns, c.id)
+		s.stir(c)
 		s.mu.Unlock()
 	}
 	return evio.None
@@ -136,7 +187,7 @@
 		out := c.out
 		c.out = nil
 		if c.closing || c.state == connClosing {
-			c.to(connClosing)
+			s.to(c, connClosing)
 			return out, evio.Close
 		}
 		return out, evio.None
@@ -152,6 +203,7 @@
 	}
 	if len(c.buf) == 0 {
 		c.since = time.Now()
+		s.stir(c)
 	}
 	c.buf = append(c.buf, in...)
 	return s.take(c)
@@ -166,7 +218,7 @@
 		msg.Frame, used, err = s.Split(c.buf)
 		if err != nil {
 			slog.Info("malformed frame from a controller", "err", err)
-			c.to(connClosing)
+			s.to(c, connClosing)
 			return nil, evio.Close
 		}
 	} else {
@@ -176,7 +228,7 @@
 			if pe, ok := err.(*ParseError); ok {
 				status = pe.Status
 			}
-			c.to(connClosing)
+			s.to(c, connClosing)
 			return AppendResponse(nil, status, []byte(`{"error":"malformed request"}`), 0, true), evio.Close
 		}
 	}
@@ -194,18 +246,18 @@
 	} else {
 		c.buf = c.buf[:0]
 	}
-	c.to(connAnswering)
+	s.to(c, connAnswering)
 	if s.Deliver(msg) {
 		return nil, evio.None
 	}
 	if c.cluster {
-		c.to(connClosing)
+		s.to(c, connClosing)
 		return nil, evio.Close
 	}
-	c.to(connReading)
+	s.to(c, connReading)
 	out := AppendResponse(nil, 503, []byte(`{"error":"busy"}`), 1, c.closing)
 	if c.closing {
-		c.to(connClosing)
+		s.to(c, connClosing)
 		return out, evio.Close
 	}
 	return out, evio.None
@@ -226,7 +278,13 @@
 			stale = append(stale, c)
 		}
 	}
+	refused, gaveWay := s.refused, s.gaveWay
+	s.refused, s.gaveWay = 0, 0
+	open := len(s.conns)
 	s.mu.Unlock()
+	if refused+gaveWay > 0 {
+		slog.Info("no room for connections", "open", open, "refused", refused, "gave_way", gaveWay)
+	}
 	for _, c := range stale {
 		c.conn.Wake()
 	}
@@ -242,7 +300,7 @@
 		return
 	}
 	c.out = encode(c.closing)
-	c.to(connReading)
+	s.to(c, connReading)
 	conn := c.conn
 	s.mu.Unlock()
 	conn.Wake()
--- a/internal/transport/server_test.go
+++ b/internal/transport/server_test.go
@@ -25,7 +25,7 @@
 
 func testServer(room bool) (*Server, *[]Inbound) {
 	var got []Inbound
-	s := &Server{MaxOpen: 2, Idle: time.Minute, conns: make(map[ConnID]*serverConn),
+	s := &Server{MaxOpen: 2, Idle: time.Minute, Quiet: time.Minute, conns: make(map[ConnID]*serverConn),
 		Split:   func(b []byte) ([]byte, int, error) { return b, len(b), nil },
 		Deliver: func(m Inbound) bool { got = append(got, m); return room }}
 	return s, &got
@@ -127,3 +127,31 @@
 		t.Error("an address of another machine is taken")
 	}
 }
+
+// When there is no room, the connection that has been quiet for longest gives way to a
+// new one, but only after a while: whoever reports or polls keeps its own.
+func TestServerGivesWay(t *testing.T) {
+	s, got := testServer(true)
+	first, second, third, fourth := &fakeConn{}, &fakeConn{}, &fakeConn{}, &fakeConn{}
+	s.opened(first)
+	s.opened(second)
+	if _, _, act := s.opened(third); act != evio.Close || s.refused != 1 {
+		t.Fatalf("action %v, %d refused", act, s.refused)
+	}
+	s.Quiet = 0
+	s.data(first, []byte("GET /healthz HTTP/1.1\r\n\r\n"))
+	answer(s, (*got)[0].Conn) // the first is heard again: the second is the quiet one
+	s.data(first, nil)
+	if _, _, act := s.opened(third); act != evio.None || s.gaveWay != 1 || len(s.conns) != 2 {
+		t.Fatalf("action %v, %d gave way, %d open", act, s.gaveWay, len(s.conns))
+	}
+	if _, act := s.data(second, nil); act != evio.Close {
+		t.Errorf("the quiet connection is not closed: %v", act)
+	}
+	s.closed(second, nil)
+	s.data(first, []byte("GET /healthz HTTP/1.1\r\n\r\n"))
+	s.data(third, []byte("GET /heal"))
+	if _, _, act := s.opened(fourth); act != evio.Close {
+		t.Errorf("a connection with a message in hand gave way: %v", act)
+	}
+}
