--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -109,7 +109,7 @@
 	next    ConnID
 	conns   map[ConnID]*serverConn
 	quiet   list.List // of serverConn, the one that has been quiet for longest first
-	gaveWay uint64 // since that was last told
+	gaveWay uint64    // since that was last told
 	refused uint64
 }
 
