--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -79,6 +79,7 @@
 	Suspect       bool           // fails wherever it is tried, nothing shows that it can run
 	Strikes       int            // times it was held for that
 	Closing       bool           // cancelled, its record is being moved
+	Counted       bool           // as served in time or not
 	AskKept       bool           // that its user asked to cancel is in the state service
 	Asking        bool           // or on its way there
 	Held          micros         // not placed before, after failures
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -538,8 +538,22 @@
 // Such a job lets those pass that are not: served in order of submission, in an
 // overload each late job would make the next one late too.
 func (c *Controller) missed(j *bookkeeping.Job) bool {
+	due := c.dueOf(j)
+	if due == 0 {
+		return false
+	}
+	late := c.at.Steady + c.class(j.Spec.Class).length(j.Spec) - due
+	return late > 0 && late < overdueFor
+}
+
+// dueOf is when a job should have ended, by its deadline and the latest aim on the end
+// of its class; 0: nothing is asked of its end.
+func (c *Controller) dueOf(j *bookkeeping.Job) micros {
 	s := j.Spec
 	var due micros
+	if s.Kind == protocol.Service {
+		return 0
+	}
 	if s.Deadline > 0 {
 		due = j.Submitted + s.Deadline
 	}
@@ -548,11 +562,7 @@
 			due = max(due, j.Submitted+o.Within)
 		}
 	}
-	if due == 0 || s.Kind == protocol.Service {
-		return false
-	}
-	late := c.at.Steady + c.class(s.Class).length(s) - due
-	return late > 0 && late < overdueFor
+	return due
 }
 
 // stopping reports whether an attempt of a job is being stopped.
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -7,6 +7,7 @@
 
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/served"
 )
 
 // Reasons for which a user's call, or a worker's report, is refused for now.
@@ -76,11 +77,12 @@
 	Disputed  uint64            // checks that failed where another controller saw nothing wrong
 
 	// What a leader knows. Nothing else has them.
-	Hosts    map[string]int // by state
-	Waiting  map[string]int // jobs with tasks that wait for a place, by class
-	Running  map[string]int // tasks, by class
-	Unproven int            // recorded hosts that have not been heard of in this epoch
-	Rollouts map[string]int // by state; nil where they are off
+	Hosts    map[string]int                          // by state
+	Waiting  map[string]int                          // jobs with tasks that wait for a place, by class
+	Running  map[string]int                          // tasks, by class
+	Due      map[served.Kind]map[string]served.Count // jobs that had what is asked of their class, or were too late, by class and by team
+	Unproven int                                     // recorded hosts that have not been heard of in this epoch
+	Rollouts map[string]int                          // by state; nil where they are off
 }
 
 // Stages are the names of a pass's stages, as indices of Rows and Cuts.
@@ -102,6 +104,7 @@
 	if g := c.term.rollouts.manager; g != nil {
 		s.Rollouts = g.States()
 	}
+	s.Due = map[served.Kind]map[string]served.Count{served.Class: c.term.served.Counts(served.Class), served.Team: c.term.served.Counts(served.Team)}
 	s.Hosts, s.Waiting, s.Running = make(map[string]int), make(map[string]int), make(map[string]int)
 	for _, h := range c.term.book.Hosts() {
 		s.Hosts[h.State.String()]++
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -12,6 +12,7 @@
 	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
+	"mapleslip/internal/served"
 )
 
 // term is what a leader knows and does during one epoch.
@@ -49,6 +50,7 @@
 	memory       remembering
 	yields       []protocol.Yield   // leases that were given back lately
 	yielding     bool               // this one is being given back
+	served       served.Window      // which part of each class and team is served
 	verdict      leadership.Verdict // last found
 	unlisted     bool               // earlier launches may be in no record, see EncodeEpoch
 	chunks       chunkWriter
@@ -855,6 +857,7 @@
 	t := c.term
 	var over []*bookkeeping.Job
 	for _, j := range t.book.Line() {
+		c.countServed(j)
 		switch j.State {
 		case bookkeeping.JobDone, bookkeeping.JobClosed:
 			if j.Settled() {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -9,6 +9,7 @@
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
+	"mapleslip/internal/served"
 )
 
 // A trace is a text that people read: what a deployment has, what happens to
@@ -479,6 +480,10 @@
 		return differs(strconv.Itoa(w.endedLoading), words[1])
 	case "rollout": // rollout SERVICE STATE [healthy=N] [reason=TEXT]
 		return w.expectRollout(words[1:])
+	case "due": // due class|team NAME SERVED MISSED, as the leader counts
+		kind := map[string]served.Kind{"class": served.Class, "team": served.Team}[words[1]]
+		got := w.leader().ctl.Snapshot().Due[kind][words[2]]
+		return differs(fmt.Sprintf("%d %d", got.Served, got.Missed), words[3]+" "+words[4])
 	case "over": // over REF: its user was told that it is done or cancelled
 		if j := w.jobs[words[1]]; j.accepted && !j.toldDone && j.toldCancelled == 0 {
 			return fmt.Errorf("it is %q", j.phase)
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -69,6 +69,8 @@
 	descChecks   = prometheus.NewDesc("mapleslip_checks_total", "Checks of instances that this node asked for as the leader, by outcome.", []string{"outcome"}, nil)
 	descDisputed = prometheus.NewDesc("mapleslip_checks_disputed_total", "Checks that failed where another controller saw nothing wrong.", nil, nil)
 	descRollouts = prometheus.NewDesc("mapleslip_rollouts", "Services with a roll-out on record, by its state.", []string{"state"}, nil)
+	descDue      = prometheus.NewDesc("mapleslip_jobs_due", "Jobs of this term that had what is asked of their class in time, or not, by class and by team.",
+		[]string{"by", "name", "outcome"}, nil)
 	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
 	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
 	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
@@ -78,7 +80,7 @@
 // Describe is part of prometheus.Collector.
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
-		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descHosts, descUnproven, descWaiting, descRunning} {
+		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descHosts, descUnproven, descWaiting, descRunning} {
 		ch <- d
 	}
 }
@@ -126,6 +128,17 @@
 		gauge(descRollouts, float64(n), state)
 	}
 	gauge(descUnproven, float64(st.Unproven))
+	for kind, counts := range st.Due {
+		inTime, late := make(map[string]int, len(counts)), make(map[string]int, len(counts))
+		for name, n := range counts {
+			inTime[name], late[name] = n.Served, n.Missed
+		}
+		for outcome, by := range map[string]map[string]int{"in time": inTime, "late": late} {
+			for name, n := range s.bounded(by) {
+				gauge(descDue, float64(n), kind.String(), name, outcome)
+			}
+		}
+	}
 	for class, n := range s.bounded(st.Waiting) {
 		gauge(descWaiting, float64(n), class)
 	}
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -16,6 +16,7 @@
 
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/served"
 )
 
 var quiet = slog.New(slog.NewTextHandler(io.Discard, nil))
@@ -96,9 +97,12 @@
 	st := coordination.Stats{Role: coordination.Leading, Epoch: 7, Rounds: 5, Rows: [4]uint64{100, 5, 20, 3}, Cuts: [4]uint64{2, 0, 0, 1},
 		Refused: map[string]uint64{"no leader can be reached": 4},
 		Hosts:   map[string]int{"ready": 9, "booting": 2}, Waiting: map[string]int{}, Running: map[string]int{"a": 1}}
+	teams := make(map[string]served.Count)
 	for i := range 50 {
 		st.Waiting[fmt.Sprintf("class-%02d", i)] = i + 1
+		teams[fmt.Sprintf("team-%02d", i)] = served.Count{Served: i + 1, Missed: 1}
 	}
+	st.Due = map[served.Kind]map[string]served.Count{served.Class: {"a": {Served: 2, Missed: 3}}, served.Team: teams}
 	r.Snapshot(0, func() coordination.Stats { return st })
 	for i := range 200 {
 		path := fmt.Sprintf("/store/j/req-%06d", i)
@@ -114,6 +118,7 @@
 		`mapleslip_refused_total{reason="no leader can be reached"} 4`, `mapleslip_hosts{state="ready"} 9`,
 		`mapleslip_jobs_waiting{class="class-49"} 50`, `mapleslip_jobs_waiting{class="other"} 1128`, `mapleslip_calls_total{call="get",outcome="200",service="state"} 200`,
 		`mapleslip_calls_total{call="call",outcome="refused",service="worker"} 200`, `mapleslip_calls_total{call="rent",outcome="other",service="cloud"} 200`,
+		`mapleslip_jobs_due{by="class",name="a",outcome="late"} 3`, `mapleslip_jobs_due{by="team",name="other",outcome="in time"} 1128`,
 		`mapleslip_calls_waiting{service="state"} 2`, `mapleslip_events_waiting 3`, `mapleslip_step_seconds_count{event="tick"} 1`,
 	} {
 		if !strings.Contains(text, line+"\n") {
@@ -123,6 +128,9 @@
 	if n := strings.Count(text, "mapleslip_jobs_waiting{"); n != 4 {
 		t.Errorf("%d classes", n)
 	}
+	if n := strings.Count(text, `mapleslip_jobs_due{by="team"`); n != 8 {
+		t.Errorf("%d series of teams", n)
+	}
 	if strings.Contains(text, "req-") {
 		t.Error("a job's name is in the metrics")
 	}
