--- a/internal/bookkeeping/book_test.go
+++ b/internal/bookkeeping/book_test.go
@@ -18,7 +18,10 @@
 	j := job(3)
 	j.SubmittedWall, j.Epoch, j.CancelledWall = 1234567, 7, 2345678
 	for _, cancelled := range []bool{false, true} {
-		got, err := DecodeJob(EncodeJob(j, cancelled))
+		if cancelled {
+			j.State = JobCancelled
+		}
+		got, err := DecodeJob(EncodeJob(j))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -217,11 +220,12 @@
 	}
 	j := job(1)
 	j.SubmittedWall = 7
-	plain := EncodeJob(j, false)
+	plain := EncodeJob(j)
 	j.To(JobCancelling)
 	j.CancelledWall = 55
-	asked := EncodeJob(j, false)
-	for text, want := range map[string]JobState{string(plain): JobLive, string(asked): JobCancelling, string(EncodeJob(j, true)): JobCancelled} {
+	asked := EncodeJob(j)
+	j.State = JobCancelled // as an earlier version left it
+	for text, want := range map[string]JobState{string(plain): JobLive, string(asked): JobCancelling, string(EncodeJob(j)): JobCancelled} {
 		got, err := DecodeJob([]byte(text))
 		if err != nil || got.State != want || want != JobLive && got.CancelledWall != 55 || got.AskKept != (want == JobCancelling) {
 			t.Errorf("%s: %+v %v", text, got, err)
--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -33,7 +33,7 @@
 
 var jobMoves = map[JobState][]JobState{
 	JobLive:       {JobCancelling, JobFinishing, JobCancelled},
-	JobCancelling: {JobCancelled, JobClosed, JobDone},
+	JobCancelling: {JobClosed, JobDone},
 	JobCancelled:  {JobClosed},
 	JobFinishing:  {JobDone, JobCancelled},
 }
@@ -82,6 +82,7 @@
 	Counted       bool           // as served in time or not
 	AskKept       bool           // that its user asked to cancel is in the state service
 	Asking        bool           // or on its way there
+	AskAgain      micros         // it is not tried before
 	Held          micros         // not placed before, after failures
 	Chunks        map[int]bool
 	FirstStart    micros
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -186,21 +186,22 @@
 // ChunkTasks is how many tasks of an array one record of completions holds.
 const ChunkTasks = 8192
 
-// EncodeJob writes a job's record. A job that is being cancelled has the time at
+// EncodeJob writes a job's record, as its state has it. A job that is being cancelled has the time at
 // which its user asked for it, so that a new leader goes on with that; it counts
 // as cancelled, and its user is told, only once none of its tasks can be anywhere.
 // A controller that doesn't know this takes the job for a live one: its user was
 // told nothing yet and asks again.
-func EncodeJob(j *Job, cancelled bool) []byte {
+func EncodeJob(j *Job) []byte {
 	b := append([]byte(`{"at":`), strconv.FormatInt(int64(j.SubmittedWall), 10)...)
 	b = append(b, `,"epoch":`...)
 	b = strconv.AppendUint(b, j.Epoch, 10)
-	if cancelled {
-		b = append(b, `,"cancelled":true,"cancelledAt":`...)
-		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
-	} else if j.State == JobCancelling {
+	switch j.State {
+	case JobCancelling:
 		b = append(b, `,"cancelAskedAt":`...)
 		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
+	case JobCancelled:
+		b = append(b, `,"cancelled":true,"cancelledAt":`...)
+		b = strconv.AppendInt(b, int64(j.CancelledWall), 10)
 	}
 	b = append(b, `,"job":`...)
 	b = protocol.AppendJob(b, j.Spec)
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -157,10 +157,15 @@
 }
 
 func (c *Controller) retryFollow() {
+	c.followIn(300*protocol.Millisecond + micros(c.rng.Int64N(int64(200*protocol.Millisecond))))
+}
+
+// followIn follows again after a while.
+func (c *Controller) followIn(wait micros) {
 	c.become(Following)
 	c.callGen++
 	gen := c.callGen
-	c.after(300*protocol.Millisecond+micros(c.rng.Int64N(int64(200*protocol.Millisecond))), func() {
+	c.after(wait, func() {
 		if gen == c.callGen && c.role == Following {
 			c.follow()
 		}
@@ -194,14 +199,7 @@
 				// The lease was given back for another one to lead. It has its turn
 				// first, once.
 				c.waited = last
-				c.become(Following)
-				c.callGen++
-				gen := c.callGen
-				c.after(leadership.FirstTurn, func() {
-					if gen == c.callGen && c.role == Following {
-						c.follow()
-					}
-				})
+				c.followIn(leadership.FirstTurn)
 				return
 			}
 		}
--- a/internal/coordination/memory.go
+++ b/internal/coordination/memory.go
@@ -99,8 +99,10 @@
 	at := c.at.Steady
 	t.memory.kept, t.memory.told = c.memory, make(map[string]micros)
 	in := leadership.Inherit(c.memory)
-	for zone := range in.Cuts() {
-		t.cutSeen[zone] = at // its hosts soon show whether it still is
+	for zone, cut := range in.Cuts() {
+		if c.at.Wall-cut.Seen < cutPatience*c.platform.WorkerLease {
+			t.cutSeen[zone] = at // its hosts soon show whether it still is
+		}
 	}
 	silent := 0
 	for _, h := range t.book.Hosts() {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -262,7 +262,7 @@
 // create records a job if it is not there yet, and answers once it is durable.
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
 	ref := j.Spec.Ref
-	value := bookkeeping.EncodeJob(j, false)
+	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
 		refused()
 		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
@@ -525,13 +525,13 @@
 // keepAsk keeps the request in the state service, so that a new leader goes on with
 // it also if its user has given up asking.
 func (c *Controller) keepAsk(j *bookkeeping.Job) {
-	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.Held {
+	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.AskAgain {
 		return
 	}
 	j.Asking = true
 	ref := j.Spec.Ref
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
-	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j, false)}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j)}}
 	c.lead(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		j.Asking = false
 		if o == txnApplied {
@@ -539,7 +539,7 @@
 			c.endCancelled(j)
 			return
 		}
-		j.Held = c.at.Steady + 500*protocol.Millisecond
+		j.AskAgain = c.at.Steady + 500*protocol.Millisecond
 		if o == txnUnknown || o == txnRefused {
 			c.restampJob(j) // an earlier try may have been applied late
 		}
--- a/internal/leadership/memory.go
+++ b/internal/leadership/memory.go
@@ -2,15 +2,11 @@
 
 import (
 	"cmp"
-	"iter"
-	"maps"
 	"slices"
 
 	"mapleslip/internal/protocol"
 )
 
-func keys[V any](m map[string]V) iter.Seq[string] { return maps.Keys(m) }
-
 // Newer is the one of two memories that was made later: a leader goes on from the
 // memory of the one before, so the newest says all that there is to know.
 func Newer(a, b protocol.Memory) protocol.Memory {
--- a/internal/leadership/yield.go
+++ b/internal/leadership/yield.go
@@ -7,6 +7,7 @@
 package leadership
 
 import (
+	"maps"
 	"slices"
 
 	"mapleslip/internal/protocol"
@@ -114,7 +115,7 @@
 		return "", Settled
 	}
 	best := 0
-	for _, name := range slices.Sorted(keys(others)) {
+	for _, name := range slices.Sorted(maps.Keys(others)) {
 		gave := slices.ContainsFunc(past, func(y protocol.Yield) bool { return y.Node == name })
 		if n := others[name].Total(); n > best && !gave {
 			to, best = name, n
