Machines that a booking counts on stay, and a gang's booking stays in its zone

Gangs of 32 whole machines of one zone were booked; the booked machines that were free already went back as idle after 20 s, the booking with them, and others were rented in any zone to go the same way. Each new booking was in another zone.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -89,6 +89,7 @@
 	Rooms         []Room    // hosts on which room was made for it
 	RoomUntil     micros    // some of it is kept for the job until then
 	Places        []Booking // planned by the last pass
+	Zone          string    // where a gang was last booked
 	NoRoomUntil   micros    // no room could be made for it, found lately
 	UnviableUntil micros    // no booking could meet its deadline, found lately
 	Lowest        int       // no task before it waits for a place
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -372,6 +372,13 @@
 			r.needed[m] = true
 		}
 	}
+	// A machine that a booking counts on is not idle, however long it waits for the
+	// others of its gang: given back, the booking is gone with it.
+	for _, w := range list {
+		for _, b := range w.result.Booked {
+			r.needed[b.Machine] = true
+		}
+	}
 	rent, needed := t.table.Rent(requests, offers, rentalSlack, most, rentalRounds*c.roundWork())
 	note(needed)
 	// Classes seldom burst together: each looks for its spare room by itself,
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -242,6 +242,7 @@
 		c.term.dirty = true // the rest of a long array comes with the next round
 	}
 	if len(res.Booked) > 0 {
+		j.Zone = res.Booked[0].Machine.Zone
 		c.book(w, res)
 	}
 }
@@ -473,6 +474,9 @@
 		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s),
 		Guest: guest(s), Frugal: c.frugal(j)}
 	w.request = r
+	if r.Gang && s.OneZone {
+		r.Stay = j.Zone
+	}
 	if s.Spread {
 		r.ZoneCap = (s.Tasks + 1) / 2
 	}
--- a/internal/coordination/slottable/table.go
+++ b/internal/coordination/slottable/table.go
@@ -269,6 +269,7 @@
 	Patient   micros     // no machine is rented for what is ready by then
 	Waited    micros     // how much later than planned it has become already, for rental
 	Kept      []Place    // its booking of the pass before
+	Stay      string     // zone of a gang's last booking, left only for one that is sooner by stayFor
 	Hold      bool       // room was made for it: Kept holds though it is not the first that can't start
 	NoBooking bool       // it was found lately that a booking can't meet the deadline
 
@@ -655,6 +656,11 @@
 	return protocol.End(p.Ready, r.Length)
 }
 
+// stayFor is how much sooner another zone has to be for a gang's booking to move there.
+// Machines that were kept free for it are lost with a move, and estimates err by as much:
+// a gang of 32 was booked in one zone after the other for minutes and began in none.
+const stayFor = 30 * protocol.Second
+
 func (t *Table) tryGang(r *Request, book, strict bool) Result {
 	res := Result{Request: r, Viable: true}
 	if r.Limit < r.Tasks {
@@ -664,6 +670,10 @@
 	var bestStart micros
 	beyond := false
 	choose := func(s *search, zone string, later, image bool) {
+		limit := bestStart
+		if later && r.Stay != "" && zone != r.Stay {
+			limit -= stayFor
+		}
 		var places []Place
 		var start micros
 		t.try(func() bool {
@@ -678,7 +688,7 @@
 			}
 			for i := 0; i < r.Tasks; i++ {
 				c, ok := s.top()
-				if !ok || best != nil && c.place.Ready >= bestStart {
+				if !ok || best != nil && c.place.Ready >= limit {
 					return false // none, or no better than another zone's
 				}
 				if places == nil {
@@ -707,8 +717,13 @@
 		} else if r.Zone != "" {
 			do(r.Zone)
 		} else {
+			if r.Stay != "" {
+				do(r.Stay)
+			}
 			for _, zone := range t.zones {
-				do(zone)
+				if zone != r.Stay {
+					do(zone)
+				}
 			}
 		}
 	}
--- a/internal/coordination/slottable/table_test.go
+++ b/internal/coordination/slottable/table_test.go
@@ -243,3 +243,28 @@
 		t.Errorf("what is left: %+v", res)
 	}
 }
+
+// A gang that was booked in one zone is booked there again as long as no other zone is
+// sooner by more than estimates are worth: what was kept free for it would be lost.
+func TestGangStaysInItsZone(t *testing.T) {
+	in := func(zone string, till micros) *Machine {
+		m := row(zone, 1, Span{From: 0, To: till, Need: gpus(1)})
+		m.Zone = zone
+		return m
+	}
+	r := &Request{Tasks: 2, Need: gpus(1), Image: "img", Length: 10 * sec, Gang: true, OneZone: true}
+	for _, c := range []struct {
+		stay     string
+		a, b     micros
+		wantZone string
+	}{
+		{"", 40 * sec, 50 * sec, "a"}, {"b", 40 * sec, 50 * sec, "b"}, {"b", 40 * sec, 75 * sec, "a"}, {"a", 50 * sec, 40 * sec, "a"},
+	} {
+		r.Stay = c.stay
+		rows := []*Machine{in("a", c.a), in("a", c.a), in("b", c.b), in("b", c.b)}
+		res := plan(tableOf(rows, rows...), r)
+		if len(res[0].Booked) != 2 || res[0].Booked[0].Machine.Zone != c.wantZone {
+			t.Errorf("%+v: %+v", c, res[0])
+		}
+	}
+}
