Idle connections are used again after their last call's time is over

Cause: looking whether the other side has closed an idle connection failed by the deadline of the call before, which has passed by then mostly: each such call made a new connection. Change: the deadline is taken off first (TestDialerKeepsPastDeadline).

--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -76,6 +76,7 @@
 	if err != nil {
 		return false
 	}
+	c.SetDeadline(time.Time{}) // that of the call before has passed, and a read would fail by it
 	idle := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -117,3 +117,21 @@
 		t.Fatalf("%d open", d.open)
 	}
 }
+
+// A connection that has been idle for longer than its last call was allowed to take is
+// used again all the same.
+func TestDialerKeepsPastDeadline(t *testing.T) {
+	addr := serveOne(t)
+	d := &Dialer{MaxOpen: 2, MaxPer: 2, KeepIdle: time.Hour}
+	if status, err := ask(d, addr); status != 200 || err != nil {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	kept := d.idle[addr][0].conn
+	kept.SetDeadline(time.Now().Add(-time.Hour))
+	if status, err := ask(d, addr); status != 200 || err != nil {
+		t.Fatalf("status %d, %v", status, err)
+	}
+	if len(d.idle[addr]) != 1 || d.idle[addr][0].conn != kept {
+		t.Fatalf("another connection was made, though one was idle")
+	}
+}
