--- a/internal/rehearsal/trace_test.go
+++ b/internal/rehearsal/trace_test.go
@@ -1,6 +1,7 @@
 package rehearsal
 
 import (
+	"bytes"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -31,3 +32,23 @@
 		})
 	}
 }
+
+// A record that can't be read is told of once by each controller that comes upon it, not
+// at every try to lead, and it stays as it is.
+func TestDamagedRecordIsToldOnce(t *testing.T) {
+	var log bytes.Buffer
+	w, err := RunTrace(`
+nodes 2
+team red
+type big cpus=8 gpus=2 mem=64 boot=10 zones=a
+record hp/1 {"torn":1}
+at 60 expect leader none
+at 60 expect kept hp/1 yes
+`, func(w *World) { w.Logger = slog.New(slog.NewTextHandler(&log, nil)) })
+	if err != nil {
+		t.Fatalf("%v\n%s", err, strings.Join(w.Log, "\n"))
+	}
+	if n := strings.Count(log.String(), "damaged record"); n != 2 {
+		t.Errorf("told %d times by two controllers:\n%s", n, log.String())
+	}
+}
