--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -80,11 +80,12 @@
 	Strikes       int            // times it was held for that
 	Closing       bool           // cancelled, its record is being moved
 	Counted       bool           // as served in time or not
+	BeginCounted  bool           // as begun in time or not, if it is one of its class's largest
 	AskKept       bool           // that its user asked to cancel is in the state service
 	Asking        bool           // or on its way there
 	AskAgain      micros         // it is not tried before
 	Held          micros         // not placed before, after failures
-	Chunks        map[int]bool
+	Chunks        map[int]uint64 // stamps of its records of completions
 	FirstStart    micros
 	Rooms         []Room    // hosts on which room was made for it
 	RoomUntil     micros    // some of it is kept for the job until then
@@ -394,6 +395,14 @@
 	j.Done++
 }
 
+// KeepChunk notes the stamp of a record of completions, 0: there is none.
+func (j *Job) KeepChunk(chunk int, stamp uint64) {
+	if j.Chunks == nil {
+		j.Chunks = make(map[int]uint64)
+	}
+	j.Chunks[chunk] = stamp
+}
+
 // Undurable lists the completed tasks of a range that no record has yet.
 func (j *Job) Undurable(from, to int) []int {
 	var list []int
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -9,6 +9,7 @@
 
 // class is what was learned of a class of jobs.
 type class struct {
+	most     int // tasks of the largest job that was seen
 	arrivals []micros
 	last     *protocol.JobSpec
 	logRatio float64 // of run times to estimates
@@ -28,7 +29,7 @@
 const arrivalWindow = 180 * protocol.Second
 
 func (k *class) arrived(at micros, j *bookkeeping.Job) {
-	k.last = j.Spec
+	k.last, k.most = j.Spec, max(k.most, j.Spec.Tasks)
 	if at-j.Submitted < 5*protocol.Second {
 		k.arrivals = append(k.arrivals, at)
 	}
--- a/internal/coordination/others.go
+++ b/internal/coordination/others.go
@@ -130,11 +130,14 @@
 	if leads(c.role) && e.Epoch > c.seat.epoch {
 		c.deposed("another controller leads")
 	}
-	c.narrow = len(e.Body) == 0
+	c.siblingHeard = c.at.Steady
+	if e.Epoch > 0 {
+		c.narrow = len(e.Body) == 0
+	}
 	m := &protocol.PeerMessage{Kind: protocol.PeerStand, Age: protocol.Forever}
 	if leads(c.role) || c.role == Claiming {
 		m.Answers = true
-	} else if e.Epoch >= c.leader.Epoch {
+	} else if e.Epoch > 0 && e.Epoch >= c.leader.Epoch {
 		c.asked = c.at.Steady
 		if e.Epoch > c.leader.Epoch {
 			// The state service would say the same; it may refuse this node.
@@ -157,9 +160,25 @@
 	return !leads(c.role) && at-max(c.asked, c.born) > isolatedAfter && at-max(c.stateHeard, c.born) > isolatedAfter
 }
 
+// feelOthers asks the other controllers whether they are there, where this node has heard
+// of none of them, nor of the state service, and asks them nothing else: see alone. The
+// question names no epoch, so that nobody takes it for a leader's.
+func (c *Controller) feelOthers() {
+	at := c.at.Steady
+	if leads(c.role) && c.role != Loading || at-c.felt < askEvery || at-max(c.stateHeard, c.siblingHeard) <= askEvery {
+		return
+	}
+	c.felt = at
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAsk, From: c.platform.Node, Body: protocol.AppendMemory(nil, protocol.Memory{})})
+	for _, s := range c.platform.Siblings {
+		c.callAddr(ToPeer, "", s.Address, "", frame, askEvery, func(CallDone) {})
+	}
+}
+
 // feel finds out whether the state service can be reached, where no leader is
 // heard.
 func (c *Controller) feel() {
+	c.feelOthers()
 	if !leads(c.role) && c.at.Steady-max(c.asked, c.stateHeard) > askEvery {
 		c.recheck()
 	}
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -102,6 +102,16 @@
 	if p.busy || at < p.next {
 		return
 	}
+	// Before any is taken for the transaction: what was taken when a lost one was come
+	// upon counted as being written for ever. After a single transaction without an answer
+	// that carried two records, launches in the first were not recorded any more, so they
+	// never left.
+	for _, g := range p.list {
+		if g.due <= at && g.lost && !g.writing {
+			c.restamp(p, g)
+			return
+		}
+	}
 	var when []protocol.Condition
 	var then []protocol.Change
 	var batch []*page
@@ -111,10 +121,6 @@
 		if g.due > at || g.writing {
 			continue
 		}
-		if g.lost {
-			c.restamp(p, g)
-			return
-		}
 		if len(g.entries) == 0 && g.stamp == 0 {
 			g.due = protocol.Forever
 			continue
--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -20,6 +20,8 @@
 	astray micros // when it last showed that it can't reach the leader of epoch
 	epoch  uint64
 	zone   string
+	// The newest report of it that came here.
+	session, tick uint64
 }
 
 // Spans of that. A worker that can't reach the leader comes back within
@@ -46,7 +48,7 @@
 	}
 	first := !known || at-k.last >= returnsIn
 	yes = returned || first && r.Epoch > 0 && r.Epoch == c.leader.Epoch
-	k.last, k.sent, k.zone = at, 0, r.Zone
+	k.last, k.sent, k.zone, k.session, k.tick = at, 0, r.Zone, r.Session, r.Tick
 	if yes {
 		k.astray, k.epoch = at, c.leader.Epoch
 	}
@@ -56,6 +58,12 @@
 
 // sendOn sends a worker to the leader, or its report where the worker can't go.
 func (c *Controller) sendOn(e WorkerReport, r *protocol.Report) {
+	if k, known := c.callers[r.Host]; known && !r.Newer(k.session, k.tick) {
+		// A late copy: it shows nothing of whom the worker reaches now. Counted as the
+		// worker's coming back it was passed on, and the leader counted as out of reach.
+		c.tellLeader(e)
+		return
+	}
 	yes, returned := c.outOfReach(r)
 	addr := c.addressOf(c.leader.Node)
 	if !yes || addr == "" || c.at.Steady < c.relayAfter || c.relaying >= maxRelaying {
@@ -77,11 +85,16 @@
 	})
 }
 
-// sendAway tells a worker who leads, as far as known.
+// sendAway sends a worker to whoever leads.
 func (c *Controller) sendAway(e WorkerReport, host string) {
 	k := c.callers[host]
 	k.last, k.sent = c.at.Steady, c.at.Steady
 	c.callers[host] = k
+	c.tellLeader(e)
+}
+
+// tellLeader answers a report with who leads, as far as known.
+func (c *Controller) tellLeader(e WorkerReport) {
 	leader := c.leader.Node
 	if leader == c.platform.Node {
 		leader = ""
--- a/internal/coordination/relay_test.go
+++ b/internal/coordination/relay_test.go
@@ -23,9 +23,14 @@
 }
 
 // report is what a worker says to it, and what it does then: it calls the leader,
-// or answers.
+// or answers. Later reports have higher ticks, as the protocol has it.
 func report(c *Controller, at micros, host string, epoch int) (call *Call, answer *Reply) {
-	body := fmt.Sprintf(`{"host":%q,"addr":"w:9","flavor":"f","region":"z","reclaimable":false,"tenure":1,"tick":1,"epoch":%d,"shards":[]}`, host, epoch)
+	return reportAgain(c, at, host, epoch, int(at))
+}
+
+// reportAgain is report with a tick that may have come before.
+func reportAgain(c *Controller, at micros, host string, epoch, tick int) (call *Call, answer *Reply) {
+	body := fmt.Sprintf(`{"host":%q,"addr":"w:9","flavor":"f","region":"z","reclaimable":false,"tenure":1,"tick":%d,"epoch":%d,"shards":[]}`, host, tick, epoch)
 	for _, e := range c.Step(now{Steady: at}, WorkerReport{Body: []byte(body)}) {
 		switch e := e.(type) {
 		case Call:
@@ -79,6 +84,32 @@
 	}
 }
 
+// A late copy of a report shows nothing of whom the worker reaches: it is neither passed
+// on nor counted, whether the worker comes here or not.
+func TestCopiesOfReportsCountForNothing(t *testing.T) {
+	c := follower(t)
+	sec := protocol.Second
+	if _, answer := reportAgain(c, sec, "w", 2, 7); answer == nil || answer.Status != 421 {
+		t.Fatalf("%+v", answer)
+	}
+	n, _ := c.countCallers()
+	for tick := 7; tick > 4; tick-- {
+		if call, answer := reportAgain(c, 5*sec, "w", 2, tick); call != nil || answer == nil || answer.Status != 421 {
+			t.Errorf("a copy with tick %d: %+v %+v", tick, call, answer)
+		}
+	}
+	if got, _ := c.countCallers(); n != 1 || got != 1 {
+		t.Errorf("%d, then %d callers", n, got)
+	}
+	c.Step(now{Steady: 20 * sec}, Tick{})
+	if got, _ := c.countCallers(); got != 0 {
+		t.Errorf("a copy kept its worker counted: %d", got)
+	}
+	if call, _ := reportAgain(c, 21*sec, "w", 3, 8); call == nil {
+		t.Error("a worker that lost the leader is not passed on")
+	}
+}
+
 // A controller of the version before knows no reports from others: it answers as
 // to any message that it does not know. The worker is then sent to it as before,
 // and for a while no others are passed on.
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -48,10 +48,46 @@
 }
 
 func (c *Controller) served(j *bookkeeping.Job, inTime bool) {
-	for k, name := range map[served.Kind]string{served.Class: j.Spec.Class, served.Team: j.Spec.Team} {
-		if c.term.served.Add(k, name, c.at.Steady, inTime) {
-			n := c.term.served.Lately(k, name, c.at.Steady)
-			c.log.Info("share served", k.String(), name, "state", c.term.served.Is(k, name).String(), "served", n.Served, "of", n.Of())
+	c.count(served.Class, j.Spec.Class, inTime)
+	c.count(served.Team, j.Spec.Team, inTime)
+}
+
+// count adds a job to a group, and tells where the group's state changes by it.
+func (c *Controller) count(k served.Kind, name string, inTime bool) {
+	if c.term.served.Add(k, name, c.at.Steady, inTime) {
+		n := c.term.served.Lately(k, name, c.at.Steady)
+		c.log.Info("share served", k.String(), name, "state", c.term.served.Is(k, name).String(), "served", n.Served, "of", n.Of())
+	}
+}
+
+// beginWithin is how soon the largest jobs of a class have to begin: users count a day as
+// failed on which less than half of them do.
+const beginWithin = 240 * protocol.Second
+
+// countBegun counts a job that is among the largest of its class, of at least half as many
+// tasks as the largest one that this leader has seen, once it has begun or should have.
+func (c *Controller) countBegun(j *bookkeeping.Job) {
+	if j.BeginCounted || j.State != bookkeeping.JobLive && j.State != bookkeeping.JobFinishing {
+		return
+	}
+	t := c.term
+	name := j.Spec.Class
+	if 2*j.Spec.Tasks < c.class(name).most || guest(j.Spec) || j.Submitted+beginWithin < t.led {
+		j.BeginCounted = true
+		return
+	}
+	wait := c.at.Steady - j.Submitted
+	begun := j.Running+j.Done > 0
+	if j.Spec.Kind == protocol.Gang {
+		begun = j.Running+j.Done >= len(j.Tasks)
+	}
+	if !begun {
+		t.longest[name] = max(t.longest[name], wait)
+		if wait <= beginWithin {
+			return
 		}
+		c.log.Info("a large job has not begun", "ref", j.Spec.Ref, "class", name, "tasks", j.Spec.Tasks, "waits_ms", int64(wait/protocol.Millisecond), "placed", j.Attempts)
 	}
+	j.BeginCounted = true
+	c.count(served.Largest, name, wait <= beginWithin)
 }
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -19,6 +19,7 @@
 	refusedQuestions = "too many questions"
 	refusedNotReady  = "not ready"
 	refusedGone      = "the machine is gone"
+	refusedAlone     = "this node hears nobody"
 	refusedStops     = "tasks of the job may still be on machines"
 )
 
@@ -81,6 +82,7 @@
 	Waiting  map[string]int                          // jobs with tasks that wait for a place, by class
 	Running  map[string]int                          // tasks, by class
 	Due      map[served.Kind]map[string]served.Count // jobs that had what is asked of their class, or were too late, by class and by team
+	Longest  map[string]micros                       // for which a largest job of a class has waited to begin, by class
 	Unproven int                                     // recorded hosts that have not been heard of in this epoch
 	Rollouts map[string]int                          // by state; nil where they are off
 }
@@ -104,7 +106,10 @@
 	if g := c.term.rollouts.manager; g != nil {
 		s.Rollouts = g.States()
 	}
-	s.Due = map[served.Kind]map[string]served.Count{served.Class: c.term.served.Counts(served.Class), served.Team: c.term.served.Counts(served.Team)}
+	s.Due, s.Longest = make(map[served.Kind]map[string]served.Count), maps.Clone(c.term.longest)
+	for _, k := range served.Kinds() {
+		s.Due[k] = c.term.served.Counts(k)
+	}
 	s.Hosts, s.Waiting, s.Running = make(map[string]int), make(map[string]int), make(map[string]int)
 	for _, h := range c.term.book.Hosts() {
 		s.Hosts[h.State.String()]++
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -51,6 +51,7 @@
 	yields       []protocol.Yield   // leases that were given back lately
 	yielding     bool               // this one is being given back
 	served       served.Window      // which part of each class and team is served
+	longest      map[string]micros  // for which a largest job has waited to begin, by class
 	verdict      leadership.Verdict // last found
 	unlisted     bool               // earlier launches may be in no record, see EncodeEpoch
 	chunks       chunkWriter
@@ -80,6 +81,7 @@
 	t.bookingPages = c.newPages(bookkeeping.BookingPages, c.bookingRecord)
 	t.donePages = c.newPages(bookkeeping.CompletionPages, c.doneRecord)
 	t.launchPages = c.newPages(bookkeeping.LaunchPages, c.launchRecord)
+	t.longest = make(map[string]micros)
 	t.launches = make(map[string]*bookkeeping.Attempt)
 	t.unlisted, t.yields = c.seat.unlisted, c.seat.yields
 	c.initRollouts(t)
@@ -270,10 +272,7 @@
 					}
 					k, err := strconv.Atoi(e.Key[strings.LastIndexByte(e.Key, '/')+1:])
 					if j != nil && err == nil {
-						if j.Chunks == nil {
-							j.Chunks = make(map[int]bool)
-						}
-						j.Chunks[k] = true
+						j.KeepChunk(k, e.Stamp)
 						err = bookkeeping.ApplyChunk(j, k, e.Value)
 					}
 					if err != nil {
@@ -549,6 +548,7 @@
 	}
 	c.runProbes()
 	if c.role != Leading {
+		c.callHosts()
 		return
 	}
 	if sweep {
@@ -673,9 +673,12 @@
 	}
 }
 
-// chunkWriter batches the records of arrays' completed tasks.
+// chunkWriter batches the records of arrays' completed tasks. Each write depends on the
+// record's own stamp: one that got no answer and is carried out after the next one would
+// take back completions that are durable, and that their workers were told to forget.
 type chunkWriter struct {
 	dirty   map[chunkKey]bool
+	lost    map[chunkKey]bool // a write of it may have been applied or not: its stamp has to be read
 	writing bool
 	next    micros
 }
@@ -685,6 +688,11 @@
 	chunk int
 }
 
+// record is the key of the record.
+func (k chunkKey) record() string {
+	return bookkeeping.ChunkPrefix + k.ref + "/" + strconv.Itoa(k.chunk)
+}
+
 // Completions of arrays up to this size share records; larger ones have some
 // for themselves. They are let come together for a while.
 const (
@@ -738,35 +746,65 @@
 		if len(then) == c.platform.TxnOps {
 			break
 		}
+		if w.lost[k] {
+			c.restampChunk(j, k)
+			return
+		}
 		cv := covered{j: j, chunk: k.chunk, tasks: j.Undurable(k.chunk*bookkeeping.ChunkTasks, (k.chunk+1)*bookkeeping.ChunkTasks)}
-		delete(w.dirty, k)
 		batch = append(batch, cv)
-		when = append(when, protocol.Condition{Key: bookkeeping.JobPrefix + k.ref, Stamp: j.Stamp})
-		then = append(then, protocol.Change{Key: bookkeeping.ChunkPrefix + k.ref + "/" + strconv.Itoa(k.chunk), Value: bookkeeping.EncodeChunk(j, k.chunk)})
+		when = append(when, protocol.Condition{Key: bookkeeping.JobPrefix + k.ref, Stamp: j.Stamp}, protocol.Condition{Key: k.record(), Stamp: j.Chunks[k.chunk]})
+		then = append(then, protocol.Change{Key: k.record(), Value: bookkeeping.EncodeChunk(j, k.chunk)})
+	}
+	for _, cv := range batch {
+		delete(w.dirty, chunkKey{cv.j.Spec.Ref, cv.chunk})
 	}
 	if len(then) == 0 {
 		return
 	}
 	w.writing = true
-	c.lead(prioUrgent, when, then, func(o txnOutcome, _ protocol.TxnResult) {
+	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		w.writing = false
 		w.next = c.at.Steady + 500*protocol.Millisecond
 		for _, cv := range batch {
 			if o == txnApplied {
-				if cv.j.Chunks == nil {
-					cv.j.Chunks = make(map[int]bool)
-				}
-				cv.j.Chunks[cv.chunk] = true
+				cv.j.KeepChunk(cv.chunk, r.Stamp)
 				for _, i := range cv.tasks {
 					cv.j.Tasks[i].Durable = true
 				}
-			} else if cv.j.State == bookkeeping.JobLive {
-				w.dirty[chunkKey{cv.j.Spec.Ref, cv.chunk}] = true
+				continue
+			}
+			k := chunkKey{cv.j.Spec.Ref, cv.chunk}
+			if cv.j.State == bookkeeping.JobLive {
+				w.dirty[k] = true
+			}
+			if o == txnUnknown || o == txnRefused && slices.Contains(r.Failed, k.record()) {
+				if w.lost == nil {
+					w.lost = make(map[chunkKey]bool)
+				}
+				w.lost[k] = true
 			}
 		}
 	})
 }
 
+// restampChunk reads the stamp of a record of completions after a write without an answer.
+func (c *Controller) restampChunk(j *bookkeeping.Job, k chunkKey) {
+	t := c.term
+	t.chunks.writing = true
+	c.get(prioUrgent, k.record(), func(e protocol.Entry, found, ok bool) {
+		if c.term != t {
+			return
+		}
+		t.chunks.writing = false
+		if !ok {
+			t.chunks.next = c.at.Steady + 300*protocol.Millisecond
+			return
+		}
+		delete(t.chunks.lost, k)
+		j.KeepChunk(k.chunk, e.Stamp) // 0 where there is none
+	})
+}
+
 // checkFinished writes the final record of a job whose tasks are all done.
 // Only after it is durable are users told.
 func (c *Controller) checkFinished(j *bookkeeping.Job) {
@@ -780,6 +818,11 @@
 // finish moves a job's record to where jobs that are over are kept.
 func (c *Controller) finish(j *bookkeeping.Job) {
 	t := c.term
+	if c.role != Leading {
+		// It would be refused: the state service is not there, or this node's lease.
+		c.after(400*protocol.Millisecond, func() { c.finishAgain(t, j) })
+		return
+	}
 	ref := j.Spec.Ref
 	phase := protocol.Done
 	if j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling {
@@ -795,7 +838,7 @@
 	sort.Ints(chunks)
 	for _, k := range chunks {
 		if len(then) < c.platform.TxnOps {
-			then = append(then, protocol.Change{Key: bookkeeping.ChunkPrefix + ref + "/" + strconv.Itoa(k)})
+			then = append(then, protocol.Change{Key: chunkKey{ref, k}.record()})
 		}
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
@@ -848,6 +891,7 @@
 		}
 	} else if j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling {
 		j.To(bookkeeping.JobClosed)
+		c.log.Debug("cancelled", "ref", j.Spec.Ref, "asked_ms_ago", int64((c.at.Wall-j.CancelledWall)/protocol.Millisecond), "told", len(t.cancels[j.Spec.Ref]))
 	}
 	for i := range j.Tasks {
 		j.Tasks[i].Durable = true
@@ -881,6 +925,7 @@
 	var over []*bookkeeping.Job
 	for _, j := range t.book.Line() {
 		c.countServed(j)
+		c.countBegun(j)
 		switch j.State {
 		case bookkeeping.JobDone, bookkeeping.JobClosed:
 			if j.Settled() {
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -18,7 +18,27 @@
 	patientTimeout = 1900 * protocol.Millisecond
 )
 
-func (c *Controller) onHealth(e HealthCall) { c.reply(e.Reply, 200, []byte(`{}`), 0) }
+// onHealth tells the load balancer whether users should come here. A node that hears
+// neither the state service nor any other controller can serve nobody, while others may:
+// users keep their connections to it, each question is answered 503, and a job of which
+// all questions end here is forgotten by that. While the state service is down for all
+// the controllers hear each other, so an outage takes no node away from the balancer.
+func (c *Controller) onHealth(e HealthCall) {
+	if c.alone() {
+		c.unavailable(e.Reply, refusedAlone)
+		return
+	}
+	c.reply(e.Reply, 200, []byte(`{}`), 0)
+}
+
+// aloneAfter is how long a node has to hear nobody to be alone. Health checks come once
+// a second and it takes two; users' patience is a minute.
+const aloneAfter = 4 * protocol.Second
+
+func (c *Controller) alone() bool {
+	at := c.at.Steady
+	return len(c.platform.Siblings) > 0 && at-max(c.stateHeard, c.born) > aloneAfter && at-max(c.siblingHeard, c.born) > aloneAfter
+}
 
 // onUser handles a user's call, wherever it came in.
 func (c *Controller) onUser(e UserCall) {
@@ -54,6 +74,11 @@
 		}
 		return
 	}
+	if c.role == Doubtful && e.Op == protocol.OpCancel && c.term.book.Job(e.Ref) != nil {
+		// Nobody can be told now, but the tasks can end: a stop can do no harm.
+		c.cancel(e.Reply, e.Ref)
+		return
+	}
 	if e.Reply.Peer {
 		c.reply(e.Reply, 0, nil, 0)
 		return
@@ -152,6 +177,8 @@
 			c.unavailable(to, refusedState)
 		case !found:
 			c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
+		case j != nil && c.mayStart() && c.term.book.Job(ref) == j:
+			c.reply(to, 200, c.jobAnswer(j), 0)
 		case j != nil && j.State == bookkeeping.JobCancelled:
 			c.reply(to, 200, protocol.JobAnswer(ref, protocol.Cancelled, 0, 0), 0)
 		case j != nil:
@@ -370,7 +397,10 @@
 func (c *Controller) submit(to Address, spec *protocol.JobSpec) {
 	t := c.term
 	ref := spec.Ref
-	if j := t.book.Job(ref); j != nil {
+	if j := t.book.Job(ref); j != nil && ending(j) {
+		c.lookUp(to, ref, func() {})
+		return
+	} else if j != nil {
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
@@ -443,8 +473,14 @@
 	return protocol.JobAnswer(j.Spec.Ref, phase, j.Done, running)
 }
 
+// ending reports whether a job's final record is on its way. It may be durable before its
+// writer knows, for seconds if the answer is lost and the write is carried out late; a node
+// that finds it then tells its user, who must not be told something older by the leader.
+// So until the outcome is known the leader, too, answers from the state service.
+func ending(j *bookkeeping.Job) bool { return j.State == bookkeeping.JobFinishing || j.Closing }
+
 func (c *Controller) query(to Address, ref string) {
-	if j := c.term.book.Job(ref); j != nil {
+	if j := c.term.book.Job(ref); j != nil && !ending(j) {
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
@@ -489,6 +525,7 @@
 		t.cancels[ref] = append(t.cancels[ref], to)
 		j.To(bookkeeping.JobCancelling)
 		j.CancelledWall = c.at.Wall
+		c.log.Debug("cancel asked", "ref", ref, "attempts", j.Attempts)
 		c.stopJob(j)
 		c.endCancelled(j)
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"slices"
+
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
@@ -56,14 +58,20 @@
 	if h == nil {
 		h = bookkeeping.NewHost(c.at.Steady, r.Host, r.Type, r.Zone, r.Spot)
 		h.Type = c.typeByName[r.Type]
+		h.Stray, h.Addr = r.Epoch != t.epoch, r.Addr
 		t.book.AddHost(h)
+		c.probe(t, h)
 		c.log.Debug("machine reports that was not rented in this term", "host", r.Host)
 	}
 	if h.Session > 0 && !r.Newer(h.Session, h.Tick) {
 		// What it says is older than what is known: it was held up on the way,
 		// or crossed the answer to a direct command. In the second case the
 		// worker still waits, so it is answered, but the book stays as it is.
-		h.Answered = max(h.Answered, c.at.Steady)
+		// A worker's lease runs from when it sent what is answered, and that was before
+		// the newer message was heard: a copy that comes again and again proves no more.
+		if r.Session == h.Session {
+			h.Answered = max(h.Answered, h.Heard)
+		}
 		c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, nil), 0)
 		return
 	}
@@ -78,6 +86,7 @@
 	c.takeReport(h, r, false)
 	cmds := c.commands(h)
 	h.Answered = max(h.Answered, c.at.Steady)
+	h.Replied = c.at.Steady
 	c.reply(e.Reply, 200, protocol.AppendCommands(nil, t.epoch, 0, cmds), 0)
 }
 
@@ -86,9 +95,18 @@
 func (c *Controller) takeReport(h *bookkeeping.Host, r *protocol.Report, direct bool) {
 	t := c.term
 	at := c.at.Steady
+	current := r.Epoch == t.epoch
 	if h.Session > 0 && r.Session > h.Session {
 		// The worker's lease expired: it has killed and forgotten everything.
-		c.loseAll(h, "its session ended")
+		c.loseBefore(h, r.Session)
+	}
+	if r.Session > h.Session && h.Replied > 0 && at <= h.Replied+c.platform.WorkerLease {
+		h.Unheeded = deafAfter // an answer since would have kept its lease
+	}
+	if direct {
+		h.Unheeded = 0
+	} else if r.Epoch < t.epoch && h.Replied > 0 {
+		h.Unheeded++ // it was answered under this epoch, and has not seen it
 	}
 	if r.Session > h.Session {
 		// The lease of a session runs from its beginning, which may be now. Counted
@@ -117,23 +135,38 @@
 		}
 		h.Noticed, h.TakenAt = r.Noticed, at+r.Notice
 	}
-	current := r.Epoch == t.epoch
-	if (current || !h.FromRecord) && !h.Proven {
+	if (current || !h.FromRecord && !h.Stray) && !h.Proven {
 		// Nothing is ever launched on a host before it is recorded, so one that
 		// was not holds nothing, whatever epoch it has seen. To wait for its next
 		// report would have its room missing from the plans meanwhile, and more
-		// machines rented in its place.
+		// machines rented in its place. One that is in no record and no list may be a
+		// late copy's, of a machine that is gone: it is asked first.
 		h.Proven = true
 		t.dirty = true
 	}
 	h.Reports++
+	missed := false
 	for i := range r.Tasks {
 		task := &r.Tasks[i]
 		a := h.Find(task.AttemptName)
 		if a == nil {
+			if !current && !t.unlisted && !(task.State == protocol.Exited && task.Reason == protocol.ExitDone) {
+				// Whatever may be on a host is in a record. This isn't: what says so is
+				// older than the end of the attempt, a late copy of a report mostly. Taken
+				// for true it held the task, or an old attempt of the whole gang, on a
+				// machine that may be gone; an error counted once more. If it is there the
+				// next report says so again. A result stays true.
+				continue
+			}
 			a = c.adopt(h, *task)
 		}
 		a.Seen = h.Reports
+		if a.SentSession == 0 {
+			a.SentSession = r.Session // or an earlier one
+		}
+		if a.State == bookkeeping.AttemptLaunched {
+			h.Unheeded = 0 // it came
+		}
 		c.observe(a, *task)
 	}
 	for _, a := range h.Attempts() {
@@ -147,6 +180,10 @@
 		if !a.State.MayRun() {
 			continue
 		}
+		if a.SentSession == 0 && (current || direct) {
+			// An earlier leader launched it, before this message was made.
+			a.SentSession = r.Session
+		}
 		if !current {
 			// A worker that has not seen this epoch may still get commands of
 			// the one before: absence proves nothing yet.
@@ -163,6 +200,10 @@
 			// Only the next report must come after it.
 			continue
 		}
+		if a.State == bookkeeping.AttemptLaunched && a.ViaReport && !missed {
+			missed = true
+			h.Unheeded++
+		}
 		// The launch did not arrive, or the task is gone.
 		c.log.Debug("attempt is not on its host", "task", a.Name.TaskName.String(), "host", h.Name, "state", a.State.String())
 		c.lost(a)
@@ -317,10 +358,27 @@
 	t.dirty = true
 }
 
+// loseBefore notes that nothing is on a host any more that was launched before a session.
+// Where it is not known in which session an earlier leader's launch left, a higher one
+// proves nothing: what was heard before may be a late copy of a report from an even earlier
+// session, and the launch, a direct command held up on the way, still match this one.
+func (c *Controller) loseBefore(h *bookkeeping.Host, session uint64) {
+	c.lose(h, "its session ended", func(a *bookkeeping.Attempt) bool {
+		return !a.State.MayRun() || a.SentSession > 0 && a.SentSession < session
+	})
+}
+
 // loseAll notes that nothing is on a host any more.
 func (c *Controller) loseAll(h *bookkeeping.Host, why string) {
+	c.lose(h, why, func(*bookkeeping.Attempt) bool { return true })
+}
+
+func (c *Controller) lose(h *bookkeeping.Host, why string, gone func(*bookkeeping.Attempt) bool) {
 	n := 0
 	for _, a := range h.Attempts() {
+		if !gone(a) {
+			continue
+		}
 		if a.State.MayRun() {
 			n++
 		}
@@ -350,10 +408,13 @@
 // commands is what a report is answered with.
 func (c *Controller) commands(h *bookkeeping.Host) []protocol.Command {
 	t := c.term
-	if !c.mayStart() || !h.Proven || h.State != bookkeeping.HostReady {
+	if !h.Proven || h.State != bookkeeping.HostReady {
+		return nil
+	}
+	if !c.mayStart() {
 		// While the lease could have ended, workers only get their own
 		// lease renewed, for a time that the leader's record names.
-		return nil
+		return c.endings(h)
 	}
 	at := c.at.Steady
 	var cmds []protocol.Command
@@ -386,10 +447,7 @@
 				a.Stop, a.StopGrace = true, 0
 			}
 			if a.Stop && !(a.State == bookkeeping.AttemptSaving && a.StopGrace > 0) {
-				if a.StopAt == 0 {
-					a.StopAt = at
-				}
-				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
+				cmds = append(cmds, c.stopNow(a, a.StopGrace))
 			}
 		}
 	}
@@ -402,6 +460,34 @@
 	return cmds
 }
 
+// unwanted reports whether nobody has any use for an attempt: its user asked to cancel
+// the job. To stop it needs no lease: the worker heeds a stop only as long as it has seen
+// no newer epoch, and then the user has not been told that the job goes on either. So the
+// tasks of a cancelled job end also while the state service is down for everybody, for
+// longer than a cancellation has, and the user is told as soon as it is back.
+func unwanted(a *bookkeeping.Attempt) bool {
+	return a.Job != nil && (a.Job.State == bookkeeping.JobCancelling || a.Job.State == bookkeeping.JobCancelled)
+}
+
+// endings is what a leader may say whose lease could have ended.
+func (c *Controller) endings(h *bookkeeping.Host) []protocol.Command {
+	var cmds []protocol.Command
+	for _, a := range h.Attempts() {
+		if a.State.MayRun() && a.Stop && unwanted(a) && len(cmds) < protocol.MaxCommands {
+			cmds = append(cmds, c.stopNow(a, 0))
+		}
+	}
+	return cmds
+}
+
+// stopNow makes the command that stops an attempt.
+func (c *Controller) stopNow(a *bookkeeping.Attempt, grace micros) protocol.Command {
+	if a.StopAt == 0 {
+		a.StopAt = c.at.Steady
+	}
+	return protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: grace}
+}
+
 // launchable lists the attempts whose launch may leave for a host: recorded, and
 // with room beside all that is there and not told to end at once.
 func (c *Controller) launchable(h *bookkeeping.Host, most int) []*bookkeeping.Attempt {
@@ -427,6 +513,14 @@
 	return list
 }
 
+// deafAfter is how many answers and calls in a row show no effect when a machine counts
+// as deaf: its reports arrive, and nothing that is said to it does. Silence does not show
+// that, and a launch that is lost leaves its room free: the same task was launched there
+// again and again, a gang's others waiting for it.
+const deafAfter = 2
+
+func deaf(h *bookkeeping.Host) bool { return h.Unheeded >= deafAfter }
+
 // callTimeout is how long a worker has to answer a direct command.
 const callTimeout = 2 * protocol.Second
 
@@ -456,18 +550,24 @@
 			waiting = append(waiting, h)
 			continue
 		}
+		if c.role == Doubtful && !slices.ContainsFunc(h.Attempts(), unwanted) {
+			waiting = append(waiting, h) // until the lease certainly holds
+			continue
+		}
 		h.CallQueued = false
 		if at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed || h.State != bookkeeping.HostReady || !h.Proven {
 			continue // they go with the answer to its next report
 		}
 		var cmds []protocol.Command
 		for _, a := range h.Attempts() {
-			if a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched && len(cmds) < protocol.MaxCommands {
-				a.StopAt = at
-				cmds = append(cmds, protocol.Command{Verb: protocol.Stop, Name: a.Name, Grace: a.StopGrace})
+			if a.State.MayRun() && a.Stop && a.StopAt == 0 && a.State != bookkeeping.AttemptLaunched && len(cmds) < protocol.MaxCommands && (c.role == Leading || unwanted(a)) {
+				cmds = append(cmds, c.stopNow(a, a.StopGrace))
 			}
 		}
-		launched := c.launchable(h, protocol.MaxCommands-len(cmds))
+		var launched []*bookkeeping.Attempt
+		if c.mayStart() {
+			launched = c.launchable(h, protocol.MaxCommands-len(cmds))
+		}
 		for _, a := range launched {
 			cmds = append(cmds, protocol.Command{Verb: protocol.Launch, Name: a.Name})
 		}
@@ -501,6 +601,7 @@
 		if report == nil {
 			h.NoCalls = c.at.Steady + 8*protocol.Second
 			if !r.Unsent {
+				h.Unheeded++
 				return
 			}
 		}
@@ -595,7 +696,7 @@
 			rest = append(rest, h)
 			continue
 		}
-		if t.book.Host(h.Name) != h || h.Proven && at-h.Heard < c.platform.ReportEvery {
+		if t.book.Host(h.Name) != h || h.Proven && at-h.Heard < c.platform.ReportEvery && !deaf(h) {
 			h.Probing = false // it has reported meanwhile
 			continue
 		}
@@ -682,7 +783,7 @@
 	zones := make(map[string]leadership.Zone, len(c.platform.Zones))
 	release := max(c.operator.SilentRelease, c.silence()+callTimeout)
 	for _, h := range t.book.Hosts() {
-		if h.State == bookkeeping.HostReady || h.FromRecord && !h.Proven {
+		if h.State == bookkeeping.HostReady && (h.Proven || !h.Stray) || h.FromRecord && !h.Proven {
 			z := zones[h.Zone]
 			reporting++
 			z.All++
@@ -721,6 +822,12 @@
 			if h.Noticed {
 				c.drainNoticed(h)
 			}
+			if deaf(h) && mayRelease && c.holdsCancelled(h) {
+				c.release(h, "deaf, and a cancelled task may be on it")
+			} else if deaf(h) && at >= h.ProbeAt && c.mayStart() {
+				h.ProbeAt = at + callTimeout
+				c.probe(t, h)
+			}
 			continue
 		}
 		limit := limit
@@ -731,6 +838,12 @@
 			// hosts do not all come back at the same instant.
 			limit = max(limit, cutPatience*lease)
 		}
+		if deaf(h) {
+			// Its worker goes from node to node, each time after it has waited for an
+			// answer, and comes round to this one only then. When it hears again what is
+			// on it goes on, if that is before its lease ends.
+			limit = max(limit, 2*lease)
+		}
 		if h.PassedOn > 0 && at-h.PassedOn < lease {
 			// It is asked to try this node now and then, and comes round to the one
 			// that passes its reports on only after that.
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -21,6 +21,7 @@
 	slow            bool   // answers of the controllers come too late
 	answered        bool   // somebody that no test sees renews its lease
 	hung            bool
+	deaf            bool            // its reports arrive; answers to them and direct commands are lost
 	spoilt          bool            // every task on it fails
 	apart           map[string]bool // controllers that it can't reach, nor they it
 	held            bool            // reports are held back on the way
@@ -348,7 +349,7 @@
 			return
 		}
 		w.request(node, "hello", body, func(status int, resp []byte) {
-			if m.slow || m.hung {
+			if m.slow || m.hung || m.deaf {
 				return // lost on the way
 			}
 			w.after(w.delay(), func() {
@@ -364,6 +365,10 @@
 		})
 	}
 	reach := func() { w.cross(m.zone, node.zone, deliver) }
+	if late, by := w.lateReports.next(true, body); late {
+		anywhere := w.lateReports.anywhere
+		w.after(by, func() { w.copyReport(node, anywhere, body) })
+	}
 	if m.held {
 		m.heldReports = append(m.heldReports, reach)
 	} else {
--- a/internal/rehearsal/overlap_test.go
+++ b/internal/rehearsal/overlap_test.go
@@ -146,6 +146,43 @@
 			h.at(from, "if-here %s die", m)
 		}
 	}
+	// Troubles that meet others: see testdata/meet_*.trace for each by itself.
+	late := func(what, with string) {
+		if rapid.IntRange(0, 2).Draw(t, what) == 0 {
+			from, to := span(what, 60)
+			h.at(from, "%s every=%d by=%d%s", what, rapid.IntRange(1, 6).Draw(t, what+" every"), rapid.SampledFrom([]int{2, 6, 10, 30}).Draw(t, what+" by"), with)
+			h.at(to, "%s every=0", what)
+		}
+	}
+	late("late-writes", "")
+	late("late-reports", rapid.SampledFrom([]string{"", " to=leader"}).Draw(t, "copies to"))
+	if rapid.IntRange(0, 2).Draw(t, "away") == 0 {
+		n := rapid.SampledFrom([]string{"leader", node()}).Draw(t, "who is away")
+		from, to := span("away", 80)
+		if n == "leader" {
+			h.at(from, "if-leads away")
+		} else {
+			h.at(from, "away %s", n)
+		}
+		h.at(to, "back all")
+	}
+	if rapid.IntRange(0, 2).Draw(t, "refused, then an outage") == 0 {
+		from, _ := span("refused", 1)
+		out := from + float64(rapid.IntRange(6, 20).Draw(t, "refused for"))
+		h.at(from, "if-leads deny")
+		h.at(out, "state down")
+		h.at(out+float64(rapid.IntRange(5, 60).Draw(t, "down for")), "state up")
+		h.at(troublesTo+20, "state up")
+		h.at(troublesTo+20, "admit all")
+	}
+	for range rapid.IntRange(0, 2).Draw(t, "deaf machines, or held commands") * machines / 8 {
+		from, to := span("deaf", 60)
+		m := fmt.Sprintf("n-%06d", rapid.IntRange(1, machines).Draw(t, "machine"))
+		what := rapid.SampledFrom([][2]string{{"deaf", "hears"}, {"hold-calls", "deliver-calls"}, {"lose-answers", "pass-answers"}}).Draw(t, "what")
+		h.at(from, "if-here %s %s", m, what[0])
+		h.at(to, "if-here %s %s", m, what[1])
+	}
+	h.at(1, "balance")
 	h.at(settled, "count")
 	h.at(standsTo-0.1, "expect leader some")
 	h.at(standsTo-0.1, "expect at-most 2 leaders")
@@ -153,6 +190,7 @@
 		h.at(over, "expect over %s", ref)
 	}
 	h.at(over, "expect nothing-stuck")
+	h.at(over, "expect unanswered 75")
 	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
 	for _, l := range h.lines {
 		scene += fmt.Sprintf("at %g %s\n", l.at, l.text)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -211,13 +211,23 @@
 		}
 		defer func() { w.sticky = nil }()
 		return w.actSubmit(words[1:])
+	case "late-writes", "late-reports": // late-writes every=3 by=6 [with=TEXT] [most=1]: see lateness; every=0: no more
+		o := options(words[1:])
+		l := lateness{every: int(number(o, "every", 1)), by: protocol.FromSeconds(number(o, "by", 6)), with: o["with"], most: int(number(o, "most", 1e9)), anywhere: o["to"] == "leader"}
+		if words[0] == "late-writes" {
+			w.lateWrites = l
+		} else {
+			w.lateReports = l
+		}
+	case "balance": // users keep to the node that they came to, as long as the balancer has it
+		w.sticks = true
 	case "cancel":
 		j := w.jobs[words[1]]
 		if j == nil {
 			return fmt.Errorf("no such job")
 		}
 		w.cancel(j)
-	case "kill", "start", "restart", "cut", "join", "freeze", "thaw", "deny", "admit", "deafen", "undeafen":
+	case "kill", "start", "restart", "cut", "join", "freeze", "thaw", "deny", "admit", "deafen", "undeafen", "away", "back":
 		names := []string{words[1]}
 		if words[1] == "all" {
 			names = nil
@@ -258,6 +268,10 @@
 				n.cut = true
 			case "join":
 				n.cut = false
+			case "away":
+				n.away = true
+			case "back":
+				w.comesBack(n)
 			}
 		}
 	case "image": // image NAME passes|fails|hangs|flaps|crashes [after=SECONDS]: what its services do from now on
@@ -265,8 +279,12 @@
 		w.behaviours[words[1]] = behaviour{what: words[2], after: protocol.FromSeconds(number(o, "after", 0))}
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
-	case "count": // from here on: changes written, and workers asked
+	case "count": // from here on: changes written, workers asked, users without an answer
 		w.written, w.asked, w.led = w.store.written, w.questions, w.leaders
+		w.unanswered = 0
+		for _, j := range w.jobs {
+			j.answeredAt = w.now
+		}
 	case "backlog": // so many events wait at every node
 		n, err := strconv.Atoi(words[1])
 		if err != nil {
@@ -345,11 +363,15 @@
 			m.apart = make(map[string]bool)
 		}
 		m.apart[n.name] = words[0] == "part"
+	case "if-leads": // if-leads WORD: the leader, if there is one just then
+		if n := w.leader(); n != nil {
+			return w.act([]string{words[1], n.name})
+		}
 	case "if-here": // if-here MACHINE WORD: unless it is gone
 		if m := w.machines[words[1]]; m != nil {
 			w.actMachine(words[2], m)
 		}
-	case "hang", "wake", "die", "spoil", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls", "cut-off", "reach", "answer-behind", "answer-no-more":
+	case "hang", "wake", "die", "spoil", "deaf", "hears", "lose-answers", "pass-answers", "hold-reports", "deliver-reports", "hold-calls", "deliver-calls", "cut-off", "reach", "answer-behind", "answer-no-more":
 		m := w.machines[words[1]]
 		if m == nil {
 			return fmt.Errorf("no such machine")
@@ -369,6 +391,8 @@
 		m.hung = true
 	case "spoil":
 		m.spoilt = true
+	case "deaf", "hears":
+		m.deaf = what == "deaf"
 	case "hold-calls":
 		m.holdCalls = true
 	case "wake", "deliver-calls":
@@ -517,8 +541,8 @@
 		return differs(strconv.Itoa(w.endedLoading), words[1])
 	case "rollout": // rollout SERVICE STATE [healthy=N] [reason=TEXT]
 		return w.expectRollout(words[1:])
-	case "due": // due class|team NAME SERVED MISSED, as the leader counts
-		kind := map[string]served.Kind{"class": served.Class, "team": served.Team}[words[1]]
+	case "due": // due class|team|largest NAME SERVED MISSED, as the leader counts
+		kind := map[string]served.Kind{"class": served.Class, "team": served.Team, "largest": served.Largest}[words[1]]
 		got := w.leader().ctl.Snapshot().Due[kind][words[2]]
 		return differs(fmt.Sprintf("%d %d", got.Served, got.Missed), words[3]+" "+words[4])
 	case "over": // over REF: its user was told that it is done or cancelled
@@ -533,6 +557,15 @@
 			}
 		}
 		return nil
+	case "unanswered": // unanswered SECONDS: no job's user was left without an answer for longer
+		if most := protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0)); w.unanswered > most {
+			return fmt.Errorf("%.1f s", w.unanswered.Seconds())
+		}
+		return nil
+	case "health": // health NODE STATUS, as the balancer sees it
+		got := 0
+		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
+		return differs(strconv.Itoa(got), words[2])
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
 	case "kept": // kept KEY yes|no
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -65,6 +65,11 @@
 	nextConn       uint64
 	answers        map[uint64]func(int, []byte)
 
+	lateWrites  lateness // transactions that get no answer and are carried out later
+	lateReports lateness // copies of workers' reports that arrive again
+	sticks      bool     // users keep to a node for as long as the balancer has it
+	unanswered  micros   // the longest time for which no question about one job was answered
+
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
 	rollouts   *rollout.Settings          // nil: they are off
@@ -107,11 +112,16 @@
 	// frozen: it does nothing, and what comes waits until it goes on.
 	frozen  bool
 	waiting []coordination.Event
-	born    micros
-	life    int
-	meter   *transport.Meter // of its calls to the state service
-	ctl     *coordination.Controller
-	seed    uint64
+	// away: it hears neither the state service nor the other controllers; workers and
+	// users it does. What was sent is held until it is back.
+	away bool
+	held []func()
+	balanced
+	born  micros
+	life  int
+	meter *transport.Meter // of its calls to the state service
+	ctl   *coordination.Controller
+	seed  uint64
 }
 
 // userJob is what a job's user knows and expects.
@@ -130,6 +140,8 @@
 	toldDone      bool
 	toldAt        micros // when it was first told that the job is over
 	toldCancelled micros
+	via           *node  // where its user's connection is, see sticks
+	answeredAt    micros // when a question about it was last answered
 }
 
 // NewWorld makes a deployment of n controllers.
@@ -189,6 +201,7 @@
 	beat()
 	var poll func()
 	poll = func() {
+		w.balance()
 		w.poll()
 		w.after(protocol.Second, poll)
 	}
@@ -347,6 +360,8 @@
 		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpSubmit, Body: []byte(body)})
 	case "query":
 		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpQuery, Ref: body})
+	case "health":
+		w.step(n, coordination.HealthCall{Reply: to})
 	case "cancel":
 		w.step(n, coordination.UserCall{Reply: to, Op: protocol.OpCancel, Ref: body})
 	case "rollout":
@@ -415,10 +430,19 @@
 	w.after(w.delay(), func() {
 		switch c.Target {
 		case coordination.ToState:
+			if n.away {
+				n.held = append(n.held, func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				return
+			}
 			if n.denied {
 				backFrom("")(503, `{"error":"trouble"}`)
 				return
 			}
+			if late, by := w.lateWrites.next(c.Path == "/commit", string(c.Body)); late {
+				w.note("a transaction of %s is held up", n.name)
+				w.after(by, func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				return
+			}
 			w.cross(n.zone, "", func() {
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					if w.stateSlow == 0 {
@@ -439,14 +463,25 @@
 			})
 		case coordination.ToPeer:
 			for _, o := range w.nodes {
-				if o.name == c.Addr {
+				if o.name != c.Addr {
+					continue
+				}
+				carry := func() {
 					w.cross(n.zone, o.zone, func() { w.carryPeer(o, c, backFrom(o.zone), finish) })
 				}
+				switch {
+				case n.away:
+					n.held = append(n.held, carry)
+				case o.away:
+					o.held = append(o.held, carry)
+				default:
+					carry()
+				}
 			}
 		case coordination.ToInstance:
 			w.checkInstance(n, c, backFrom)
 		case coordination.ToWorker:
-			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.apart[n.name] {
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.deaf && !m.apart[n.name] {
 				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
 			}
 		}
@@ -529,13 +564,18 @@
 	}
 	for range w.nodes {
 		w.poller++
-		if n := w.nodes[w.poller%len(w.nodes)]; n.alive && !n.cut && (w.cutZone == "" || n.zone != w.cutZone) {
+		if n := w.nodes[w.poller%len(w.nodes)]; w.reachable(n) {
 			return n
 		}
 	}
 	return nil
 }
 
+// reachable reports whether users, who are in no zone, reach a node.
+func (w *World) reachable(n *node) bool {
+	return n.alive && !n.cut && (w.cutZone == "" || n.zone != w.cutZone)
+}
+
 // insist sends a request as a user would, to one node after another until
 // taken says that the answer is final.
 func (w *World) insist(what, body string, taken func(status int, body []byte) bool) {
@@ -601,12 +641,22 @@
 	sort.Strings(refs)
 	for _, r := range refs {
 		j := w.jobs[r]
-		n := w.upNode()
-		if n == nil || !j.accepted {
+		if !j.accepted {
+			continue
+		}
+		if j.answeredAt == 0 {
+			j.answeredAt = w.now
+		}
+		w.unanswered = max(w.unanswered, w.now-j.answeredAt)
+		n := w.nodeOf(j)
+		if n == nil {
 			continue
 		}
 		asked := w.now
 		w.request(n, "query", r, func(status int, body []byte) {
+			if status == 200 {
+				j.answeredAt = w.now
+			}
 			if status == 404 {
 				w.broken("forgotten: %s", r)
 			}
--- a/internal/served/window.go
+++ b/internal/served/window.go
@@ -1,4 +1,5 @@
-// Package served counts which part of the jobs of a class, and of a team, are served,
+// Package served counts which part of the jobs of a class, of a team, and of a class's
+// largest jobs, are served,
 // and says which of them fall short. It decides nothing: see docs/results.md for the
 // orders by it that were tried. It does no I/O and owns no clock.
 //
@@ -34,10 +35,14 @@
 const (
 	Class Kind = iota
 	Team
+	Largest // the largest jobs of a class, by class; served: begun in time
 	kinds
 )
 
-func (k Kind) String() string { return [...]string{"class", "team"}[k] }
+// Kinds lists all kinds of groups.
+func Kinds() []Kind { return []Kind{Class, Team, Largest} }
+
+func (k Kind) String() string { return [...]string{"class", "team", "largest"}[k] }
 
 // State is how a group is served.
 type State uint8
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mapleslip/internal/coordination"
+	"mapleslip/internal/protocol"
 )
 
 // metrics is what is measured where it happens; standing is what the controller
@@ -69,8 +70,9 @@
 	descChecks   = prometheus.NewDesc("mapleslip_checks_total", "Checks of instances that this node asked for as the leader, by outcome.", []string{"outcome"}, nil)
 	descDisputed = prometheus.NewDesc("mapleslip_checks_disputed_total", "Checks that failed where another controller saw nothing wrong.", nil, nil)
 	descRollouts = prometheus.NewDesc("mapleslip_rollouts", "Services with a roll-out on record, by its state.", []string{"state"}, nil)
-	descDue      = prometheus.NewDesc("mapleslip_jobs_due", "Jobs of this term that had what is asked of their class in time, or not, by class and by team.",
+	descDue      = prometheus.NewDesc("mapleslip_jobs_due", "Jobs of this term that had what is asked of their class in time, or not, by class, by team, and of a class's largest jobs whether they began.",
 		[]string{"by", "name", "outcome"}, nil)
+	descLongest  = prometheus.NewDesc("mapleslip_largest_wait_seconds", "Longest time for which one of the largest jobs of a class has waited to begin in this term.", []string{"class"}, nil)
 	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
 	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
 	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
@@ -80,7 +82,7 @@
 // Describe is part of prometheus.Collector.
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
-		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descHosts, descUnproven, descWaiting, descRunning} {
+		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descWaiting, descRunning} {
 		ch <- d
 	}
 }
@@ -139,6 +141,13 @@
 			}
 		}
 	}
+	longest := make(map[string]int, len(st.Longest))
+	for class, wait := range st.Longest {
+		longest[class] = int(wait / protocol.Second)
+	}
+	for class, wait := range s.longest(longest) {
+		gauge(descLongest, float64(wait), class)
+	}
 	for class, n := range s.bounded(st.Waiting) {
 		gauge(descWaiting, float64(n), class)
 	}
@@ -151,6 +160,20 @@
 // classes, and each would be a series of its own for ever.
 const otherClasses = "other"
 
+// longest keeps the classes with the longest waits, and the longest of the rest.
+func (s *standing) longest(by map[string]int) map[string]int {
+	out := s.bounded(by)
+	if len(by) > s.classes {
+		out[otherClasses] = 0
+		for class, wait := range by {
+			if _, kept := out[class]; !kept || class == otherClasses {
+				out[otherClasses] = max(out[otherClasses], wait)
+			}
+		}
+	}
+	return out
+}
+
 // bounded keeps the classes with the most, and adds up the rest.
 func (s *standing) bounded(by map[string]int) map[string]int {
 	if len(by) <= s.classes {
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -102,7 +102,12 @@
 		st.Waiting[fmt.Sprintf("class-%02d", i)] = i + 1
 		teams[fmt.Sprintf("team-%02d", i)] = served.Count{Served: i + 1, Missed: 1}
 	}
-	st.Due = map[served.Kind]map[string]served.Count{served.Class: {"a": {Served: 2, Missed: 3}}, served.Team: teams}
+	st.Due = map[served.Kind]map[string]served.Count{served.Class: {"a": {Served: 2, Missed: 3}}, served.Team: teams,
+		served.Largest: {"a": {Served: 1, Missed: 4}}}
+	st.Longest = make(map[string]protocol.Micros)
+	for i := range 5 {
+		st.Longest[fmt.Sprintf("class-%02d", i)] = protocol.Micros(i+1) * 60 * protocol.Second
+	}
 	r.Snapshot(0, func() coordination.Stats { return st })
 	for i := range 200 {
 		path := fmt.Sprintf("/store/j/req-%06d", i)
@@ -119,6 +124,8 @@
 		`mapleslip_jobs_waiting{class="class-49"} 50`, `mapleslip_jobs_waiting{class="other"} 1128`, `mapleslip_calls_total{call="get",outcome="200",service="state"} 200`,
 		`mapleslip_calls_total{call="call",outcome="refused",service="worker"} 200`, `mapleslip_calls_total{call="rent",outcome="other",service="cloud"} 200`,
 		`mapleslip_jobs_due{by="class",name="a",outcome="late"} 3`, `mapleslip_jobs_due{by="team",name="other",outcome="in time"} 1128`,
+		`mapleslip_jobs_due{by="largest",name="a",outcome="late"} 4`, `mapleslip_largest_wait_seconds{class="class-04"} 300`,
+		`mapleslip_largest_wait_seconds{class="other"} 120`,
 		`mapleslip_calls_waiting{service="state"} 2`, `mapleslip_events_waiting 3`, `mapleslip_step_seconds_count{event="tick"} 1`,
 	} {
 		if !strings.Contains(text, line+"\n") {
