--- a/internal/rehearsal/meetings.go
+++ b/internal/rehearsal/meetings.go
@@ -43,6 +43,18 @@
 	}
 }
 
+// apart carries a message between controllers, or holds it while one of them is away.
+func apart(n, o *node, deliver func()) {
+	switch {
+	case n.away:
+		n.held = append(n.held, deliver)
+	case o.away:
+		o.held = append(o.held, deliver)
+	default:
+		deliver()
+	}
+}
+
 // comesBack ends what a node is away for; what was held is delivered.
 func (w *World) comesBack(n *node) {
 	n.away = false
@@ -95,12 +107,6 @@
 	if n := j.via; n != nil && w.reachable(n) && (!n.out || w.now-n.since < 5*protocol.Second) {
 		return n
 	}
-	j.via = nil
-	for range w.nodes {
-		if n := w.upNode(); n != nil && !n.out {
-			j.via = n
-			break
-		}
-	}
+	j.via = w.upNode()
 	return j.via
 }
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -445,11 +445,15 @@
 			}
 			w.cross(n.zone, "", func() {
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
-					if w.stateSlow == 0 {
-						backFrom("")(status, body)
-						return
+					back := func() { backFrom("")(status, body) }
+					switch {
+					case n.away: // an open watch, for one
+						n.held = append(n.held, back)
+					case w.stateSlow == 0:
+						back()
+					default:
+						w.after(w.stateSlow, back)
 					}
-					w.after(w.stateSlow, func() { backFrom("")(status, body) })
 				})
 			})
 		case coordination.ToCloud:
@@ -466,17 +470,13 @@
 				if o.name != c.Addr {
 					continue
 				}
-				carry := func() {
-					w.cross(n.zone, o.zone, func() { w.carryPeer(o, c, backFrom(o.zone), finish) })
-				}
-				switch {
-				case n.away:
-					n.held = append(n.held, carry)
-				case o.away:
-					o.held = append(o.held, carry)
-				default:
-					carry()
-				}
+				apart(n, o, func() {
+					w.cross(n.zone, o.zone, func() {
+						w.carryPeer(o, c, func(status int, body string) {
+							apart(n, o, func() { backFrom(o.zone)(status, body) })
+						}, finish)
+					})
+				})
 			}
 		case coordination.ToInstance:
 			w.checkInstance(n, c, backFrom)
@@ -564,7 +564,7 @@
 	}
 	for range w.nodes {
 		w.poller++
-		if n := w.nodes[w.poller%len(w.nodes)]; w.reachable(n) {
+		if n := w.nodes[w.poller%len(w.nodes)]; w.reachable(n) && !n.out {
 			return n
 		}
 	}
