Scale run: what its processes say to each other

Need: a scale run of real controllers beside hollow workers has many processes, which are built side by side. Change: the lines between the supervisor and its parts. Result: compiles; used by nothing yet.

--- /dev/null
+++ b/internal/scale/wire/wire.go
@@ -0,0 +1,181 @@
+// Package wire has what the processes of a scale run say to each other: one JSON object a
+// line, a part's orders on its standard input, what it has seen on its standard output.
+// Nothing of it is on the network of the deployment that is tried.
+//
+// Times are whole microseconds of CLOCK_MONOTONIC, which all processes of a machine share.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"io"
+	"sync"
+
+	"golang.org/x/sys/unix"
+
+	"mapleslip/internal/protocol"
+)
+
+// Roles of parts, as in `mapleslip scale part ROLE`.
+const (
+	RoleStandins = "standins" // state service and cloud
+	RoleHollow   = "hollow"   // many workers
+	RoleWorker   = "worker"   // one worker: what control costs a real machine
+	RoleRelay    = "relay"    // links between regions
+	RoleUsers    = "users"    // the load
+)
+
+// Kinds of messages. In brackets who says it to whom: S is the supervisor.
+const (
+	Setup    = "setup" // [S to all] Setup; the first line. Answered by Ready
+	Ready    = "ready" // [all to S] listening, Text: why not
+	Boot     = "boot"  // [standins to S, S to hollow or worker and relay] Machine is up from At on
+	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID
+	GoneDone = "gone_done"
+	Jobs     = "jobs"     // [S to hollow] descriptions that a launch may name: Specs, as users send them
+	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
+	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
+	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At
+	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason
+	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At
+	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end
+	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At
+	Progress = "progress" // [hollow to S, S to hollow] saved progress of Task: Run, microseconds that are left
+	Ended    = "ended"    // [hollow to S, S to hollow] Task completed: its result is kept
+	Fault    = "fault"    // [S to any] Text: which (see Faults), Names, Region, For, Factor
+	Gauge    = "gauge"    // [all to S] once a second: Values by name (lag_ms_max, messages and bytes by kind)
+	Note     = "note"     // [all to S] Text for the report
+	Stop     = "stop"     // [S to all] the run ends; the part exits with 0. So it does when its input ends
+)
+
+// Faults that parts play.
+const (
+	FaultEnd     = "end"     // hollow, worker, standins: machines end for good, with all on them (Names)
+	FaultHang    = "hang"    // hollow, worker: they stand still for For
+	FaultRestart = "restart" // hollow, worker: the worker starts anew: session, tasks and images are gone
+	FaultCut     = "cut"     // relay: links between Region and all others hold for For
+	FaultLoss    = "loss"    // relay: Factor of the connections between Region and others are reset, for For
+	FaultDelay   = "delay"   // relay: delays of Region's links times Factor, for For
+	FaultRefuse  = "refuse"  // standins: the state service answers 503 for For, to Names (addresses) or all
+	FaultSlow    = "slow"    // standins: the state service's latency times Factor, for For
+)
+
+// Machine is one that the cloud rents out, or that is there from the beginning.
+type Machine struct {
+	Name, Type, Zone, Region string
+	Rack                     string
+	Spot                     bool
+	// Public is its address for controllers (in the relay), Listen where its worker
+	// listens, Source the address that its own calls come from.
+	Public, Listen, Source string
+	Real                   bool // a process of its own
+}
+
+// Controller is one as others reach it.
+type Controller struct {
+	Name, Zone, Region string
+	Public             map[string]string // its address for workers and users, by their region
+}
+
+// Links are a relay's.
+type Links struct {
+	Region string            // whose endpoints it has
+	Listen map[string]string // public address to listening address; those of machines come by Boot
+	Of     map[string]string // source address (IP) to region, of what is there from the beginning
+	Delay  map[string]int64  // one-way delay from a region to Region, microseconds
+	Loss   float64           // share of connections that are reset, per connection
+}
+
+// Config is what a part is told first. Platform is the text of the settings file that the
+// first controller got.
+type Config struct {
+	Role, Part  string // Part: its name, unique in the run
+	Seed        uint64
+	Platform    string
+	Types       []*protocol.MachineType `json:",omitempty"`
+	Controllers []Controller            `json:",omitempty"`
+	Machines    []Machine               `json:",omitempty"` // up from the beginning: standins have all, hollow ones theirs
+	Links       *Links                  `json:",omitempty"`
+	State       string                  `json:",omitempty"` // listening addresses of standins
+	Cloud       string                  `json:",omitempty"`
+	LatencyUS   int64                   `json:",omitempty"` // of the state service
+	Spare       map[string]int          `json:",omitempty"` // machines that the cloud still has: "type/zone"
+	Load        json.RawMessage         `json:",omitempty"` // of users: the settings' own form
+	EndsUS      int64                   `json:",omitempty"` // latest end of the run; a part stops by itself then
+}
+
+// Message is one line.
+type Message struct {
+	Kind    string             `json:"kind"`
+	ID      uint64             `json:"id,omitempty"`
+	At      int64              `json:"at,omitempty"`
+	Due     int64              `json:"due,omitempty"`
+	Name    string             `json:"name,omitempty"`
+	Names   []string           `json:"names,omitempty"`
+	Region  string             `json:"region,omitempty"`
+	Task    string             `json:"task,omitempty"` // REF/INDEX#TRY
+	Ref     string             `json:"ref,omitempty"`
+	Op      string             `json:"op,omitempty"` // submit, query, cancel, config
+	Status  int                `json:"status,omitempty"`
+	Phase   string             `json:"phase,omitempty"`
+	Text    string             `json:"text,omitempty"`
+	Run     int64              `json:"run,omitempty"`
+	For     int64              `json:"for,omitempty"`
+	Factor  float64            `json:"factor,omitempty"`
+	Specs   []json.RawMessage  `json:"specs,omitempty"`
+	Values  map[string]float64 `json:"values,omitempty"`
+	Machine *Machine           `json:"machine,omitempty"`
+	Setup   *Config            `json:"setup,omitempty"`
+}
+
+// Now is the time that all parts share, microseconds.
+func Now() int64 {
+	var t unix.Timespec
+	unix.ClockGettime(unix.CLOCK_MONOTONIC, &t)
+	return t.Sec*1_000_000 + t.Nsec/1000
+}
+
+// MaxLine is the length of the longest line, bytes.
+const MaxLine = 8 << 20
+
+// ErrLine is that of a line that is no message.
+var ErrLine = errors.New("not a message")
+
+// Writer sends messages; it may be used by many goroutines.
+type Writer struct {
+	mu sync.Mutex
+	w  *bufio.Writer
+}
+
+// NewWriter makes a writer to a pipe.
+func NewWriter(w io.Writer) *Writer { return &Writer{w: bufio.NewWriterSize(w, 64<<10)} }
+
+// Send writes a message whole.
+func (w *Writer) Send(m *Message) error {
+	b, err := json.Marshal(m)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.w.Write(b)
+	w.w.WriteByte('\n')
+	return w.w.Flush()
+}
+
+// Read hands each line to take until the input ends or take reports an end.
+func Read(r io.Reader, take func(*Message) (more bool)) error {
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), MaxLine)
+	for s.Scan() {
+		m := new(Message)
+		if err := json.Unmarshal(s.Bytes(), m); err != nil || m.Kind == "" {
+			return ErrLine
+		}
+		if !take(m) {
+			return nil
+		}
+	}
+	return s.Err()
+}
