Scale run: addresses of machines, cancellations, image fetches on the wire

Machines that the stand-in of the cloud rents out need addresses that the relay and the hollow workers know without asking: one function gives them by number.

--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 
@@ -36,7 +37,8 @@
 	Jobs     = "jobs"     // [S to hollow] descriptions that a launch may name: Specs, as users send them
 	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
 	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
-	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At
+	Cancel   = "cancel"   // [users to S] Ref is about to be cancelled: its user asks from now on
+	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At, Fetch
 	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason
 	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At
 	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end
@@ -72,6 +74,21 @@
 	Real                   bool // a process of its own
 }
 
+// Addresses are those of the machine with a number in the run's network: Public, Listen
+// and Source. Machines that are there from the beginning have the first numbers, those
+// that the stand-in of the cloud rents out the ones after. A relay calls on from the IP
+// that it was called from, so whoever is called sees the caller's own.
+func Addresses(network string, number int) (public, listen, source string) {
+	ip := fmt.Sprintf("%s%d.%d", network, firstMachineByte+number/250, 1+number%250)
+	return ip + ":9000", ip + ":9001", ip
+}
+
+// MostMachines is how many numbers Addresses has.
+const (
+	MostMachines     = (256 - firstMachineByte) * 250
+	firstMachineByte = 16
+)
+
 // Controller is one as others reach it.
 type Controller struct {
 	Name, Zone, Region string
@@ -101,6 +118,7 @@
 	Cloud       string                  `json:",omitempty"`
 	LatencyUS   int64                   `json:",omitempty"` // of the state service
 	Spare       map[string]int          `json:",omitempty"` // machines that the cloud still has: "type/zone"
+	Network     string                  `json:",omitempty"` // "127.77.": see Addresses
 	Load        json.RawMessage         `json:",omitempty"` // of users: the settings' own form
 	EndsUS      int64                   `json:",omitempty"` // latest end of the run; a part stops by itself then
 }
@@ -122,6 +140,7 @@
 	Text    string             `json:"text,omitempty"`
 	Run     int64              `json:"run,omitempty"`
 	For     int64              `json:"for,omitempty"`
+	Fetch   int64              `json:"fetch,omitempty"` // how long the task waited for its image on the machine, microseconds
 	Factor  float64            `json:"factor,omitempty"`
 	Specs   []json.RawMessage  `json:"specs,omitempty"`
 	Values  map[string]float64 `json:"values,omitempty"`
