--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -45,6 +46,11 @@
 			return fmt.Errorf("%s: %w", l.key, err)
 		}
 	}
+	if o.SourceAddress.IsValid() {
+		if err := transport.CanListen(netip.AddrPortFrom(o.SourceAddress, 0).String(), 0); err != nil {
+			return fmt.Errorf("source_address: %w", err)
+		}
+	}
 	seed := rand.Uint64()
 	d := &driver{log: log, platform: p, ctl: coordination.New(p, o, seed, log), started: time.Now(), in: make(chan any, queueLength),
 		meters: map[coordination.Target]*transport.Meter{
@@ -66,6 +72,9 @@
 		d.ctl.EnableRollouts(*r)
 		log.Info("roll-outs are on", "checks_per_s", r.ChecksPerS)
 	}
+	for _, by := range d.dialers {
+		by.Source = o.SourceAddress
+	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: plan.inbound, Idle: 5 * time.Minute,
 		// Whoever reports or polls is heard again before that.
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -77,11 +77,12 @@
 }
 
 func TestOperatorSettings(t *testing.T) {
-	o, err := ParseOperator([]byte("round_s = 5\nwarm_spare = 0.5\n"))
-	if err != nil || o.RoundEvery != 5*Second || o.WarmSpare != 0.5 || o.LeaderLease != DefaultOperator().LeaderLease {
+	o, err := ParseOperator([]byte("round_s = 5\nwarm_spare = 0.5\nsource_address = \"10.0.0.7\"\n"))
+	if err != nil || o.RoundEvery != 5*Second || o.WarmSpare != 0.5 || o.SourceAddress.String() != "10.0.0.7" || o.LeaderLease != DefaultOperator().LeaderLease {
 		t.Errorf("%+v, %v", o, err)
 	}
-	for in, key := range map[string]string{"round_z = 1": "round_z", "round_s = 0": "round_s", "warm_spare = -1": "warm_spare"} {
+	for in, key := range map[string]string{"round_z = 1": "round_z", "round_s = 0": "round_s", "warm_spare = -1": "warm_spare",
+		`source_address = "10.0.0"`: "source_address", `source_address = "::1"`: "source_address"} {
 		var ke *KeyError
 		if _, err := ParseOperator([]byte(in)); !errors.As(err, &ke) || ke.Key != key {
 			t.Errorf("%s: %v, want a word on %s", in, err, key)
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -260,6 +260,8 @@
 	SilentRelease  Micros  // silence after which a machine is released as a fence
 	IdleReturn     Micros  // idle time after which a machine goes back
 	WarmSpare      float64 // arrivals per class for which room is kept, in units of what comes during a boot
+
+	SourceAddress netip.Addr // local address of outbound connections; the zero value: the system's choice
 }
 
 // DefaultOperator holds the values used where the operators set none.
@@ -278,6 +280,7 @@
 	SilentReleaseS  *float64 `toml:"silent_release_s"`
 	IdleReturnS     *float64 `toml:"idle_return_s"`
 	WarmSpare       *float64 `toml:"warm_spare"`
+	SourceAddress   *string  `toml:"source_address"`
 }
 
 // LoadOperator reads the operators' file; an unknown key is an error.
@@ -311,6 +314,13 @@
 		}
 		*s.to = FromSeconds(seconds)
 	}
+	if f.SourceAddress != nil && *f.SourceAddress != "" {
+		a, err := netip.ParseAddr(*f.SourceAddress)
+		if err != nil || !a.Is4() {
+			return o, &KeyError{"source_address", fmt.Sprintf("%q is not an IPv4 address", *f.SourceAddress)}
+		}
+		o.SourceAddress = a
+	}
 	return o, SetBounded("warm_spare", f.WarmSpare, &o.WarmSpare, 0, 100)
 }
 
--- a/internal/transport/dialer.go
+++ b/internal/transport/dialer.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -14,6 +15,7 @@
 	MaxOpen  int // connections in all
 	MaxPer   int // connections to one address
 	KeepIdle time.Duration
+	Source   netip.Addr // local address of connections; the zero value: the system's choice
 
 	mu   sync.Mutex
 	open int
@@ -141,12 +143,21 @@
 	d.idle[addr] = append(d.idle[addr], idleConn{c, time.Now()})
 }
 
+// dial connects, from the source address if there is one.
+func (d *Dialer) dial(addr string, timeout time.Duration) (net.Conn, error) {
+	by := net.Dialer{Timeout: timeout}
+	if d.Source.IsValid() {
+		by.LocalAddr = &net.TCPAddr{IP: d.Source.AsSlice()}
+	}
+	return by.Dial("tcp4", addr)
+}
+
 // Probe connects, and closes the connection again.
 func (d *Dialer) Probe(addr string, timeout time.Duration) error {
 	if _, _, err := d.take(addr); err != nil {
 		return err
 	}
-	conn, err := net.DialTimeout("tcp4", addr, timeout)
+	conn, err := d.dial(addr, timeout)
 	d.release(addr, conn, false)
 	if err != nil {
 		return ErrRefused
@@ -163,7 +174,7 @@
 		return err
 	}
 	if !reused {
-		conn, err = net.DialTimeout("tcp4", addr, min(timeout, 2*time.Second))
+		conn, err = d.dial(addr, min(timeout, 2*time.Second))
 		if err != nil {
 			d.release(addr, nil, false)
 			return ErrRefused
--- a/internal/transport/dialer_test.go
+++ b/internal/transport/dialer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"testing"
 	"time"
 )
@@ -135,3 +136,29 @@
 		t.Fatalf("another connection was made, though one was idle")
 	}
 }
+
+// All connections of a dialer come from its source address, checks too.
+func TestDialerSource(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	d := &Dialer{MaxOpen: 2, MaxPer: 2, Source: netip.MustParseAddr("127.0.0.9")}
+	from := func(call func()) string {
+		go call()
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+		return host
+	}
+	if got := from(func() { d.Probe(ln.Addr().String(), 10*time.Second) }); got != "127.0.0.9" {
+		t.Errorf("a check came from %s", got)
+	}
+	if got := from(func() { ask(d, ln.Addr().String()) }); got != "127.0.0.9" {
+		t.Errorf("a call came from %s", got)
+	}
+}
