Scale run: skeleton of its parts and of the hub

Need: the supervisor and the parts are built side by side. Change: the packages with their entries, the hub's interface, the hidden command; a worker asks what a launched task is.

--- /dev/null
+++ b/cmd/mapleslip/scalepart.go
@@ -0,0 +1,22 @@
+package main
+
+import (
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"mapleslip/internal/scale/part"
+)
+
+// scalePartCommand runs a process of a scale run. The supervisor starts it.
+func scalePartCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:    "part ROLE",
+		Short:  "A process of a scale run; the supervisor starts it",
+		Hidden: true,
+		Args:   cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return part.Part(args[0], cmd.InOrStdin(), cmd.OutOrStdout(), logger(os.Getenv("LOG_LEVEL")))
+		},
+	}
+}
--- /dev/null
+++ b/internal/scale/part/part.go
@@ -0,0 +1,43 @@
+// Package part runs the parts of a scale run: each is a process that takes its orders on
+// its standard input and says what it has seen on its standard output, as package wire has it.
+package part
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"maps"
+	"slices"
+	"strings"
+
+	"mapleslip/internal/scale/hollow"
+	"mapleslip/internal/scale/standin"
+	"mapleslip/internal/scale/wire"
+)
+
+// Role runs a part until Stop comes, its input ends, or its time is over. The first line
+// of in is the Setup (pipe.Open reads it); the part answers it with Ready.
+type Role func(in io.Reader, out io.Writer, log *slog.Logger) error
+
+var roles = map[string]Role{
+	wire.RoleHollow:   hollow.Run,
+	wire.RoleWorker:   hollow.RunOne,
+	wire.RoleStandins: standin.Run,
+}
+
+// Register adds a role. It is called from init functions, before any Part.
+func Register(role string, run Role) {
+	if roles[role] != nil {
+		panic("role registered twice: " + role)
+	}
+	roles[role] = run
+}
+
+// Part runs the part of a role. An unknown role is an error that names the known ones.
+func Part(role string, in io.Reader, out io.Writer, log *slog.Logger) error {
+	run := roles[role]
+	if run == nil {
+		return fmt.Errorf("unknown role %q: must be one of %s", role, strings.Join(slices.Sorted(maps.Keys(roles)), ", "))
+	}
+	return run(in, out, log)
+}
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -33,7 +33,8 @@
 	Boot     = "boot"  // [standins to S, S to hollow or worker and relay] Machine is up from At on
 	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID
 	GoneDone = "gone_done"
-	Jobs     = "jobs"     // [S to hollow] descriptions that a launch may name: Specs, as users send them
+	Jobs     = "jobs" // [hollow to S] Task was launched at At on Name: what is it? Ref: its description is wanted too
+	// [S to hollow] the answer: Task, Status 200 or 404, Specs if wanted, Run of a task (below 0: it fails after that), For: what is left of it, Phase `done`: its result is kept
 	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
 	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
 	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At
