Networks of loopback addresses are reserved, and mapleslip dev takes a free one

Two mapleslip dev with ports 200 apart took the same network 127.N.0.0/16 for their machines, and the second ended with "address already in use".

--- a/cmd/mapleslip/dev.go
+++ b/cmd/mapleslip/dev.go
@@ -15,6 +15,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mapleslip/internal/loopback"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rehearsal"
 	"mapleslip/internal/transport"
@@ -76,6 +77,7 @@
 type dev struct {
 	live    *rehearsal.Live
 	cancel  context.CancelFunc
+	network *loopback.Network // of the machines
 	dir     string
 	names   []string
 	clients []string
@@ -131,8 +133,11 @@
 			d.stop()
 		}
 	}()
+	if d.network, err = loopback.Reserve(); err != nil {
+		return nil, err
+	}
 	p := devPlatform()
-	if d.live, err = rehearsal.StartLive(ctx, rehearsal.LiveSettings{State: addr(0), Cloud: addr(1), Names: d.names, Clients: d.clients, Network: fmt.Sprintf("127.%d.", 20+s.port%200), Platform: p, Types: devTypes()}); err != nil {
+	if d.live, err = rehearsal.StartLive(ctx, rehearsal.LiveSettings{State: addr(0), Cloud: addr(1), Names: d.names, Clients: d.clients, Network: d.network.Prefix, Platform: p, Types: devTypes()}); err != nil {
 		return nil, err
 	}
 	d.rollout = filepath.Join(d.dir, "rollout.toml")
@@ -257,6 +262,9 @@
 	if d.cancel != nil {
 		d.cancel()
 	}
+	if d.network != nil {
+		d.network.Close()
+	}
 	if !d.keep {
 		os.RemoveAll(d.dir)
 	}
