--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -241,6 +241,9 @@
 	for _, t := range p.Teams {
 		f.Facts.Teams = append(f.Facts.Teams, teamFile{t.Name, float64(t.Guarantee.CPU) / 1000, float64(t.Limit.CPU) / 1000, float64(t.Guarantee.GPU) / 1000, float64(t.Limit.GPU) / 1000})
 	}
+	for _, o := range p.Objectives {
+		f.Facts.Objectives = append(f.Facts.Objectives, objectiveFile{o.Kind, o.Class, o.Within.Seconds(), o.Share})
+	}
 	w := &f.Facts.Workers
 	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = p.ReportEvery.Seconds(), p.WorkerLease.Seconds(), p.GangWait.Seconds(), p.GangPeer.Seconds(), p.Cancel.Seconds()
 	f.Facts.State.RPS, f.Facts.State.WriteRPS, f.Facts.State.ValueKB, f.Facts.State.TxnOps = p.StateRate, p.StateWriteRate, float64(p.ValueBytes)/1024, p.TxnOps
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -66,6 +66,13 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+type objectiveFile struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
 type platformFile struct {
 	NodeName      string        `toml:"node_name"`
 	Area          string        `toml:"area"`
@@ -77,17 +84,12 @@
 		State string `toml:"state"`
 	} `toml:"services"`
 	Facts struct {
-		Nodes      int        `toml:"nodes"`
-		Zones      []string   `toml:"zones"`
-		ClockOffMS float64    `toml:"clock_off_ms"`
-		Teams      []teamFile `toml:"teams"`
-		Objectives []struct {
-			Kind    string  `toml:"kind"`
-			Class   string  `toml:"class"`
-			WithinS float64 `toml:"within_s"`
-			Share   float64 `toml:"share"`
-		} `toml:"objectives"`
-		Workers struct {
+		Nodes      int             `toml:"nodes"`
+		Zones      []string        `toml:"zones"`
+		ClockOffMS float64         `toml:"clock_off_ms"`
+		Teams      []teamFile      `toml:"teams"`
+		Objectives []objectiveFile `toml:"objectives"`
+		Workers    struct {
 			ReportS   float64 `toml:"report_s"`
 			LeaseS    float64 `toml:"lease_s"`
 			GangWaitS float64 `toml:"gang_wait_s"`
