--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -32,7 +32,7 @@
 	Setup    = "setup" // [S to all] Setup; the first line. Answered by Ready
 	Ready    = "ready" // [all to S] listening, Text: why not
 	Boot     = "boot"  // [standins to S, S to hollow or worker and relay] Machine is up from At on
-	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID
+	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID. To relays Names are public addresses
 	GoneDone = "gone_done"
 	Jobs     = "jobs" // [hollow to S] Task was launched at At on Name: what is it? Ref: its description is wanted too
 	// [S to hollow] the answer: Task, Status 200 or 404, Specs if wanted, Run of a task (below 0: it fails after that), For: what is left of it, Phase `done`: its result is kept
@@ -103,6 +103,7 @@
 	Of     map[string]string // source address (IP) to region, of what is there from the beginning
 	Delay  map[string]int64  // one-way delay from a region to Region, microseconds
 	Loss   float64           // share of connections that are reset, per connection
+	Jitter float64           // share of the delay by which it varies
 }
 
 // Config is what a part is told first. Platform is the text of the settings file that the
