--- a/cmd/mapleslip/main.go
+++ b/cmd/mapleslip/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -20,6 +21,10 @@
 
 func main() {
 	if err := command().Execute(); err != nil {
+		var exit *exitError
+		if errors.As(err, &exit) {
+			os.Exit(exit.code)
+		}
 		fmt.Fprintln(os.Stderr, "mapleslip: "+err.Error())
 		os.Exit(1)
 	}
@@ -86,7 +91,7 @@
 	cmd.Flags().StringVar(&rolls, "rollout", "", "serve roll-outs, as the settings `FILE` says")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	cmd.AddCommand((&users{}).commands()...)
-	cmd.AddCommand(devCommand())
+	cmd.AddCommand(devCommand(), scaleCommand())
 	cmd.CompletionOptions.DisableDefaultCmd = true
 	return cmd
 }
--- a/internal/scale/part/part.go
+++ b/internal/scale/part/part.go
@@ -11,7 +11,9 @@
 	"strings"
 
 	"mapleslip/internal/scale/hollow"
+	"mapleslip/internal/scale/relay"
 	"mapleslip/internal/scale/standin"
+	"mapleslip/internal/scale/users"
 	"mapleslip/internal/scale/wire"
 )
 
@@ -23,6 +25,8 @@
 	wire.RoleHollow:   hollow.Run,
 	wire.RoleWorker:   hollow.RunOne,
 	wire.RoleStandins: standin.Run,
+	wire.RoleRelay:    relay.Run,
+	wire.RoleUsers:    users.Run,
 }
 
 // Register adds a role. It is called from init functions, before any Part.
--- /dev/null
+++ b/internal/scale/plot.go
@@ -0,0 +1,135 @@
+package scale
+
+import (
+	"fmt"
+	"image/color"
+	"maps"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+func processors() int { return runtime.NumCPU() }
+
+const (
+	plotWidth  = 18 * vg.Centimeter
+	plotHeight = 9 * vg.Centimeter
+)
+
+// curve is a line of a picture.
+type curve struct {
+	name   string
+	points plotter.XYs
+}
+
+// plot draws the run's pictures into a folder.
+func (r *Report) plot(dir string) error {
+	if len(r.Seconds) < 2 {
+		return nil
+	}
+	starts, running := curve{name: "starts a second"}, curve{name: "tasks running"}
+	cpu, rss := make(map[string]*curve), make(map[string]*curve)
+	add := func(to map[string]*curve, t int, values map[string]float64) {
+		for role, v := range values {
+			c := to[role]
+			if c == nil {
+				c = &curve{name: role}
+				to[role] = c
+			}
+			c.points = append(c.points, plotter.XY{X: float64(t), Y: v})
+		}
+	}
+	for _, s := range r.Seconds {
+		starts.points = append(starts.points, plotter.XY{X: float64(s.T), Y: float64(s.Starts)})
+		if s.CPU != nil {
+			running.points = append(running.points, plotter.XY{X: float64(s.T), Y: float64(s.Running)})
+		}
+		add(cpu, s.T, s.CPU)
+		add(rss, s.T, s.RSS)
+	}
+	list := func(m map[string]*curve) (out []curve) {
+		for _, k := range slices.Sorted(maps.Keys(m)) {
+			out = append(out, *m[k])
+		}
+		return out
+	}
+	pictures := []struct {
+		file, title, unit string
+		curves            []curve
+	}{
+		{"starts.svg", "Starts of tasks", "a second", []curve{starts}},
+		{"running.svg", "Tasks on machines", "tasks", []curve{running}},
+		{"processor.svg", "Processor time by role, all its processes", "cores", list(cpu)},
+		{"memory.svg", "Memory by role, all its processes", "MB", list(rss)},
+	}
+	for _, name := range slices.Sorted(maps.Keys(r.Series)) {
+		class, isWait := strings.CutSuffix(name, " wait")
+		if !isWait && name != "submit" {
+			continue
+		}
+		title := "Waits of " + class + " without the image's fetch"
+		if !isWait {
+			title = "Submissions, from due to answered"
+		}
+		p50, p99, p999 := curve{name: "p50"}, curve{name: "p99"}, curve{name: "p99.9"}
+		for _, s := range r.Series[name] {
+			t := float64(s.T) + spanS/2.0
+			p50.points = append(p50.points, plotter.XY{X: t, Y: s.P50 / 1000})
+			p99.points = append(p99.points, plotter.XY{X: t, Y: s.P99 / 1000})
+			p999.points = append(p999.points, plotter.XY{X: t, Y: s.P999 / 1000})
+		}
+		pictures = append(pictures, struct {
+			file, title, unit string
+			curves            []curve
+		}{strings.ReplaceAll(name, " ", "-") + ".svg", title, "s, by when it was due", []curve{p50, p99, p999}})
+	}
+	for _, p := range pictures {
+		if err := r.picture(filepath.Join(dir, p.file), p.title, p.unit, p.curves); err != nil {
+			return fmt.Errorf("%s: %w", p.file, err)
+		}
+	}
+	return nil
+}
+
+// picture draws curves over the run's time, and a line where a fault was played.
+func (r *Report) picture(path, title, unit string, curves []curve) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%s (%s, part %g)", title, r.Name, r.Part)
+	p.X.Label.Text, p.Y.Label.Text = "seconds of the run", unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	top := 0.0
+	for i, c := range curves {
+		if len(c.points) == 0 {
+			continue
+		}
+		for _, xy := range c.points {
+			top = max(top, xy.Y)
+		}
+		l, err := plotter.NewLine(c.points)
+		if err != nil {
+			return err
+		}
+		l.Color, l.Dashes = plotutil.Color(i), plotutil.Dashes(i/7)
+		p.Add(l)
+		if len(curves) > 1 {
+			p.Legend.Add(c.name, l)
+		}
+	}
+	for _, f := range r.Faults {
+		l, err := plotter.NewLine(plotter.XYs{{X: f.T, Y: 0}, {X: f.T, Y: max(top, 1e-9)}})
+		if err != nil {
+			return err
+		}
+		l.Color, l.Dashes = color.Gray{150}, []vg.Length{vg.Points(2), vg.Points(2)}
+		p.Add(l)
+	}
+	p.Add(plotter.NewGrid())
+	return p.Save(plotWidth, plotHeight, path)
+}
--- /dev/null
+++ b/internal/scale/report.go
@@ -0,0 +1,441 @@
+package scale
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/scale/hub"
+	"mapleslip/internal/scale/wire"
+)
+
+// Report is what a run has shown.
+type Report struct {
+	Name        string                 `json:"name"`
+	Part        float64                `json:"part"`
+	Seed        uint64                 `json:"seed"`
+	Controller  string                 `json:"controller,omitempty"` // another program than the tool's own
+	Began       time.Time              `json:"began"`
+	TookS       float64                `json:"took_s"`
+	Exit        int                    `json:"exit"`
+	Reasons     []string               `json:"reasons"` // why it is not good
+	Machine     Host                   `json:"machine"`
+	Workers     int                    `json:"workers"` // at the beginning
+	Controllers int                    `json:"controllers"`
+	Zones       int                    `json:"zones"`
+	Teams       int                    `json:"teams"`
+	WindowS     [2]float64             `json:"window_s"` // of what is averaged and of percentiles, seconds of the run
+	Counts      hub.Counts             `json:"counts"`
+	Broken      []hub.Violation        `json:"broken"`
+	Faults      []Played               `json:"faults"`
+	Latency     map[string]Percentiles `json:"latency"`
+	Unstarted   map[string]int         `json:"unstarted"` // tasks by class that were due in the window and never started
+	Rows        map[string]float64     `json:"rows"`      // means and rates in the window, see docs/scale.md
+	Notes       []string               `json:"notes"`
+	Seconds     []Second               `json:"seconds"`
+	Series      map[string][]Span      `json:"series"` // percentiles by when it was due
+}
+
+// Host is the machine on which the run was.
+type Host struct {
+	Processors int     `json:"processors"`
+	MemoryMB   int64   `json:"memory_mb"`
+	PeakMB     int64   `json:"peak_mb"` // of all processes together
+	BusyP95    float64 `json:"busy_p95"`
+	LagMSP99   float64 `json:"lag_ms_p99"` // of the seconds' largest lags
+	LagMSMax   float64 `json:"lag_ms_max"`
+}
+
+// Percentiles are of times in milliseconds.
+type Percentiles struct {
+	Count  int64   `json:"count"`
+	P50    float64 `json:"p50_ms"`
+	P99    float64 `json:"p99_ms"`
+	P999   float64 `json:"p99_9_ms"`
+	Max    float64 `json:"max_ms"`
+	AimS   float64 `json:"aim_s,omitempty"`
+	Within float64 `json:"within,omitempty"` // share within the aim
+}
+
+// Span is a part of a series: what was due from second T on, for spanS seconds.
+type Span struct {
+	T int `json:"t"`
+	Percentiles
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	ms := func(us int64) float64 { return float64(us) / 1000 }
+	return Percentiles{Count: h.TotalCount(), P50: ms(h.ValueAtQuantile(50)), P99: ms(h.ValueAtQuantile(99)), P999: ms(h.ValueAtQuantile(99.9)), Max: ms(h.Max())}
+}
+
+// quantile of values that need not be in order; 0 of none.
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	v = slices.Clone(v)
+	sort.Float64s(v)
+	return v[min(len(v)-1, int(math.Ceil(q*float64(len(v))))-1+btoi(q == 0))]
+}
+
+// report sums up a run that ended with err.
+func (s *supervisor) report(began time.Time, err error) *Report {
+	m := s.meter
+	r := &Report{Name: s.f.Name, Part: s.o.Part, Seed: s.f.Seed, Began: began.UTC().Truncate(time.Second), TookS: math.Round(time.Since(began).Seconds()*10) / 10,
+		Workers: s.f.Machines(), Controllers: len(s.controllers), Teams: s.f.Teams.Count, Faults: s.played, Notes: s.notes,
+		Latency: make(map[string]Percentiles), Rows: make(map[string]float64), Series: make(map[string][]Span), Seconds: m.seconds}
+	if s.o.Controller != s.self {
+		r.Controller = filepath.Base(s.o.Controller)
+	}
+	for _, g := range s.f.Regions {
+		r.Zones += len(g.Zones)
+	}
+	total, _, _ := memory()
+	r.Machine = Host{Processors: processors(), MemoryMB: total >> 20, PeakMB: m.peakRSS >> 20}
+	if s.hub != nil {
+		// All parts have ended: nothing comes any more.
+		s.hub.Tick(wire.Now() + 3*int64(protocol.Second))
+		r.Counts, r.Broken = s.hub.Counts(), s.hub.Broken()
+	}
+	if m.began > 0 {
+		last := min(wire.Now(), m.ends+int64(protocol.FromSeconds(s.f.SettleS)))
+		r.WindowS = [2]float64{s.f.WarmupS, min(s.f.DurationS, float64(last-m.began)/1e6)}
+		r.Unstarted = m.rest(last)
+	}
+	for name, l := range m.lat {
+		p := percentiles(l.all)
+		if l.within > 0 && p.Count > 0 {
+			p.AimS, p.Within = float64(l.within)/1e6, float64(l.good)/float64(p.Count)
+		}
+		if p.Count > 0 {
+			r.Latency[name] = p
+		}
+		for i, h := range l.spans {
+			if h != nil {
+				r.Series[name] = append(r.Series[name], Span{i * spanS, percentiles(h)})
+			}
+		}
+	}
+	m.rows(r)
+	r.judge(s.f, err)
+	return r
+}
+
+// judge sets the exit code.
+func (r *Report) judge(f *File, err error) {
+	var limit *limitError
+	switch {
+	case len(r.Broken) > 0:
+		r.Exit = ExitBroken
+		for _, b := range r.Broken {
+			r.Reasons = append(r.Reasons, "rule broken: "+b.Kind+": "+b.Text)
+		}
+	case err != nil && strings.HasPrefix(err.Error(), "rule broken:"):
+		r.Exit, r.Reasons = ExitBroken, append(r.Reasons, err.Error())
+	case errors.As(err, &limit):
+		r.Exit, r.Reasons = ExitFailed, append(r.Reasons, "stopped by a limit: "+err.Error())
+	case err != nil:
+		r.Exit, r.Reasons = ExitFailed, append(r.Reasons, err.Error())
+	}
+	var lags, busy []float64
+	for _, s := range r.Seconds {
+		if float64(s.T) >= r.WindowS[0] && float64(s.T) < r.WindowS[1] {
+			lags, busy = append(lags, s.LagMS), append(busy, s.Busy)
+			r.Machine.LagMSMax = max(r.Machine.LagMSMax, s.LagMS)
+		}
+	}
+	r.Machine.LagMSP99, r.Machine.BusyP95 = quantile(lags, 0.99), quantile(busy, 0.95)
+	if r.Exit != ExitGood {
+		return
+	}
+	if r.Counts.Starts == 0 {
+		r.Exit, r.Reasons = ExitBroken, append(r.Reasons, "rule broken: nothing_ran")
+	}
+	if v := r.Machine.LagMSP99; v > f.Limits.LagMS {
+		r.Exit, r.Reasons = ExitVoid, append(r.Reasons, fmt.Sprintf("void: the tool's processes were up to %.0f ms late in one of a hundred seconds, limits.lag_ms is %g: this machine is what was measured", v, f.Limits.LagMS))
+	}
+	if v := r.Machine.BusyP95; v > f.Limits.CPUShare {
+		r.Exit, r.Reasons = ExitVoid, append(r.Reasons, fmt.Sprintf("void: %.0f%% of the machine's processors were busy in one of twenty seconds, limits.cpu_share is %g: this machine is what was measured", v*100, f.Limits.CPUShare))
+	}
+}
+
+// rows adds up the window's means and rates: of each role, of controllers' counters, and
+// of what the parts say of themselves.
+func (m *meter) rows(r *Report) {
+	if m.began == 0 {
+		return
+	}
+	from, to := m.began+int64(r.WindowS[0]*1e6), m.began+int64(r.WindowS[1]*1e6)
+	type sum struct {
+		cpu, span, top  float64 // seconds of processor time and of processes, largest cores of one
+		rss, rssTop, n  float64
+		sockets, socksN float64
+		socksTop        float64
+	}
+	roles := make(map[string]*sum)
+	rate := make(map[string]float64)
+	leaderSpan, otherSpan := 0.0, 0.0
+	var before *sample
+	for _, s := range m.samples {
+		if s.at < from || s.at >= to {
+			continue
+		}
+		leader := leaderOf(s.scraped)
+		for p, u := range s.usage {
+			role := roleIn(p, leader)
+			a := roles[role]
+			if a == nil {
+				a = &sum{}
+				roles[role] = a
+			}
+			a.n++
+			a.rss += float64(u.rss) / 1e6
+			a.rssTop = max(a.rssTop, float64(u.rss)/1e6)
+			if u.sockets >= 0 {
+				a.sockets += float64(u.sockets)
+				a.socksN++
+				a.socksTop = max(a.socksTop, float64(u.sockets))
+			}
+			if before == nil {
+				continue
+			}
+			if was, ok := before.usage[p]; ok {
+				span := float64(s.at-before.at) / 1e6
+				cpu := (u.cpu - was.cpu).Seconds()
+				a.cpu += cpu
+				a.span += span
+				a.top = max(a.top, cpu/span)
+			}
+		}
+		if before != nil {
+			span := float64(s.at-before.at) / 1e6
+			for name, c := range s.scraped {
+				was := before.scraped[name]
+				role := "controller"
+				if name == leader {
+					role = "leader"
+				}
+				if was == nil {
+					continue
+				}
+				if role == "leader" {
+					leaderSpan += span
+				} else {
+					otherSpan += span
+				}
+				for what, pair := range map[string][2]map[string]float64{"calls": {c.calls, was.calls}, "events": {c.steps, was.steps}, "step seconds": {c.stepS, was.stepS}, "refused": {c.refused, was.refused}} {
+					for k, v := range pair[0] {
+						d := v - pair[1][k]
+						if d < 0 {
+							d = v // it started anew
+						}
+						rate[role+" "+what+" "+k] += d
+					}
+				}
+			}
+		}
+		before = s
+	}
+	for role, a := range roles {
+		if a.span > 0 {
+			r.Rows[role+" cores"] = a.cpu / a.span
+			r.Rows[role+" cores, largest second"] = a.top
+		}
+		r.Rows[role+" memory MB"] = a.rss / a.n
+		r.Rows[role+" memory MB, largest"] = a.rssTop
+		if a.socksN > 0 {
+			r.Rows[role+" sockets"] = a.sockets / a.socksN
+			r.Rows[role+" sockets, largest"] = a.socksTop
+		}
+	}
+	for k, v := range rate {
+		span := otherSpan
+		if strings.HasPrefix(k, "leader ") {
+			span = leaderSpan
+		}
+		if span > 0 && v > 0 {
+			r.Rows[k+" per s"] = v / span
+		}
+	}
+	m.partRows(r, from, to)
+	starts, running, n := 0, 0, 0
+	for _, s := range r.Seconds {
+		if float64(s.T) >= r.WindowS[0] && float64(s.T) < r.WindowS[1] {
+			starts += s.Starts
+			running += s.Running
+			n++
+		}
+	}
+	if n > 0 {
+		r.Rows["run starts per s"], r.Rows["run tasks running"] = float64(starts)/float64(n), float64(running)/float64(n)
+	}
+}
+
+// partRows adds what parts said of themselves. A value that never falls and has grown in
+// the window is a counter; others are averaged. Values of processes of a role are added
+// up, but those of real workers are averaged: they show what one costs.
+func (m *meter) partRows(r *Report, from, to int64) {
+	type agg struct{ sum, n float64 }
+	out := make(map[string]*agg)
+	add := func(key string, v float64, mean bool) {
+		a := out[key]
+		if a == nil {
+			a = &agg{}
+			out[key] = a
+		}
+		a.sum += v
+		if a.n++; !mean {
+			a.n = 1
+		}
+	}
+	for name, list := range m.gauges {
+		var in []gauge
+		for _, g := range list {
+			if g.at >= from && g.at < to {
+				in = append(in, g)
+			}
+		}
+		if len(in) < 2 {
+			continue
+		}
+		role := m.parts[name].role
+		first, last := in[0], in[len(in)-1]
+		for key := range last.values {
+			rises, sum, top := true, 0.0, 0.0
+			for i, g := range in {
+				v := g.values[key]
+				sum += v
+				top = max(top, v)
+				rises = rises && (i == 0 || v >= in[i-1].values[key])
+			}
+			switch {
+			case strings.HasSuffix(key, "_max") || strings.HasSuffix(key, "_p99"):
+				k := role + " " + key
+				if a := out[k]; a == nil || a.sum < top {
+					out[k] = &agg{top, 1}
+				}
+			case rises && last.values[key] > first.values[key]:
+				add(role+" "+key+" per s", (last.values[key]-first.values[key])/(float64(last.at-first.at)/1e6), role == wire.RoleWorker)
+			default:
+				add(role+" "+key, sum/float64(len(in)), role == wire.RoleWorker)
+			}
+		}
+	}
+	for k, a := range out {
+		if a.sum != 0 {
+			r.Rows[k] = a.sum / a.n
+		}
+	}
+}
+
+// Write puts the report and its plots into a folder.
+func (r *Report) Write(dir string) error {
+	text, err := json.MarshalIndent(r, "", " ")
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(filepath.Join(dir, "report.json"), append(text, '\n'), 0o644); err != nil {
+		return err
+	}
+	return r.plot(dir)
+}
+
+// ReadReport reads a report.json, or that of a folder.
+func ReadReport(path string) (*Report, error) {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		path = filepath.Join(path, "report.json")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	r := new(Report)
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return r, nil
+}
+
+// verdicts by exit code.
+var verdicts = []string{"good", "RULE BROKEN", "FAILED", "VOID"}
+
+// Print writes the report as a table.
+func (r *Report) Print(out io.Writer) {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	line := func(name, format string, args ...any) {
+		fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...))
+	}
+	line("verdict", "%s", verdicts[r.Exit])
+	for _, why := range r.Reasons[:min(len(r.Reasons), 10)] {
+		line("", "%s", why)
+	}
+	line("run", "%s, part %g, seed %d, %.0f s; averages and percentiles of %.0f s to %.0f s", r.Name, r.Part, r.Seed, r.TookS, r.WindowS[0], r.WindowS[1])
+	line("size", "%d workers in %d zones, %d teams, %d controllers", r.Workers, r.Zones, r.Teams, r.Controllers)
+	line("this machine", "%d processors, p95 of busy %.0f%%; lag p99 %.0f ms, largest %.0f ms; %d of %d MB", r.Machine.Processors, r.Machine.BusyP95*100, r.Machine.LagMSP99, r.Machine.LagMSMax, r.Machine.PeakMB, r.Machine.MemoryMB)
+	line("jobs", "%d; %d starts of tasks, %d done, %d running at the end", r.Counts.Jobs, r.Counts.Starts, r.Counts.Done, r.Counts.Running)
+	peak, peakAt := 0.0, 0
+	for i := 0; i+spanS <= len(r.Seconds); i++ {
+		n := 0
+		for _, s := range r.Seconds[i : i+spanS] {
+			n += s.Starts
+		}
+		if v := float64(n) / spanS; v > peak {
+			peak, peakAt = v, i
+		}
+	}
+	line("starts a second", "%.1f in the mean, %.1f in the %d s from %d s on", r.Rows["run starts per s"], peak, spanS, peakAt)
+	if len(r.Counts.Leaves) > 0 {
+		var parts []string
+		for _, k := range slices.Sorted(maps.Keys(r.Counts.Leaves)) {
+			parts = append(parts, fmt.Sprintf("%s %d", k, r.Counts.Leaves[k]))
+		}
+		line("tasks ended", "%s", strings.Join(parts, ", "))
+	}
+	for _, f := range r.Faults {
+		line("fault", "%.1f s: %s: %s", f.T, f.Fault, f.What)
+	}
+	for _, n := range r.Notes[:min(len(r.Notes), 10)] {
+		line("note", "%s", n)
+	}
+	w.Flush()
+
+	fmt.Fprintln(out)
+	fmt.Fprintln(w, "time\tcount\tp50\tp99\tp99.9\tlargest\twithin\tnever started")
+	ms := func(v float64) string { return milliseconds(int64(v * 1000)) }
+	for _, k := range slices.Sorted(maps.Keys(r.Latency)) {
+		p := r.Latency[k]
+		within, never := "", ""
+		if p.AimS > 0 {
+			within = fmt.Sprintf("%.4f of %g s", p.Within, p.AimS)
+		}
+		if class, ok := strings.CutSuffix(k, " wait"); ok {
+			never = fmt.Sprint(r.Unstarted[class])
+		}
+		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", k, p.Count, ms(p.P50), ms(p.P99), ms(p.P999), ms(p.Max), within, never)
+	}
+	w.Flush()
+
+	fmt.Fprintln(out)
+	fmt.Fprintln(w, "role, each process\tcores\tlargest second\tMB\tlargest\tsockets\tlargest")
+	for _, role := range []string{"leader", roleController, wire.RoleWorker, wire.RoleHollow, wire.RoleStandins, wire.RoleRelay, wire.RoleUsers, "supervisor"} {
+		if _, ok := r.Rows[role+" memory MB"]; !ok {
+			continue
+		}
+		v := func(k string) float64 { return r.Rows[role+" "+k] }
+		fmt.Fprintf(w, "%s\t%.4f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\n", role, v("cores"), v("cores, largest second"), v("memory MB"), v("memory MB, largest"), v("sockets"), v("sockets, largest"))
+	}
+	w.Flush()
+}
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -63,6 +63,7 @@
 	MaxConnections int      `toml:"max_connections"`
 	RestartDelayS  float64  `toml:"restart_delay_s"`
 	ClockOffMS     float64  `toml:"clock_off_ms"`
+	IdleReturnS    float64  `toml:"idle_return_s"` // the operators' setting
 }
 
 // WorkerTimes are those of the platform's file.
@@ -125,7 +126,8 @@
 }
 
 // Teams are alike: each has an equal part of all CPUs and GPUs, of which Guarantee and
-// Limit are multiples.
+// Limit are multiples. A limit is at least what the largest gang or service that can be
+// drawn needs, so that all sizes of a deployment have the same jobs.
 type Teams struct {
 	Count     int     `toml:"count"`
 	Guarantee float64 `toml:"guarantee"`
@@ -209,7 +211,7 @@
 func defaults() *File {
 	return &File{Seed: 1, WarmupS: 0, FillS: 1, SettleS: 5,
 		Deployment:  Deployment{PerProcess: 700, SpareShare: 0, RackSize: 20},
-		Controllers: Controllers{CPUShare: 1, MemoryMB: 512, MaxConnections: 8000, RestartDelayS: 4, ClockOffMS: 1000},
+		Controllers: Controllers{CPUShare: 1, MemoryMB: 512, MaxConnections: 8000, RestartDelayS: 4, ClockOffMS: 1000, IdleReturnS: 20},
 		Cloud:       Cloud{RPS: 8, ListLagS: 5},
 		Limits:      Limits{LagMS: 250, CPUShare: 0.9, Memory: 0.5, Processes: 300, QuietS: 60},
 		Users:       UserSettings{PollS: 5, MaxConnections: 3000},
@@ -363,6 +365,7 @@
 	c.number("controllers.max_connections", float64(f.Controllers.MaxConnections), 64, 19000)
 	c.number("controllers.restart_delay_s", f.Controllers.RestartDelayS, 0, 3600)
 	c.number("controllers.clock_off_ms", f.Controllers.ClockOffMS, 0, 1e6)
+	c.number("controllers.idle_return_s", f.Controllers.IdleReturnS, 1, 86400)
 	c.number("workers.report_s", f.Workers.ReportS, 0.1, 3600)
 	c.number("workers.lease_s", f.Workers.LeaseS, 1, 86400)
 	c.number("workers.gang_wait_s", f.Workers.GangWaitS, 0.1, 86400)
@@ -632,8 +635,16 @@
 		whole := func(v int64) int64 { return int64(math.Ceil(float64(v)/1000*times/n)) * 1000 }
 		return protocol.Resources{CPU: whole(all.CPU), GPU: whole(all.GPU)}
 	}
+	limit := amount(f.Teams.Limit)
+	for _, j := range f.Jobs {
+		tasks := int64(j.Tasks.Largest())
+		if j.Kind == "array" {
+			tasks = 1
+		}
+		limit.CPU, limit.GPU = max(limit.CPU, tasks*int64(j.CPUs*1000)), max(limit.GPU, tasks*int64(j.GPUs*1000))
+	}
 	for _, name := range f.teamNames() {
-		p.Teams[name] = protocol.Team{Name: name, Guarantee: amount(f.Teams.Guarantee), Limit: amount(f.Teams.Limit)}
+		p.Teams[name] = protocol.Team{Name: name, Guarantee: amount(f.Teams.Guarantee), Limit: limit}
 	}
 	for _, a := range f.Aims {
 		p.Objectives = append(p.Objectives, protocol.Objective{Kind: a.Kind, Class: a.Class, Within: s(a.WithinS), Share: a.Share})
