--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -17,19 +18,26 @@
 
 // store stands in for the state service.
 type store struct {
-	w        *World
+	now      func() micros
+	platform *protocol.Platform // its limits
+	metered  func() bool        // the rate of changes is held
+	strict   bool               // all published limits are held
+	alarm    func(format string, args ...any)
+
 	down     bool
 	keys     map[string]*entry
+	order    []string // the keys, sorted
+	bytes    int      // of keys and values
 	revision uint64
 	leases   map[uint64]*lease
 	nextID   uint64
 	watches  []*follower
-	changes  []change
-	forgot   uint64 // the last change that is not among them any more
-	written  int    // puts and deletes
-	refused  int    // transactions beyond the rate
-	room     float64
-	roomAt   micros
+	changes  []change // by stamp
+	forgot   uint64   // the last change that is not among them any more
+	written  int      // puts and deletes
+	refused  int      // transactions beyond the rate
+	writes   allowance
+	requests allowance
 }
 
 type entry struct {
@@ -51,18 +59,68 @@
 	prefix string
 	since  uint64
 	ends   micros
+	news   bool // a key with the prefix has changed since
 	answer func(int, string)
 }
 
+// allowance is a bucket of some seconds' worth of a rate.
+type allowance struct {
+	room float64
+	at   micros
+}
+
+func (a *allowance) take(now micros, rate, seconds, n float64) bool {
+	a.room = min(rate*seconds, a.room+rate*(now-a.at).Seconds())
+	a.at = now
+	if a.room < n {
+		return false
+	}
+	a.room -= n
+	return true
+}
+
 func newStore(w *World) *store {
-	return &store{w: w, keys: make(map[string]*entry), leases: make(map[uint64]*lease)}
+	return &store{now: func() micros { return w.now }, platform: &w.Platform, metered: func() bool { return w.limited }, alarm: w.broken,
+		keys: make(map[string]*entry), leases: make(map[uint64]*lease)}
+}
+
+// set puts a key.
+func (s *store) set(key string, e *entry) {
+	old := s.keys[key]
+	if old == nil {
+		i, _ := slices.BinarySearch(s.order, key)
+		s.order = slices.Insert(s.order, i, key)
+		s.bytes += len(key)
+	} else {
+		s.bytes -= len(old.value)
+	}
+	s.bytes += len(e.value)
+	s.keys[key] = e
+}
+
+// drop deletes a key that is there.
+func (s *store) drop(key string) {
+	i, _ := slices.BinarySearch(s.order, key)
+	s.order = slices.Delete(s.order, i, i+1)
+	s.bytes -= len(key) + len(s.keys[key].value)
+	delete(s.keys, key)
+}
+
+// note keeps a change, and marks whom it wakes.
+func (s *store) note(c change) {
+	s.changes = append(s.changes, c)
+	for _, f := range s.watches {
+		if !f.news && strings.HasPrefix(c.key, f.prefix) {
+			f.news = true
+		}
+	}
 }
 
 // setDown begins or ends an outage. After one, leases get their full time.
 func (s *store) setDown(down bool) {
 	if s.down && !down {
 		for _, l := range s.leases {
-			l.ends = s.w.now + l.ttl
+			l.ends = s.now() + l.ttl
 		}
 	}
 	s.down = down
@@ -79,32 +137,43 @@
 	}
 	sort.Slice(ids, func(a, b int) bool { return ids[a] < ids[b] })
 	for _, id := range ids {
-		if s.leases[id].ends <= s.w.now {
+		if s.leases[id].ends <= s.now() {
 			s.endLease(id)
 		}
 	}
+	s.wake()
+	if n := len(s.changes) - keptChanges; n > keptChanges/10 {
+		s.forgot = s.changes[n-1].stamp
+		s.changes = append([]change(nil), s.changes[n:]...)
+	}
+}
+
+// wake answers watches that have news or whose time is over.
+func (s *store) wake() {
 	rest := s.watches[:0]
 	for _, f := range s.watches {
-		if news := s.news(f); len(news) > 0 || f.ends <= s.w.now {
-			f.answer(200, fmt.Sprintf(`{"generation":%d,"news":[%s]}`, s.revision, strings.Join(news, ",")))
+		if f.news || f.ends <= s.now() {
+			f.answer(200, fmt.Sprintf(`{"generation":%d,"news":[%s]}`, s.revision, strings.Join(s.news(f), ",")))
 			continue
 		}
 		rest = append(rest, f)
 	}
+	clear(s.watches[len(rest):])
 	s.watches = rest
-	if n := len(s.changes) - keptChanges; n > keptChanges/10 {
-		s.forgot = s.changes[n-1].stamp
-		s.changes = append([]change(nil), s.changes[n:]...)
-	}
 }
 
 // keptChanges is how many changes can be followed later.
 const keptChanges = 10_000
 
+// since is the first kept change after a revision.
+func (s *store) since(revision uint64) int {
+	return sort.Search(len(s.changes), func(i int) bool { return s.changes[i].stamp > revision })
+}
+
 func (s *store) news(f *follower) []string {
 	var list []string
-	for _, c := range s.changes {
-		if c.stamp <= f.since || !strings.HasPrefix(c.key, f.prefix) {
+	for _, c := range s.changes[s.since(f.since):] {
+		if !strings.HasPrefix(c.key, f.prefix) {
 			continue
 		}
 		if c.value == "" {
@@ -127,8 +196,8 @@
 	sort.Strings(keys)
 	for _, k := range keys {
 		s.revision++
-		delete(s.keys, k)
-		s.changes = append(s.changes, change{k, "", s.revision})
+		s.drop(k)
+		s.note(change{k, "", s.revision})
 	}
 }
 
@@ -138,6 +207,10 @@
 		answer(503, `{"error":"outage"}`)
 		return
 	}
+	if s.strict && !s.requests.take(s.now(), s.platform.StateRate, 1, 1) {
+		answer(429, `{"error":"too many requests"}`)
+		return
+	}
 	path, query, _ := strings.Cut(target, "?")
 	args := map[string]string{}
 	for _, kv := range strings.Split(query, "&") {
@@ -155,51 +228,42 @@
 		}
 		answer(200, fmt.Sprintf(`{"path":%q,"data":%s,"stamp":%d,"hold":%d}`, key, e.value, e.stamp, e.lease))
 	case method == "GET" && path == "/store":
-		var keys []string
-		for k := range s.keys {
-			if strings.HasPrefix(k, args["under"]) && k > args["since"] {
-				keys = append(keys, k)
-			}
-		}
-		sort.Strings(keys)
 		page, _ := strconv.Atoi(args["page"])
-		more := len(keys) > page
-		if more {
-			keys = keys[:page]
-		}
-		var items []string
-		for _, k := range keys {
-			items = append(items, fmt.Sprintf(`{"path":%q,"data":%s,"stamp":%d}`, k, s.keys[k].value, s.keys[k].stamp))
-		}
-		answer(200, fmt.Sprintf(`{"entries":[%s],"truncated":%t,"generation":%d}`, strings.Join(items, ","), more, s.revision))
+		answer(200, s.list(args["under"], args["since"], page))
 	case method == "GET" && path == "/follow":
 		if since < s.forgot {
 			answer(410, `{"error":"too old"}`)
 			return
 		}
 		block, _ := strconv.ParseInt(args["blockMs"], 10, 64)
-		s.watches = append(s.watches, &follower{args["under"], since, s.w.now + micros(block)*protocol.Millisecond, answer})
+		f := &follower{prefix: args["under"], since: since, ends: s.now() + micros(min(block, 60_000))*protocol.Millisecond, answer: answer}
+		f.news = slices.ContainsFunc(s.changes[s.since(since):], func(c change) bool { return strings.HasPrefix(c.key, f.prefix) })
+		s.watches = append(s.watches, f)
 	case path == "/commit":
 		s.commit(body, answer)
 	case path == "/leases":
 		ttl := micros(fastjson.GetInt(body, "ttlMs")) * protocol.Millisecond
+		if s.strict && (ttl < 100*protocol.Millisecond || ttl > 600*protocol.Second) {
+			answer(400, `{"error":"ttlMs"}`)
+			return
+		}
 		s.nextID++
-		s.leases[s.nextID] = &lease{ttl, s.w.now + ttl}
+		s.leases[s.nextID] = &lease{ttl, s.now() + ttl}
 		answer(200, fmt.Sprintf(`{"hold":%d}`, s.nextID))
-	case method == "DELETE":
-		id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+	case method == "DELETE" && strings.HasPrefix(path, "/leases/"):
+		id, _ := strconv.ParseUint(path[len("/leases/"):], 10, 64)
 		if s.leases[id] != nil {
 			s.endLease(id)
 		}
 		answer(200, `{}`)
-	case strings.HasSuffix(path, "/extend"):
-		id, _ := strconv.ParseUint(strings.Split(path, "/")[2], 10, 64)
+	case strings.HasPrefix(path, "/leases/") && strings.HasSuffix(path, "/extend"):
+		id, _ := strconv.ParseUint(strings.TrimSuffix(path[len("/leases/"):], "/extend"), 10, 64)
 		l := s.leases[id]
 		if l == nil {
 			answer(404, `{}`)
 			return
 		}
-		l.ends = s.w.now + l.ttl
+		l.ends = s.now() + l.ttl
 		answer(200, `{}`)
 	default:
 		answer(400, `{"error":"unknown"}`)
@@ -213,24 +277,22 @@
 		return
 	}
 	then := v.GetArray("then")
-	if s.w.limited {
-		// A bucket of one second's worth, which transactions that fail empty too.
-		rate := s.w.Platform.StateWriteRate
-		s.room = min(rate, s.room+rate*(s.w.now-s.roomAt).Seconds())
-		s.roomAt = s.w.now
-		if s.room < float64(len(then)) {
-			s.refused++
-			answer(429, `{}`)
-			return
-		}
-		s.room -= float64(len(then))
+	if s.metered() && !s.writes.take(s.now(), s.platform.StateWriteRate, 1, float64(len(then))) {
+		s.refused++
+		answer(429, `{}`)
+		return
 	}
 	s.written += len(then)
-	if len(then) > s.w.Platform.TxnOps || len(v.GetArray("when")) > 4*s.w.Platform.TxnOps {
-		s.w.broken("transaction too large: %d changes", len(then))
+	if len(then) > s.platform.TxnOps || len(v.GetArray("when")) > 4*s.platform.TxnOps {
+		s.alarm("transaction too large: %d changes", len(then))
 		answer(400, `{}`)
 		return
 	}
+	if problem := s.malformed(then); s.strict && problem != "" {
+		s.alarm("transaction: %s", problem)
+		answer(400, fmt.Sprintf(`{"error":%q}`, problem))
+		return
+	}
 	var failed []string
 	for _, c := range v.GetArray("when") {
 		key := string(c.GetStringBytes("path"))
@@ -257,15 +319,71 @@
 		if c.Exists("drop") {
 			key := string(c.GetStringBytes("drop"))
 			if s.keys[key] != nil {
-				delete(s.keys, key)
-				s.changes = append(s.changes, change{key, "", s.revision})
+				s.drop(key)
+				s.note(change{key, "", s.revision})
 			}
 			continue
 		}
 		key := string(c.GetStringBytes("set"))
 		value := string(c.Get("data").MarshalTo(nil))
-		s.keys[key] = &entry{value, s.revision, c.GetUint64("hold")}
-		s.changes = append(s.changes, change{key, value, s.revision})
+		s.set(key, &entry{value, s.revision, c.GetUint64("hold")})
+		s.note(change{key, value, s.revision})
 	}
 	answer(200, fmt.Sprintf(`{"generation":%d}`, s.revision))
 }
+
+// Most of a page of keys.
+const (
+	maxPage      = 1000
+	maxPageBytes = 512 << 10
+)
+
+// list is a page of the keys with a prefix, after one of them; page 0: as many as can be.
+func (s *store) list(prefix, after string, page int) string {
+	if page <= 0 || page > maxPage {
+		page = maxPage
+	}
+	i, _ := slices.BinarySearch(s.order, prefix)
+	if after >= prefix {
+		var there bool
+		if i, there = slices.BinarySearch(s.order, after); there {
+			i++
+		}
+	}
+	var items strings.Builder
+	more := false
+	for n := 0; i < len(s.order) && strings.HasPrefix(s.order[i], prefix); n, i = n+1, i+1 {
+		k, e := s.order[i], s.keys[s.order[i]]
+		if n == page || n > 0 && items.Len()+len(k)+len(e.value)+64 > maxPageBytes {
+			more = true
+			break
+		}
+		if n > 0 {
+			items.WriteByte(',')
+		}
+		fmt.Fprintf(&items, `{"path":%q,"data":%s,"stamp":%d}`, k, e.value, e.stamp)
+	}
+	return fmt.Sprintf(`{"entries":[%s],"truncated":%t,"generation":%d}`, items.String(), more, s.revision)
+}
+
+// malformed says what is wrong with changes.
+func (s *store) malformed(then []*fastjson.Value) string {
+	for _, c := range then {
+		key, put := c.GetStringBytes("drop"), false
+		if key == nil {
+			key, put = c.GetStringBytes("set"), true
+		}
+		if len(key) < 1 || len(key) > 200 || strings.ContainsRune(string(key), ' ') {
+			return "a key of 1 to 200 bytes without spaces is needed"
+		}
+		if !put {
+			continue
+		}
+		if data := c.Get("data"); data == nil {
+			return "data is missing"
+		} else if n := len(data.MarshalTo(nil)); n > s.platform.ValueBytes {
+			return fmt.Sprintf("the value of %s takes %d bytes of %d", key, n, s.platform.ValueBytes)
+		}
+	}
+	return ""
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -144,7 +145,7 @@
 		w.Platform.Objectives = append(w.Platform.Objectives, protocol.Objective{Kind: words[1], Class: words[2], Within: protocol.FromSeconds(number(o, "within", 10))})
 	case "record": // is in the state service from the start: record KEY VALUE
 		w.store.revision++
-		w.store.keys[words[1]] = &entry{value: words[2], stamp: w.store.revision}
+		w.store.set(words[1], &entry{value: words[2], stamp: w.store.revision})
 	case "workers": // workers report=2.5 lease=16 cancel=46
 		o := options(words[1:])
 		w.Platform.ReportEvery = protocol.FromSeconds(number(o, "report", w.Platform.ReportEvery.Seconds()))
@@ -345,9 +346,9 @@
 			return err
 		}
 		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch.N, 10)
-		for key := range w.store.keys {
+		for _, key := range slices.Clone(w.store.order) {
 			if strings.HasPrefix(key, bookkeeping.LaunchPages) {
-				delete(w.store.keys, key)
+				w.store.drop(key)
 			}
 		}
 	case "state":
