--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -229,9 +229,9 @@
 	m.began, m.warmup, m.ends = at, at+int64(protocol.FromSeconds(f.WarmupS)), at+int64(protocol.FromSeconds(f.DurationS))
 }
 
-// second is the second of the run in which a time is.
+// second is the second of the run in which a time is; -1: before the load.
 func (m *meter) second(at int64) int {
-	if at < m.began {
+	if m.began == 0 || at < m.began {
 		return -1
 	}
 	return int((at - m.began) / int64(protocol.Second))
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -284,9 +284,15 @@
 	}
 }
 
-// partRows adds what parts said of themselves. A value that never falls and has grown in
-// the window is a counter; others are averaged. Values of processes of a role are added
-// up, but those of real workers are averaged: they show what one costs.
+// levels are what parts say of themselves that goes up and down; of names that end with
+// _max or _p99 the largest is kept, and everything else is a counter.
+var levels = map[string]bool{"state_keys": true, "state_bytes": true, "state_leases": true, "state_watches": true, "state_connections": true,
+	"cloud_machines": true, "cloud_free_slots": true, "cloud_connections": true, "connections": true, "in_flight": true, "healthy": true,
+	"workers": true, "tasks_on": true, "tasks_running": true, "tasks_reported": true, "listeners": true, "links_open": true}
+
+// partRows adds what parts said of themselves: the mean of levels, the rates of counters.
+// Values of processes of a role are added up, but those of real workers are averaged:
+// they show what one costs.
 func (m *meter) partRows(r *Report, from, to int64) {
 	type agg struct{ sum, n float64 }
 	out := make(map[string]*agg)
@@ -314,12 +320,10 @@
 		role := m.parts[name].role
 		first, last := in[0], in[len(in)-1]
 		for key := range last.values {
-			rises, sum, top := true, 0.0, 0.0
-			for i, g := range in {
-				v := g.values[key]
-				sum += v
-				top = max(top, v)
-				rises = rises && (i == 0 || v >= in[i-1].values[key])
+			sum, top := 0.0, 0.0
+			for _, g := range in {
+				sum += g.values[key]
+				top = max(top, g.values[key])
 			}
 			switch {
 			case strings.HasSuffix(key, "_max") || strings.HasSuffix(key, "_p99"):
@@ -327,10 +331,10 @@
 				if a := out[k]; a == nil || a.sum < top {
 					out[k] = &agg{top, 1}
 				}
-			case rises && last.values[key] > first.values[key]:
-				add(role+" "+key+" per s", (last.values[key]-first.values[key])/(float64(last.at-first.at)/1e6), role == wire.RoleWorker)
-			default:
+			case levels[key]:
 				add(role+" "+key, sum/float64(len(in)), role == wire.RoleWorker)
+			default:
+				add(role+" "+key+" per s", (last.values[key]-first.values[key])/(float64(last.at-first.at)/1e6), role == wire.RoleWorker)
 			}
 		}
 	}
