Scale run: slopes over sizes, and two runs side by side

scale slopes runs a file at several parts with a seed for each repeat and fits a line to each figure by least squares: slope, value at part 1 and at twice it, residual, spread over repeats. Runs that are not good are left out and said. scale compare prints what differs.

--- a/cmd/mapleslip/scale.go
+++ b/cmd/mapleslip/scale.go
@@ -38,7 +38,7 @@
 			"of hollow workers, a few real ones and a load of users, all on loopback, plays faults, and\n" +
 			"watches the protocol's rules. See docs/scale.md.",
 	}
-	cmd.AddCommand(scaleRunCommand(), scalePartCommand())
+	cmd.AddCommand(scaleRunCommand(), scaleSlopesCommand(), scaleCompareCommand(), scalePartCommand())
 	return cmd
 }
 
@@ -139,3 +139,108 @@
 	cmd.Flags().BoolVar(&s.json, "json", false, "print the report as JSON")
 	return cmd
 }
+
+func scaleSlopesCommand() *cobra.Command {
+	s := scaleFlags{}
+	var parts []float64
+	var repeats int
+	var by string
+	var from []string
+	cmd := &cobra.Command{
+		Use:   "slopes FILE --parts 0.1,0.25,0.5",
+		Short: "Runs of several sizes, and how each figure grows, as a table in Markdown",
+		Long: "slopes runs FILE at each of the parts, with a seed of its own for each repeat, and fits a line\n" +
+			"to each figure. Runs that are not good are left out and said. With --from it takes the\n" +
+			"reports of runs that were made before, and makes none.",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			var reports []*scale.Report
+			for _, path := range from {
+				r, err := scale.ReadReport(path)
+				if err != nil {
+					return err
+				}
+				reports = append(reports, r)
+			}
+			if len(from) == 0 {
+				if len(args) != 1 {
+					return errors.New("FILE is missing")
+				}
+				if repeats < 1 || repeats > 100 {
+					return errors.New("--repeats: must be from 1 to 100")
+				}
+				f, err := s.load(args[0])
+				if err != nil {
+					return err
+				}
+				first := f.Seed
+				if s.seed != 0 {
+					first = s.seed
+				}
+				for n := range repeats {
+					for _, part := range parts {
+						if ctx.Err() != nil {
+							return errors.New("interrupted")
+						}
+						seed := first + uint64(n)
+						out := ""
+						if s.out != "" {
+							out = filepath.Join(s.out, fmt.Sprintf("%s-%g-%d", f.Name, part, seed))
+						}
+						fmt.Fprintf(cmd.ErrOrStderr(), "%s, part %g, seed %d\n", f.Name, part, seed)
+						r, err := s.run(ctx, cmd, f, part, seed, out)
+						if err != nil {
+							return err
+						}
+						reports = append(reports, r)
+					}
+				}
+			}
+			slopes, err := scale.Slopes(reports, by)
+			if s.json {
+				enc := json.NewEncoder(cmd.OutOrStdout())
+				enc.SetIndent("", " ")
+				if err == nil {
+					err = enc.Encode(slopes)
+				}
+				return err
+			}
+			scale.PrintSlopes(cmd.OutOrStdout(), reports, slopes, by)
+			return err
+		},
+	}
+	s.add(cmd)
+	cmd.Flags().Float64SliceVar(&parts, "parts", []float64{0.1, 0.25, 0.5}, "`SHARES` of the file's size")
+	cmd.Flags().IntVar(&repeats, "repeats", 1, "`NUMBER` of runs of each size")
+	cmd.Flags().StringVar(&by, "by", "", "`ROW` that is the size, instead of the number of workers")
+	cmd.Flags().StringSliceVar(&from, "from", nil, "`FOLDERS` of earlier runs' reports: none is made")
+	cmd.Flags().StringVar(&s.out, "out", "", "`FOLDER` under which each run has one (target/scale)")
+	cmd.Flags().BoolVar(&s.json, "json", false, "print the slopes as JSON")
+	return cmd
+}
+
+func scaleCompareCommand() *cobra.Command {
+	var least float64
+	cmd := &cobra.Command{
+		Use:   "compare A B",
+		Short: "Two runs' reports side by side",
+		Long:  "A and B are folders of runs, or report.json files.",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a, err := scale.ReadReport(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := scale.ReadReport(args[1])
+			if err != nil {
+				return err
+			}
+			scale.Compare(cmd.OutOrStdout(), a, b, least)
+			return nil
+		},
+	}
+	cmd.Flags().Float64Var(&least, "least", 0.05, "leave out figures that differ by less than this `SHARE`")
+	return cmd
+}
