--- /dev/null
+++ b/internal/scale/report_test.go
@@ -0,0 +1,222 @@
+package scale
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"math"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/scale/hub"
+	"mapleslip/internal/scale/wire"
+)
+
+func meterFor(t *testing.T) (*meter, *File) {
+	t.Helper()
+	f, err := Parse([]byte(deployFile(t, "ahead.toml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newMeter(f)
+	m.begin(1_000_000_000, f)
+	return m, f
+}
+
+func submitted(m *meter, ref, class string, tasks int, due int64) *protocol.JobSpec {
+	s := &protocol.JobSpec{Ref: ref, Class: class, Team: "team-00", Rank: protocol.Critical, Tasks: tasks, Image: "i", Need: protocol.Resources{CPU: 1000}}
+	m.take(&process{}, &wire.Message{Kind: wire.Submit, Ref: ref, Due: due, Specs: []json.RawMessage{protocol.AppendJob(nil, s)}})
+	return s
+}
+
+// A wait counts from when its job was due, without the fetch of its image; what has not
+// started by the end counts as having waited until then, unless its user gave it up.
+func TestWaits(t *testing.T) {
+	m, _ := meterFor(t)
+	at := func(s float64) int64 { return m.began + int64(s*1e6) }
+	early := submitted(m, "req-000001", "urgent", 1, at(1))
+	late := submitted(m, "req-000002", "urgent", 3, at(100))
+	submitted(m, "req-000003", "urgent", 1, at(110))
+	submitted(m, "req-000004", "urgent", 1, at(110))
+	m.take(nil, &wire.Message{Kind: wire.Cancel, Ref: "req-000004"})
+	m.take(nil, &wire.Message{Kind: wire.Answer, Op: "submit", Ref: "req-000002", Status: 503, Due: at(100), At: at(100.5)})
+	m.take(nil, &wire.Message{Kind: wire.Answer, Op: "submit", Ref: "req-000002", Status: 201, Due: at(100), At: at(102)})
+	m.take(nil, &wire.Message{Kind: wire.Answer, Op: "submit", Ref: "req-000002", Status: 200, Due: at(100), At: at(109)})
+	m.start(hub.Start{Spec: early, Tasks: 1, Due: at(1), Asked: at(30), At: at(31)})
+	m.start(hub.Start{Spec: late, Tasks: 1, Due: at(100), Asked: at(102), At: at(103), Fetch: 1_000_000})
+	m.start(hub.Start{Spec: late, Tasks: 1, Due: at(100), Asked: at(103), At: at(103.5), Fetch: 0})
+	m.start(hub.Start{Spec: late, Tasks: 1, Due: at(100), Asked: at(130), At: at(131), Again: true})
+	if got := m.rest(at(160)); got["urgent"] != 2 {
+		t.Errorf("%v never started", got)
+	}
+	l := m.lat["urgent wait"]
+	near := func(what string, got, want float64) {
+		t.Helper()
+		if math.Abs(got-want) > want/500 {
+			t.Errorf("%s: %g, want %g", what, got, want)
+		}
+	}
+	p := percentiles(l.all)
+	if p.Count != 4 || l.good != 1 {
+		t.Errorf("%d waits, %d within %d", p.Count, l.good, l.within)
+	}
+	near("largest wait", p.Max, 60_000)
+	near("p50", p.P50, 3500)
+	near("submission", percentiles(m.lat["submit"].all).Max, 2000)
+	near("command", percentiles(m.lat["urgent command"].all).Max, 3000)
+	near("fetch", percentiles(m.lat["urgent fetch"].all).Max, 1000)
+	if m.seconds[31].Starts != 1 || m.seconds[103].Starts != 2 || m.seconds[131].Starts != 1 {
+		t.Error("starts a second are wrong")
+	}
+}
+
+// What each process takes goes to the role that it is in at the time; counters that began
+// anew count from 0.
+func TestRows(t *testing.T) {
+	m, f := meterFor(t)
+	a, b := &process{name: "node-0", role: roleController}, &process{name: "node-1", role: roleController}
+	w := &process{name: "worker-1", role: wire.RoleWorker}
+	cpu := func(s float64) usage {
+		return usage{cpu: time.Duration(s * float64(time.Second)), rss: 10e6, sockets: 7}
+	}
+	scraped := func(role string, commits float64) *scrape {
+		return &scrape{role: role, calls: map[string]float64{"state commit": commits}}
+	}
+	for i, s := range []struct{ a, b, commits float64 }{{1, 5, 100}, {1.5, 5.1, 110}, {2, 5.2, 4}} {
+		at := m.warmup + int64(i)*1e6 + 1
+		m.sampled(&sample{at: at, usage: map[*process]usage{a: cpu(s.a), b: cpu(s.b), w: cpu(0.01 * float64(i))}, scraped: map[string]*scrape{"node-0": scraped("leading", s.commits), "node-1": scraped("following", 3)}}, 50)
+		m.take(w, &wire.Message{Kind: wire.Gauge, At: at, Values: map[string]float64{"hello_out_bytes": 1000 + 500*float64(i), "tasks_running": 18, "lag_ms_max": float64(i)}})
+	}
+	r := &Report{Rows: make(map[string]float64), Seconds: m.seconds, WindowS: [2]float64{f.WarmupS, f.DurationS}}
+	m.rows(r)
+	for row, want := range map[string]float64{"leader cores": 0.5, "controller cores": 0.1, "worker cores": 0.01, "leader calls state commit per s": 7,
+		"worker hello_out_bytes per s": 500, "worker tasks_running": 18, "worker lag_ms_max": 2, "leader sockets": 7, "worker memory MB": 10} {
+		if got := r.Rows[row]; math.Abs(got-want) > 1e-6 {
+			t.Errorf("%s: %g, want %g", row, got, want)
+		}
+	}
+	if got := m.seconds[len(m.seconds)-1]; got.Leader != "node-0" || math.Abs(got.CPU["leader"]-0.5) > 1e-6 || got.LagMS != 2 || got.Running != 50 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// A broken rule comes before all else, a lag makes a good run void, and a run in which
+// nothing started is no good one.
+func TestVerdict(t *testing.T) {
+	f, err := Parse([]byte(deployFile(t, "ahead.toml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	lag := func(ms float64) []Second { return []Second{{T: 70, LagMS: 1}, {T: 71, LagMS: ms}} }
+	for _, c := range []struct {
+		what string
+		r    Report
+		err  error
+		exit int
+	}{
+		{"good", Report{Counts: hub.Counts{Starts: 5}, Seconds: lag(9)}, nil, ExitGood},
+		{"void", Report{Counts: hub.Counts{Starts: 5}, Seconds: lag(251)}, nil, ExitVoid},
+		{"nothing ran", Report{Seconds: lag(9)}, nil, ExitBroken},
+		{"broken and late", Report{Counts: hub.Counts{Starts: 5}, Seconds: lag(999), Broken: []hub.Violation{{Kind: "quota"}}}, errors.New("rule broken"), ExitBroken},
+		{"broken at the limit", Report{Broken: []hub.Violation{{Kind: "quota"}}}, &limitError{"memory"}, ExitBroken},
+		{"limit", Report{Counts: hub.Counts{Starts: 5}}, &limitError{"memory"}, ExitFailed},
+		{"failed", Report{Counts: hub.Counts{Starts: 5}}, errors.New("users ended by itself"), ExitFailed},
+		{"nothing in time", Report{}, errors.New("rule broken: nothing_ran: x"), ExitBroken},
+	} {
+		c.r.WindowS = [2]float64{f.WarmupS, f.DurationS}
+		c.r.judge(f, c.err)
+		if c.r.Exit != c.exit || c.exit != ExitGood && len(c.r.Reasons) == 0 {
+			t.Errorf("%s: exit %d, %q", c.what, c.r.Exit, c.r.Reasons)
+		}
+	}
+}
+
+// Lines are found through sizes and repeats; runs that are not good have no say.
+func TestSlopes(t *testing.T) {
+	var reports []*Report
+	for _, part := range []float64{0.1, 0.25, 0.5} {
+		for repeat := range 2 {
+			workers := 4200 * part
+			reports = append(reports, &Report{Part: part, Workers: int(workers), Rows: map[string]float64{"leader cores": 0.02 + workers*1e-4, "noisy": 10 + float64(repeat)}})
+		}
+	}
+	reports = append(reports, &Report{Part: 1, Workers: 4200, Exit: ExitVoid, Rows: map[string]float64{"leader cores": 99}})
+	slopes, err := Slopes(reports, "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	found := 0
+	for _, s := range slopes {
+		switch s.Row {
+		case "leader cores":
+			found++
+			for _, c := range [][2]float64{{s.Slope, 1e-4}, {s.Intercept, 0.02}, {s.AtOne, 0.44}, {s.AtTwo, 0.86}} {
+				if math.Abs(c[0]-c[1]) > 1e-9 {
+					t.Errorf("%+v", s)
+				}
+			}
+			if s.Residual > 1e-9 || s.Spread > 1e-9 || len(s.Means) != 3 {
+				t.Errorf("%+v", s)
+			}
+		case "noisy":
+			found++
+			if math.Abs(s.Spread-1/10.5) > 1e-9 || math.Abs(s.Residual-0.5/10.5) > 1e-9 {
+				t.Errorf("%+v", s)
+			}
+		}
+	}
+	if found != 2 {
+		t.Errorf("%d rows", found)
+	}
+	var out bytes.Buffer
+	PrintSlopes(&out, reports, slopes, "")
+	if !strings.Contains(out.String(), "| leader cores | 0.062 | 0.125 | 0.23 | 0.0001 | 0.02 | 0.44 | 0.86 | 0% | 0% |") || !strings.Contains(out.String(), "VOID") {
+		t.Error(out.String())
+	}
+	if _, err := Slopes(reports[:2], ""); err == nil {
+		t.Error("a line through one size")
+	}
+}
+
+// A report is read as it was written, and has its pictures beside it.
+func TestWriteReport(t *testing.T) {
+	dir := t.TempDir()
+	r := &Report{Name: "x", Part: 0.5, Rows: map[string]float64{"leader cores": 0.2}, Counts: hub.Counts{Starts: 3, Leaves: map[string]int{"done": 2}},
+		Latency: map[string]Percentiles{"urgent wait": {Count: 3, P50: 1, AimS: 2.7, Within: 1}}, Faults: []Played{{T: 1, Fault: "controller_end", What: "node-0"}},
+		Seconds: []Second{{T: 0, Starts: 1, CPU: map[string]float64{"leader": 0.1}, RSS: map[string]float64{"leader": 20}}, {T: 1, Starts: 2, CPU: map[string]float64{"leader": 0.3}, RSS: map[string]float64{"leader": 22}}},
+		Series:  map[string][]Span{"urgent wait": {{0, Percentiles{Count: 3, P50: 1}}}, "submit": {{0, Percentiles{Count: 1}}}, "query": {{0, Percentiles{}}}}}
+	if err := r.Write(dir); err != nil {
+		t.Fatal(err)
+	}
+	got, err := ReadReport(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(r, got); d != "" {
+		t.Error(d)
+	}
+	for _, name := range []string{"starts", "running", "processor", "memory", "urgent-wait", "submit"} {
+		text, err := os.ReadFile(dir + "/" + name + ".svg")
+		if err != nil || !bytes.Contains(text, []byte("<svg")) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	var a, b bytes.Buffer
+	r.Print(&a)
+	got.Print(&b)
+	if a.String() != b.String() || !strings.Contains(a.String(), "1.0000 of 2.7 s") {
+		t.Error(a.String())
+	}
+	other := *got
+	other.Rows = map[string]float64{"leader cores": 0.4}
+	b.Reset()
+	Compare(&b, r, &other, 0.05)
+	if !strings.Contains(b.String(), "2.00") {
+		t.Error(b.String())
+	}
+}
