--- a/internal/scale/hollow/run.go
+++ b/internal/scale/hollow/run.go
@@ -52,6 +52,7 @@
 	platform *protocol.Platform
 	types    map[string]*protocol.MachineType
 	timers   *timers
+	now      func() int64
 
 	mu      sync.Mutex
 	workers map[string]*worker
@@ -69,7 +70,7 @@
 }
 
 func run(pp *pipe.Pipe, log *slog.Logger) error {
-	p := &process{config: pp.Config, platform: pp.Platform, types: make(map[string]*protocol.MachineType), timers: newTimers(),
+	p := &process{config: pp.Config, platform: pp.Platform, types: make(map[string]*protocol.MachineType), timers: newTimers(), now: wire.Now,
 		workers: make(map[string]*worker), jobs: make(map[string]*job), gangs: make(map[string]map[*task]bool), more: make(chan struct{}, 1)}
 	for _, t := range p.config.Types {
 		p.types[t.Name] = t
@@ -93,7 +94,7 @@
 				p.order(m)
 			}
 		case <-gauge.C:
-			p.tell(p.gauge(wire.Now()))
+			p.tell(p.gauge(p.now()))
 		}
 	}
 	p.end()
@@ -107,7 +108,7 @@
 	if p.platform == nil || len(p.config.Controllers) == 0 {
 		return fmt.Errorf("the platform's settings or the controllers are missing")
 	}
-	now := wire.Now()
+	now := p.now()
 	for i := range p.config.Machines {
 		w, err := p.add(p.config.Machines[i])
 		if err == nil {
@@ -123,7 +124,7 @@
 // end closes all sockets.
 func (p *process) end() {
 	for _, w := range p.named(nil) {
-		w.ends(wire.Now(), "end of the run")
+		w.ends(p.now(), "end of the run")
 	}
 }
 
@@ -177,7 +178,7 @@
 // remove takes machines away for good.
 func (p *process) remove(names []string, why string) {
 	for _, w := range p.named(names) {
-		w.ends(wire.Now(), why)
+		w.ends(p.now(), why)
 		p.mu.Lock()
 		delete(p.workers, w.m.Name)
 		p.mu.Unlock()
@@ -209,7 +210,7 @@
 		if len(had) > 0 {
 			p.remove(had, "released")
 		}
-		p.tell(&wire.Message{Kind: wire.GoneDone, ID: m.ID, Names: had, At: wire.Now()})
+		p.tell(&wire.Message{Kind: wire.GoneDone, ID: m.ID, Names: had, At: p.now()})
 	case wire.Jobs:
 		for _, spec := range m.Specs {
 			if s, err := protocol.ParseJob(spec); err == nil {
@@ -239,7 +240,7 @@
 }
 
 func (p *process) fault(m *wire.Message) {
-	now := wire.Now()
+	now := p.now()
 	switch m.Text {
 	case wire.FaultEnd:
 		p.remove(m.Names, "ended")
@@ -283,7 +284,7 @@
 	}
 	p.mu.Unlock()
 	for _, t := range list {
-		t.w.locked(wire.Now(), do(t))
+		t.w.locked(p.now(), do(t))
 	}
 }
 
@@ -361,7 +362,7 @@
 }
 
 func (p *process) note(format string, args ...any) {
-	p.tell(&wire.Message{Kind: wire.Note, Name: p.config.Part, At: wire.Now(), Text: fmt.Sprintf(format, args...)})
+	p.tell(&wire.Message{Kind: wire.Note, Name: p.config.Part, At: p.now(), Text: fmt.Sprintf(format, args...)})
 }
 
 // answered notes how a report went.
--- a/internal/scale/hollow/worker.go
+++ b/internal/scale/hollow/worker.go
@@ -274,46 +274,61 @@
 // report sends reports, each when it is due.
 func (w *worker) report() {
 	for range w.send {
-		w.mu.Lock()
-		if w.gone {
-			w.mu.Unlock()
+		addr, sent, session := w.composes()
+		if addr == "" {
 			return
 		}
-		sent, session := wire.Now(), w.session
-		w.sent, w.changed, w.armed = sent, false, 0
-		every := int64(w.p.platform.ReportEvery)
-		w.due = sent + every*3/4 + w.rng.Int64N(every/2+1)
-		w.body = w.append(w.body[:0])
-		addr := w.p.config.Controllers[w.node].Public[w.m.Region]
-		w.mu.Unlock()
-
 		r, err := w.client.Post(addr, "/hello", w.body, time.Now().Add(time.Duration(patience)*time.Microsecond))
+		w.answered(sent, session, r, err)
+	}
+}
 
-		w.mu.Lock()
-		for w.hungUntil > 0 && !w.gone {
-			goesOn := w.goesOn
-			w.mu.Unlock()
-			<-goesOn
-			w.mu.Lock()
-		}
-		if w.gone {
-			w.mu.Unlock()
-			return
-		}
-		now := wire.Now()
-		w.inFlight = false
-		if err == nil && now-sent > patience {
-			err = errors.New("too late")
-			w.client.Close()
-		}
-		w.p.answered(now-sent, err != nil || r.Status != 200 && r.Status != 421)
-		if err != nil {
-			w.next(now)
-		} else {
-			w.take(now, sent, session, r)
-		}
-		w.arm(now)
+// composes writes the next report. No address: the machine is gone.
+func (w *worker) composes() (addr string, sent int64, session uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.gone {
+		return "", 0, 0
+	}
+	sent = w.p.now()
+	w.sent, w.changed, w.armed = sent, false, 0
+	every := int64(w.p.platform.ReportEvery)
+	w.due = sent + every*3/4 + w.rng.Int64N(every/2+1)
+	w.notBefore = 0
+	w.body = w.append(w.body[:0])
+	return w.p.config.Controllers[w.node].Public[w.m.Region], sent, w.session
+}
+
+// answered takes what became of a report.
+func (w *worker) answered(sent int64, session uint64, r *transport.Response, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.standsStill()
+	if w.gone {
+		return
+	}
+	now := w.p.now()
+	w.inFlight = false
+	if err == nil && now-sent > patience {
+		err = errors.New("too late")
+		w.client.Close()
+	}
+	w.p.answered(now-sent, err != nil || r.Status != 200 && r.Status != 421)
+	if err != nil {
+		w.next(now)
+	} else {
+		w.take(now, sent, session, r)
+	}
+	w.arm(now)
+}
+
+// standsStill waits until the machine doesn't hang; the lock is given back meanwhile.
+func (w *worker) standsStill() {
+	for w.hungUntil > 0 && !w.gone {
+		goesOn := w.goesOn
 		w.mu.Unlock()
+		<-goesOn
+		w.mu.Lock()
 	}
 }
 
@@ -454,7 +469,7 @@
 
 // described takes what the supervisor says of a task.
 func (w *worker) described(m *wire.Message) {
-	w.locked(wire.Now(), func(now int64) {
+	w.locked(w.p.now(), func(now int64) {
 		for _, t := range w.tasks {
 			if t.name != m.Task || t.state != protocol.Fetching || t.told {
 				continue
@@ -553,12 +568,7 @@
 func (w *worker) handle(c *sock.Conn, r *transport.Request) (int, []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for w.hungUntil > 0 && !w.gone {
-		goesOn := w.goesOn
-		w.mu.Unlock()
-		<-goesOn
-		w.mu.Lock()
-	}
+	w.standsStill()
 	if w.gone {
 		return 0, nil
 	}
@@ -578,7 +588,7 @@
 		if token < w.epoch || v.GetUint64("tenure") != w.session {
 			return 409, w.append(nil)
 		}
-		now := wire.Now()
+		now := w.p.now()
 		if token > w.epoch {
 			w.sees(now, token)
 			w.arm(now)
--- a/internal/scale/standin/cloud.go
+++ b/internal/scale/standin/cloud.go
@@ -40,7 +40,8 @@
 	platform *protocol.Platform
 	types    map[string]*protocol.MachineType
 	list     []byte // of the types, as the cloud answers
-	out      *wire.Writer
+	say      func(*wire.Message)
+	now      func() int64
 	rng      *rand.Rand
 
 	hosts   []*rental // by name
@@ -64,8 +65,8 @@
 	done  chan struct{}
 }
 
-func newCloud(c *wire.Config, p *protocol.Platform, out *wire.Writer) *cloud {
-	s := &cloud{platform: p, types: make(map[string]*protocol.MachineType), list: protocol.AppendTypes(nil, c.Types), out: out,
+func newCloud(c *wire.Config, p *protocol.Platform, now func() int64, say func(*wire.Message)) *cloud {
+	s := &cloud{platform: p, types: make(map[string]*protocol.MachineType), list: protocol.AppendTypes(nil, c.Types), say: say, now: now,
 		rng: rand.New(rand.NewPCG(c.Seed, 7)), byName: make(map[string]*rental), spare: make(map[string]int), regions: make(map[string]string),
 		claims: make(map[string][]string), zoned: make(map[string]int), waits: make(map[uint64]*release)}
 	s.requests = make(map[string]int)
@@ -78,8 +79,8 @@
 	for _, n := range c.Controllers {
 		s.regions[n.Zone] = n.Region
 	}
-	now := wire.Now()
-	s.room, s.roomAt = 2*p.CloudRate, now
+	began := now()
+	s.room, s.roomAt = 2*p.CloudRate, began
 	for _, m := range c.Machines {
 		if m.Type == "" {
 			s.free = append(s.free, m)
@@ -88,7 +89,7 @@
 		if m.Zone != "" && m.Region != "" {
 			s.regions[m.Zone] = m.Region
 		}
-		h := &rental{Machine: m, rented: now - int64(protocol.Second), up: now - int64(protocol.Second), dead: never, gone: never, listed: true}
+		h := &rental{Machine: m, rented: began - int64(protocol.Second), up: began - int64(protocol.Second), dead: never, gone: never, listed: true}
 		s.hosts = append(s.hosts, h)
 		s.byName[m.Name] = h
 		if n, err := strconv.Atoi(strings.TrimPrefix(m.Name, "n-")); err == nil {
@@ -108,7 +109,7 @@
 
 func (s *cloud) handle(c *sock.Conn, r *transport.Request) (int, []byte) {
 	c.Traffic = &s.traffic
-	status, body, wait := s.serve(wire.Now(), r)
+	status, body, wait := s.serve(s.now(), r)
 	if wait != nil {
 		<-wait
 	}
@@ -233,7 +234,7 @@
 		s.rentals++
 		names = append(names, m.Name)
 		if h.up < never {
-			s.out.Send(&wire.Message{Kind: wire.Boot, Name: m.Name, At: h.up, Machine: &m})
+			s.say(&wire.Message{Kind: wire.Boot, Name: m.Name, At: h.up, Machine: &m})
 		}
 	}
 	if len(names) == 0 {
@@ -310,7 +311,7 @@
 		s.nextID++
 		s.waits[s.nextID] = r
 		waits = append(waits, r.done)
-		s.out.Send(&wire.Message{Kind: wire.Gone, ID: s.nextID, Names: asked, At: now})
+		s.say(&wire.Message{Kind: wire.Gone, ID: s.nextID, Names: asked, At: now})
 	}
 	go func() {
 		for _, w := range waits {
@@ -346,11 +347,11 @@
 	defer s.mu.Unlock()
 	switch {
 	case m.Kind == wire.GoneDone:
-		s.confirmed(wire.Now(), m.ID)
+		s.confirmed(s.now(), m.ID)
 	case m.Kind == wire.Fault && m.Text == wire.FaultEnd:
 		for _, n := range m.Names {
 			if h := s.byName[n]; h != nil && h.dead == never {
-				h.dead = wire.Now()
+				h.dead = s.now()
 			}
 		}
 	}
--- a/internal/scale/standin/run.go
+++ b/internal/scale/standin/run.go
@@ -35,7 +35,7 @@
 		return p.Ready(errors.New("the platform's settings are missing"))
 	}
 	s := newState(p.Config, p.Platform, p.Note)
-	c := newCloud(p.Config, p.Platform, p.Out)
+	c := newCloud(p.Config, p.Platform, wire.Now, func(m *wire.Message) { p.Out.Send(m) })
 	defer s.close()
 	defer c.close()
 	if err := p.Ready(errors.Join(s.listen(p.Config.State), c.listen(p.Config.Cloud))); err != nil {
