Hub: the last tasks of a large gang cost no more than the first

Cause: each task of a gang that is done went through all of its tasks again. Change: the first one does it. Result: the tests pass as before.

--- a/internal/scale/hub/gang.go
+++ b/internal/scale/hub/gang.go
@@ -138,6 +138,7 @@
 // gangLoses notes that a task has left its machine.
 func (h *Hub) gangLoses(a *attempt, index int, m *wire.Message) {
 	switch {
+	case a.state == over:
 	case m.Text == string(protocol.ExitDone):
 		a.state = over
 		for i := range a.job.spec.Tasks { // if one is done, all are
--- a/internal/scale/hub/judge.go
+++ b/internal/scale/hub/judge.go
@@ -122,6 +122,9 @@
 
 // finished takes note of a task that is done; of a gang all are then.
 func (h *Hub) finished(j *job, index int) {
+	if j.done.has(index) {
+		return
+	}
 	first, last := index, index
 	if j.spec.Kind == protocol.Gang {
 		first, last = 0, j.spec.Tasks-1
