Scale run: the lines between parts and supervisor as they are

Cause: the comments had directions that nothing uses, a machine that was named twice lost what was on it. Change: wire.go's comments, Hub.Machine.

--- a/internal/scale/hub/hub.go
+++ b/internal/scale/hub/hub.go
@@ -216,6 +216,10 @@
 
 // Machine says that there is a machine, or that it is booting, and which part plays it.
 func (h *Hub) Machine(m wire.Machine, part string) {
+	if old := h.machines[m.Name]; old != nil { // said again
+		old.Machine, old.part = m, part
+		return
+	}
 	h.machines[m.Name] = &machine{Machine: m, part: part, on: make(map[string]place), gang: make(map[string]bool)}
 }
 
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -37,13 +37,13 @@
 	// [S to hollow] the answer: Task, Status 200 or 404, Specs if wanted, Run of a task (below 0: it fails after that), For: what is left of it, Phase `done`: its result is kept
 	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
 	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
-	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At
-	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason
-	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At
-	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end
-	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At
-	Progress = "progress" // [hollow to S, S to hollow] saved progress of Task: Run, microseconds that are left
-	Ended    = "ended"    // [hollow to S, S to hollow] Task completed: its result is kept
+	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At, Run: how long that took since its launch, 0: it was there
+	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason, Phase `saved`: with its progress
+	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At; Text `saving`: it was told to save
+	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end; Text `saved`: all were told to save, at At
+	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At. [hollow to S] the machine of Task hangs
+	Progress = "progress" // [hollow to S] saved progress of Task: Run, microseconds that are left
+	Ended    = "ended"    // [hollow to S] Task completed: its result is kept
 	Fault    = "fault"    // [S to any] Text: which (see Faults), Names, Region, For, Factor
 	Gauge    = "gauge"    // [all to S] once a second: Values by name (lag_ms_max, messages and bytes by kind)
 	Note     = "note"     // [all to S] Text for the report
