--- a/internal/scale/faults.go
+++ b/internal/scale/faults.go
@@ -95,24 +95,35 @@
 	return later, nil
 }
 
-// named are the controllers that a fault hits. Where nobody leads, the first one stands
-// for the leader.
+// named are the controllers that a fault hits. The leader is the one of those that run
+// that was last seen leading, or else the first.
 func (s *supervisor) named(name string) []*controllerAt {
 	switch name {
 	case "all":
 		return s.controllers
 	case "leader":
-		name = s.controllers[0].name
 		for i := len(s.meter.seconds) - 1; i >= 0; i-- {
-			if l := s.meter.seconds[i].Leader; l != "" {
-				name = l
-				break
+			if at := s.running(s.meter.seconds[i].Leader); at != nil {
+				return []*controllerAt{at}
 			}
 		}
+		for _, c := range s.controllers {
+			if s.running(c.name) != nil {
+				return []*controllerAt{c}
+			}
+		}
+	}
+	if i := slices.IndexFunc(s.controllers, func(c *controllerAt) bool { return c.name == name }); i >= 0 {
+		return s.controllers[i : i+1]
 	}
+	return nil
+}
+
+// running is the controller of a name, if its process is there and not stopped.
+func (s *supervisor) running(name string) *controllerAt {
 	for _, c := range s.controllers {
-		if c.name == name {
-			return []*controllerAt{c}
+		if c.name == name && c.proc != nil && !c.proc.over() && !c.frozen {
+			return c
 		}
 	}
 	return nil
--- a/internal/scale/hub/hub.go
+++ b/internal/scale/hub/hub.go
@@ -84,8 +84,8 @@
 
 	events  eventHeap
 	seq     uint64
-	judged  int64 // all until then is
-	polls   polls
+	judged  int64             // all until then is
+	polls   map[string]*polls // by the region that users asked from
 	broken  []Violation
 	counts  Counts
 	classes map[string]*ClassCount
@@ -161,7 +161,7 @@
 // New makes a hub. send hands a message to a part; it must not call the hub.
 func New(platform *protocol.Platform, types []*protocol.MachineType, send func(part string, m *wire.Message)) *Hub {
 	h := &Hub{platform: platform, types: make(map[string]*protocol.MachineType), send: send, starts: func(Start) {},
-		jobs: make(map[string]*job), machines: make(map[string]*machine), teams: make(map[string]*protocol.Resources),
+		jobs: make(map[string]*job), polls: make(map[string]*polls), machines: make(map[string]*machine), teams: make(map[string]*protocol.Resources),
 		asked: make(map[string]int64), classes: make(map[string]*ClassCount)}
 	h.counts.Leaves = make(map[string]int)
 	for _, t := range types {
@@ -184,6 +184,12 @@
 	case wire.Jobs:
 		h.asked[m.Task] = m.At
 		h.describe(part, m)
+	case wire.Cancel:
+		h.push(m.At, byAnswer, func() {
+			if j := h.jobs[m.Ref]; j != nil {
+				j.ask(m.Due)
+			}
+		})
 	case wire.Answer:
 		h.push(m.At, byAnswer, func() { h.answered(m) })
 	case wire.Enter, wire.Leave, wire.Waiting, wire.Peers, wire.Progress, wire.Ended:
@@ -216,6 +222,10 @@
 
 // Machine says that there is a machine, or that it is booting, and which part plays it.
 func (h *Hub) Machine(m wire.Machine, part string) {
+	if old := h.machines[m.Name]; old != nil { // said again
+		old.Machine, old.part = m, part
+		return
+	}
 	h.machines[m.Name] = &machine{Machine: m, part: part, on: make(map[string]place), gang: make(map[string]bool)}
 }
 
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -172,13 +172,13 @@
 
 // jobSeen is a job as the measurements need it.
 type jobSeen struct {
-	class    string
-	due      int64
-	tasks    int
-	started  int
-	ended    bool // cancelled, refused, or given up
-	accepted bool
-	told     bool // its submission was answered
+	class     string
+	due       int64
+	cancelDue int64 // first request to cancel it
+	tasks     int
+	started   int
+	ended     bool // cancelled, refused, or given up
+	accepted  bool
 }
 
 // meter gathers what the report says.
@@ -275,17 +275,18 @@
 		case j == nil:
 		case msg.Op == "submit" && (msg.Status == 200 || msg.Status == 201):
 			if !j.accepted {
-				m.latency("submit").add(m.second(msg.Due), msg.At-msg.Due, m.counts(msg.Due))
+				m.latency("submit").add(m.second(j.due), msg.At-j.due, m.counts(j.due))
 			}
-			j.accepted, j.told = true, true
+			j.accepted = true
 		case msg.Op == "submit" && (msg.Status == 400 || msg.Status == 422):
-			j.ended, j.told = true, true
+			j.ended = true
 		case msg.Op == "cancel" && msg.Status == 200:
-			m.latency("cancel").add(m.second(msg.Due), msg.At-msg.Due, m.counts(msg.Due))
+			m.latency("cancel").add(m.second(j.cancelDue), msg.At-j.cancelDue, m.counts(j.cancelDue))
 		}
 	case wire.Cancel:
 		if j := m.jobs[msg.Ref]; j != nil {
 			j.ended = true // what has not started by now needn't
+			j.cancelDue = msg.Due
 		}
 	case wire.Gauge:
 		m.gauges[p.name] = append(m.gauges[p.name], gauge{msg.At, msg.Values})
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -774,6 +774,10 @@
 	fmt.Fprintf(s.o.Progress, "%s  %s\n", t, fmt.Sprintf(format, args...))
 }
 
+// judgeLate is how long the hub waits, beyond its second, for messages of parts that are
+// on their way while this machine is busy, microseconds.
+const judgeLate = 2_000_000
+
 // loop plays the load and the faults until the time is over.
 func (s *supervisor) loop(ctx context.Context, begin int64) error {
 	end := begin + int64(protocol.FromSeconds(s.f.DurationS+s.f.SettleS))
@@ -800,7 +804,7 @@
 			}
 		case <-tick.C:
 			now := wire.Now()
-			s.hub.Tick(now)
+			s.hub.Tick(now - judgeLate)
 			if b := s.hub.Broken(); len(b) > 0 {
 				return fmt.Errorf("rule broken: %s: %s", b[0].Kind, b[0].Text)
 			}
@@ -880,12 +884,12 @@
 // progress prints a line of how it goes.
 func (s *supervisor) progress() {
 	n := len(s.meter.seconds)
-	if n < 2 {
+	if n < 5 {
 		return
 	}
 	last := s.meter.seconds[n-2]
-	starts := 0
-	for _, sec := range s.meter.seconds[max(0, n-7) : n-2] {
+	starts := 0 // in five seconds that are judged
+	for _, sec := range s.meter.seconds[max(0, n-9) : n-4] {
 		starts += sec.Starts
 	}
 	cpu, rss := 0.0, 0.0
--- a/internal/scale/users/run.go
+++ b/internal/scale/users/run.go
@@ -243,7 +243,7 @@
 }
 
 // request makes a request when it is due and tells the supervisor how it went.
-func (l *load) request(region, op, ref string, due, first int64, method, path string, body []byte, within int64) answer {
+func (l *load) request(region, op, ref string, due int64, method, path string, body []byte, within int64) answer {
 	s := l.sites[region]
 	late := wire.Now() - due
 	l.mu.Lock()
@@ -256,7 +256,7 @@
 	l.counts["requests_"+op]++
 	l.counts["status_"+op+"_"+strconv.Itoa(a.status)]++
 	l.mu.Unlock()
-	l.pipe.Out.Send(&wire.Message{Kind: wire.Answer, Op: op, Ref: ref, Region: region, Status: a.status, Phase: a.phase, Due: first, At: wire.Now()})
+	l.pipe.Out.Send(&wire.Message{Kind: wire.Answer, Op: op, Ref: ref, Region: region, Status: a.status, Phase: a.phase, Due: due, At: wire.Now()})
 	return a
 }
 
@@ -277,7 +277,7 @@
 	l.pipe.Out.Send(&wire.Message{Kind: wire.Submit, Ref: j.spec.Ref, Region: j.region, Due: j.due, At: wire.Now(), Run: j.run, Specs: []json.RawMessage{body}})
 	var try func(due int64)
 	try = func(due int64) {
-		a := l.request(j.region, "submit", j.spec.Ref, due, j.due, "POST", "/api/jobs", body, submitTry)
+		a := l.request(j.region, "submit", j.spec.Ref, due, "POST", "/api/jobs", body, submitTry)
 		switch a.status {
 		case 200, 201:
 			l.accepted(j)
@@ -300,7 +300,7 @@
 	var mu sync.Mutex
 	var poll func(due int64)
 	poll = func(due int64) {
-		a := l.request(j.region, "query", j.spec.Ref, due, due, "GET", "/api/jobs/"+j.spec.Ref, nil, pollTry)
+		a := l.request(j.region, "query", j.spec.Ref, due, "GET", "/api/jobs/"+j.spec.Ref, nil, pollTry)
 		if a.status == 200 && (a.phase == "done" || a.phase == "cancelled") {
 			mu.Lock()
 			first := !over
@@ -334,7 +334,7 @@
 		if begin {
 			l.pipe.Out.Send(&wire.Message{Kind: wire.Cancel, Ref: j.spec.Ref, Region: j.region, Due: due, At: wire.Now()})
 		}
-		a := l.request(j.region, "cancel", j.spec.Ref, due, first, "POST", "/api/jobs/"+j.spec.Ref+"/cancel", nil, submitTry)
+		a := l.request(j.region, "cancel", j.spec.Ref, due, "POST", "/api/jobs/"+j.spec.Ref+"/cancel", nil, submitTry)
 		if a.status != 200 && l.retry(a, first, cancel) {
 			l.count("given_up_cancel", 1)
 		}
@@ -352,7 +352,7 @@
 	if due+wait < l.plan.BeginUS+l.plan.DurationUS {
 		l.at(due+wait, l.stranger)
 	}
-	l.request(region, "query", ref, due, due, "GET", "/api/jobs/"+ref, nil, pollTry)
+	l.request(region, "query", ref, due, "GET", "/api/jobs/"+ref, nil, pollTry)
 }
 
 // take finds an idle connection, or makes one to a node that the balancer picks.
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -39,13 +39,13 @@
 	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
 	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
 	Cancel   = "cancel"   // [users to S] Ref is about to be cancelled: its user asks from now on
-	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At, Fetch
-	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason
-	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At
-	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end
-	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At
-	Progress = "progress" // [hollow to S, S to hollow] saved progress of Task: Run, microseconds that are left
-	Ended    = "ended"    // [hollow to S, S to hollow] Task completed: its result is kept
+	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At, Run: how long that took since its launch, 0: it was there
+	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason, Phase `saved`: with its progress
+	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At; Text `saving`: it was told to save
+	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end; Text `saved`: all were told to save, at At
+	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At. [hollow to S] the machine of Task hangs
+	Progress = "progress" // [hollow to S] saved progress of Task: Run, microseconds that are left
+	Ended    = "ended"    // [hollow to S] Task completed: its result is kept
 	Fault    = "fault"    // [S to any] Text: which (see Faults), Names, Region, For, Factor
 	Gauge    = "gauge"    // [all to S] once a second: Values by name (lag_ms_max, messages and bytes by kind)
 	Note     = "note"     // [all to S] Text for the report
@@ -142,7 +142,6 @@
 	Text    string             `json:"text,omitempty"`
 	Run     int64              `json:"run,omitempty"`
 	For     int64              `json:"for,omitempty"`
-	Fetch   int64              `json:"fetch,omitempty"` // how long the task waited for its image on the machine, microseconds
 	Factor  float64            `json:"factor,omitempty"`
 	Specs   []json.RawMessage  `json:"specs,omitempty"`
 	Values  map[string]float64 `json:"values,omitempty"`
