--- /dev/null
+++ b/cmd/mapleslip/scale.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"mapleslip/internal/scale"
+)
+
+// exitError ends the program with a code of its own; what there is to say is said.
+type exitError struct{ code int }
+
+func (e *exitError) Error() string { return fmt.Sprintf("exit %d", e.code) }
+
+// scaleFlags are those of the commands that make runs.
+type scaleFlags struct {
+	part       float64
+	seed       uint64
+	out        string
+	controller string
+	faults     []string
+	json       bool
+}
+
+func scaleCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:   "scale",
+		Short: "A deployment of full size on this machine, to measure and to break",
+		Long: "scale runs real controllers with stand-ins of the state service and the cloud, thousands\n" +
+			"of hollow workers, a few real ones and a load of users, all on loopback, plays faults, and\n" +
+			"watches the protocol's rules. See docs/scale.md.",
+	}
+	cmd.AddCommand(scaleRunCommand(), scaleSlopesCommand(), scaleCompareCommand(), scalePartCommand())
+	return cmd
+}
+
+func (s *scaleFlags) add(cmd *cobra.Command) {
+	cmd.Flags().Uint64Var(&s.seed, "seed", 0, "`NUMBER` that draws jobs and faults, instead of the file's")
+	cmd.Flags().StringVar(&s.controller, "controller", "", "another `PROGRAM` for the controllers than this one")
+	cmd.Flags().StringArrayVar(&s.faults, "fault", nil, "one more `FAULT`, as in at_s=95,kind=controller_end,controller=leader")
+}
+
+// load reads a file and the faults of the command line.
+func (s *scaleFlags) load(path string) (*scale.File, error) {
+	f, err := scale.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	for _, text := range s.faults {
+		t, err := scale.ParseFault(f, text)
+		if err != nil {
+			return nil, err
+		}
+		f.Faults = append(f.Faults, t)
+	}
+	return f, nil
+}
+
+// run makes a run and writes its report.
+func (s *scaleFlags) run(ctx context.Context, cmd *cobra.Command, f *scale.File, part float64, seed uint64, out string) (*scale.Report, error) {
+	if part <= 0 || part > 10 {
+		return nil, errors.New("--part: must be above 0 and at most 10")
+	}
+	if seed == 0 {
+		seed = f.Seed
+	}
+	if out == "" {
+		out = filepath.Join("target", "scale", fmt.Sprintf("%s-%g-%d", f.Name, part, seed))
+	}
+	controller := s.controller
+	if controller != "" {
+		full, err := filepath.Abs(controller)
+		if err != nil {
+			return nil, err
+		}
+		controller = full
+	}
+	// What an earlier run left there must not be taken for this one's.
+	if old, err := filepath.Glob(filepath.Join(out, "*.log")); err == nil {
+		for _, name := range old {
+			os.Remove(name)
+		}
+	}
+	r, err := scale.Run(ctx, scale.Options{File: f, Part: part, Seed: seed, Out: out, Controller: controller, Progress: cmd.ErrOrStderr()})
+	if r == nil {
+		return nil, err
+	}
+	if err := r.Write(out); err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "report, plots and logs: %s\n", out)
+	return r, nil
+}
+
+func scaleRunCommand() *cobra.Command {
+	s := scaleFlags{}
+	cmd := &cobra.Command{
+		Use:   "run FILE",
+		Short: "One run; exits with 1 if a rule was broken, 2 if it failed, 3 if it is void",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			f, err := s.load(args[0])
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			r, err := s.run(ctx, cmd, f, s.part, s.seed, s.out)
+			if err != nil {
+				fmt.Fprintln(cmd.ErrOrStderr(), "mapleslip: "+err.Error())
+				return &exitError{scale.ExitFailed}
+			}
+			if s.json {
+				enc := json.NewEncoder(cmd.OutOrStdout())
+				enc.SetIndent("", " ")
+				if err := enc.Encode(r); err != nil {
+					return err
+				}
+			} else {
+				r.Print(cmd.OutOrStdout())
+			}
+			if r.Exit != scale.ExitGood {
+				return &exitError{r.Exit}
+			}
+			return nil
+		},
+	}
+	s.add(cmd)
+	cmd.Flags().Float64Var(&s.part, "part", 1, "`SHARE` of the file's machines, tasks and rates")
+	cmd.Flags().StringVar(&s.out, "out", "", "`FOLDER` of the report, plots and logs (target/scale/NAME-PART-SEED)")
+	cmd.Flags().BoolVar(&s.json, "json", false, "print the report as JSON")
+	return cmd
+}
+
+func scaleSlopesCommand() *cobra.Command {
+	s := scaleFlags{}
+	var parts []float64
+	var repeats int
+	var by string
+	var from []string
+	cmd := &cobra.Command{
+		Use:   "slopes FILE --parts 0.1,0.25,0.5",
+		Short: "Runs of several sizes, and how each figure grows, as a table in Markdown",
+		Long: "slopes runs FILE at each of the parts, with a seed of its own for each repeat, and fits a line\n" +
+			"to each figure. Runs that are not good are left out and said. With --from it takes the\n" +
+			"reports of runs that were made before, and makes none.",
+		Args: cobra.MaximumNArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+			defer stop()
+			var reports []*scale.Report
+			for _, path := range from {
+				r, err := scale.ReadReport(path)
+				if err != nil {
+					return err
+				}
+				reports = append(reports, r)
+			}
+			if len(from) == 0 {
+				if len(args) != 1 {
+					return errors.New("FILE is missing")
+				}
+				if repeats < 1 || repeats > 100 {
+					return errors.New("--repeats: must be from 1 to 100")
+				}
+				f, err := s.load(args[0])
+				if err != nil {
+					return err
+				}
+				first := f.Seed
+				if s.seed != 0 {
+					first = s.seed
+				}
+				for n := range repeats {
+					for _, part := range parts {
+						if ctx.Err() != nil {
+							return errors.New("interrupted")
+						}
+						seed := first + uint64(n)
+						out := ""
+						if s.out != "" {
+							out = filepath.Join(s.out, fmt.Sprintf("%s-%g-%d", f.Name, part, seed))
+						}
+						fmt.Fprintf(cmd.ErrOrStderr(), "%s, part %g, seed %d\n", f.Name, part, seed)
+						r, err := s.run(ctx, cmd, f, part, seed, out)
+						if err != nil {
+							return err
+						}
+						reports = append(reports, r)
+					}
+				}
+			}
+			slopes, err := scale.Slopes(reports, by)
+			if s.json {
+				enc := json.NewEncoder(cmd.OutOrStdout())
+				enc.SetIndent("", " ")
+				if err == nil {
+					err = enc.Encode(slopes)
+				}
+				return err
+			}
+			scale.PrintSlopes(cmd.OutOrStdout(), reports, slopes, by)
+			return err
+		},
+	}
+	s.add(cmd)
+	cmd.Flags().Float64SliceVar(&parts, "parts", []float64{0.1, 0.25, 0.5}, "`SHARES` of the file's size")
+	cmd.Flags().IntVar(&repeats, "repeats", 1, "`NUMBER` of runs of each size")
+	cmd.Flags().StringVar(&by, "by", "", "`ROW` that is the size, instead of the number of workers")
+	cmd.Flags().StringSliceVar(&from, "from", nil, "`FOLDERS` of earlier runs' reports: none is made")
+	cmd.Flags().StringVar(&s.out, "out", "", "`FOLDER` under which each run has one (target/scale)")
+	cmd.Flags().BoolVar(&s.json, "json", false, "print the slopes as JSON")
+	return cmd
+}
+
+func scaleCompareCommand() *cobra.Command {
+	var least float64
+	cmd := &cobra.Command{
+		Use:   "compare A B",
+		Short: "Two runs' reports side by side",
+		Long:  "A and B are folders of runs, or report.json files.",
+		Args:  cobra.ExactArgs(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			a, err := scale.ReadReport(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := scale.ReadReport(args[1])
+			if err != nil {
+				return err
+			}
+			scale.Compare(cmd.OutOrStdout(), a, b, least)
+			return nil
+		},
+	}
+	cmd.Flags().Float64Var(&least, "least", 0.05, "leave out figures that differ by less than this `SHARE`")
+	return cmd
+}
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -66,6 +66,13 @@
 	GPUsMax float64 `toml:"gpus_max"`
 }
 
+type objectiveFile struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
 type platformFile struct {
 	NodeName      string        `toml:"node_name"`
 	Area          string        `toml:"area"`
@@ -77,17 +84,12 @@
 		State string `toml:"state"`
 	} `toml:"services"`
 	Facts struct {
-		Nodes      int        `toml:"nodes"`
-		Zones      []string   `toml:"zones"`
-		ClockOffMS float64    `toml:"clock_off_ms"`
-		Teams      []teamFile `toml:"teams"`
-		Objectives []struct {
-			Kind    string  `toml:"kind"`
-			Class   string  `toml:"class"`
-			WithinS float64 `toml:"within_s"`
-			Share   float64 `toml:"share"`
-		} `toml:"objectives"`
-		Workers struct {
+		Nodes      int             `toml:"nodes"`
+		Zones      []string        `toml:"zones"`
+		ClockOffMS float64         `toml:"clock_off_ms"`
+		Teams      []teamFile      `toml:"teams"`
+		Objectives []objectiveFile `toml:"objectives"`
+		Workers    struct {
 			ReportS   float64 `toml:"report_s"`
 			LeaseS    float64 `toml:"lease_s"`
 			GangWaitS float64 `toml:"gang_wait_s"`
@@ -260,6 +262,8 @@
 	SilentRelease  Micros  // silence after which a machine is released as a fence
 	IdleReturn     Micros  // idle time after which a machine goes back
 	WarmSpare      float64 // arrivals per class for which room is kept, in units of what comes during a boot
+
+	SourceAddress netip.Addr // local address of outbound connections; the zero value: the system's choice
 }
 
 // DefaultOperator holds the values used where the operators set none.
@@ -278,6 +282,7 @@
 	SilentReleaseS  *float64 `toml:"silent_release_s"`
 	IdleReturnS     *float64 `toml:"idle_return_s"`
 	WarmSpare       *float64 `toml:"warm_spare"`
+	SourceAddress   *string  `toml:"source_address"`
 }
 
 // LoadOperator reads the operators' file; an unknown key is an error.
@@ -311,6 +316,13 @@
 		}
 		*s.to = FromSeconds(seconds)
 	}
+	if f.SourceAddress != nil && *f.SourceAddress != "" {
+		a, err := netip.ParseAddr(*f.SourceAddress)
+		if err != nil || !a.Is4() {
+			return o, &KeyError{"source_address", fmt.Sprintf("%q is not an IPv4 address", *f.SourceAddress)}
+		}
+		o.SourceAddress = a
+	}
 	return o, SetBounded("warm_spare", f.WarmSpare, &o.WarmSpare, 0, 100)
 }
 
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -9,6 +9,7 @@
 	"bufio"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"sync"
 
@@ -31,18 +32,20 @@
 	Setup    = "setup" // [S to all] Setup; the first line. Answered by Ready
 	Ready    = "ready" // [all to S] listening, Text: why not
 	Boot     = "boot"  // [standins to S, S to hollow or worker and relay] Machine is up from At on
-	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID
+	Gone     = "gone"  // [standins to S, S to hollow] Names are released; answered by GoneDone with the same ID. To relays Names are public addresses
 	GoneDone = "gone_done"
-	Jobs     = "jobs"     // [S to hollow] descriptions that a launch may name: Specs, as users send them
+	Jobs     = "jobs" // [hollow to S] Task was launched at At on Name: what is it? Ref: its description is wanted too
+	// [S to hollow] the answer: Task, Status 200 or 404, Specs if wanted, Run of a task (below 0: it fails after that), For: what is left of it, Phase `done`: its result is kept
 	Submit   = "submit"   // [users to S] Specs are about to be submitted, with Run (microseconds of a task's run)
 	Answer   = "answer"   // [users to S] what a user was told: Op, Ref, Status, Phase, Due, At (when it came)
-	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At
-	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason
-	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At
-	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end
-	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At
-	Progress = "progress" // [hollow to S, S to hollow] saved progress of Task: Run, microseconds that are left
-	Ended    = "ended"    // [hollow to S, S to hollow] Task completed: its result is kept
+	Cancel   = "cancel"   // [users to S] Ref is about to be cancelled: its user asks from now on
+	Enter    = "enter"    // [hollow to S] a task has its image: Task, Name (machine), At, Run: how long that took since its launch, 0: it was there
+	Leave    = "leave"    // [hollow to S] a task exits or is killed: Task, Name, At, Text: the reason, Phase `saved`: with its progress
+	Waiting  = "waiting"  // [hollow to S] a task of a gang waits for the others: Task, Name, At; Text `saving`: it was told to save
+	Go       = "go"       // [S to hollow] a gang is whole: Task (any index), At its end; Text `saved`: all were told to save, at At
+	Peers    = "peers"    // [S to hollow] a gang lost a task: its others exit with `peers` at At. [hollow to S] the machine of Task hangs
+	Progress = "progress" // [hollow to S] saved progress of Task: Run, microseconds that are left
+	Ended    = "ended"    // [hollow to S] Task completed: its result is kept
 	Fault    = "fault"    // [S to any] Text: which (see Faults), Names, Region, For, Factor
 	Gauge    = "gauge"    // [all to S] once a second: Values by name (lag_ms_max, messages and bytes by kind)
 	Note     = "note"     // [all to S] Text for the report
@@ -72,6 +75,21 @@
 	Real                   bool // a process of its own
 }
 
+// Addresses are those of the machine with a number in the run's network: Public, Listen
+// and Source. Machines that are there from the beginning have the first numbers, those
+// that the stand-in of the cloud rents out the ones after. A relay calls on from the IP
+// that it was called from, so whoever is called sees the caller's own.
+func Addresses(network string, number int) (public, listen, source string) {
+	ip := fmt.Sprintf("%s%d.%d", network, firstMachineByte+number/250, 1+number%250)
+	return ip + ":9000", ip + ":9001", ip
+}
+
+// MostMachines is how many numbers Addresses has.
+const (
+	MostMachines     = (256 - firstMachineByte) * 250
+	firstMachineByte = 16
+)
+
 // Controller is one as others reach it.
 type Controller struct {
 	Name, Zone, Region string
@@ -85,6 +103,7 @@
 	Of     map[string]string // source address (IP) to region, of what is there from the beginning
 	Delay  map[string]int64  // one-way delay from a region to Region, microseconds
 	Loss   float64           // share of connections that are reset, per connection
+	Jitter float64           // share of the delay by which it varies
 }
 
 // Config is what a part is told first. Platform is the text of the settings file that the
@@ -101,6 +120,7 @@
 	Cloud       string                  `json:",omitempty"`
 	LatencyUS   int64                   `json:",omitempty"` // of the state service
 	Spare       map[string]int          `json:",omitempty"` // machines that the cloud still has: "type/zone"
+	Network     string                  `json:",omitempty"` // "127.77.": see Addresses
 	Load        json.RawMessage         `json:",omitempty"` // of users: the settings' own form
 	EndsUS      int64                   `json:",omitempty"` // latest end of the run; a part stops by itself then
 }
