Machines are recorded before the images of others

A machine's record shares a transaction and a line with those that are due only because the images on other machines are others. At 4,200 machines these are 65 records every ten seconds, ten to a transaction at the lowest priority: an urgent task put on a machine that had just come up waited up to 7.3 s for the machine's record. Records that work waits for now have transactions of their own and go first; the others go three at a time, and new entries go into records that are not on their way at low priority.

--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -16,10 +16,19 @@
 	entries map[string]int // bytes that each may take
 	size    int
 	due     micros // when it has to be written, Forever: it is as it should be
-	urgent  bool
-	writing bool
+	urgent  bool   // work waits for that
+	writing writing
 }
 
+// writing is whether a record is on its way to the state service.
+type writing uint8
+
+const (
+	notWriting writing = iota
+	writingUrgent
+	writingLater // may wait in line for a second or more
+)
+
 // pages spreads entries over records of limited size, and writes the records
 // that changed: a few changes of the state service then carry what would
 // otherwise be one each. A write depends on the record's own stamp, so that one
@@ -28,9 +37,9 @@
 	prefix string
 	list   []*page
 	of     map[string]*page
-	busy   bool
-	next   micros
-	last   int // number of the newest record
+	busy   [writingLater + 1]bool   // transactions that are on their way
+	next   [writingLater + 1]micros // none before
+	last   int                      // number of the newest record
 	// value makes the record of some entries; applied is called once it is durable.
 	value func(names []string) (value []byte, applied func())
 }
@@ -60,12 +69,13 @@
 	p.of[name] = g
 }
 
-// put says that an entry is new or has changed, and when it has to be written.
+// put says that an entry is new or has changed, and when it has to be written. A new one
+// gets no place in a record that it would have to wait for.
 func (p *pages) put(name string, size, room int, due micros, urgent bool) {
 	g := p.of[name]
 	if g == nil {
 		for _, o := range p.list {
-			if o.size+size <= room {
+			if o.size+size <= room && o.writing != writingLater {
 				g = o
 				break
 			}
@@ -96,29 +106,55 @@
 // txnBytes is how much of a transaction records may take; its limit is 64 KiB.
 const txnBytes = 56 << 10
 
-// writePages writes the records that are due, as many as one transaction takes.
+// laterPages is how many records a transaction carries that nothing waits for: each is
+// kept from being written again for as long as that takes, which is long while others wait.
+const laterPages = 3
+
+// writePages writes the records that are due: those that work waits for, as many as one
+// transaction takes, and besides some of those that it doesn't, if there are no others.
+// Together they had machines that had just come up wait for seven seconds to be recorded,
+// and the urgent tasks that were put on them with it, until the images of all others were.
 func (c *Controller) writePages(p *pages) {
 	at := c.at.Steady
-	if p.busy || at < p.next {
-		return
-	}
 	// Before any is taken for the transaction: what was taken when a lost one was come
 	// upon counted as being written for ever. After a single transaction without an answer
 	// that carried two records, launches in the first were not recorded any more, so they
 	// never left.
+	urgent, later := false, false
 	for _, g := range p.list {
-		if g.due <= at && g.lost && !g.writing {
-			c.restamp(p, g)
-			return
+		if g.due > at || g.writing != notWriting {
+			continue
 		}
+		if g.lost {
+			if at >= p.next[writingUrgent] {
+				c.restamp(p, g)
+			}
+			continue
+		}
+		urgent, later = urgent || g.urgent, later || !g.urgent
+	}
+	switch {
+	case urgent && !p.busy[writingUrgent] && at >= p.next[writingUrgent]:
+		c.writeSome(p, writingUrgent)
+	case later && !urgent && !p.busy[writingLater] && at >= p.next[writingLater]:
+		c.writeSome(p, writingLater)
+	}
+}
+
+// writeSome writes records that are due and of that urgency, in one transaction.
+func (c *Controller) writeSome(p *pages, how writing) {
+	at := c.at.Steady
+	prio, most := prioUrgent, c.platform.TxnOps
+	if how == writingLater {
+		prio, most = prioNormal, min(laterPages, most)
 	}
 	var when []protocol.Condition
 	var then []protocol.Change
 	var batch []*page
 	var applied []func()
-	size, prio := 0, prioNormal
+	size := 0
 	for _, g := range p.list {
-		if g.due > at || g.writing {
+		if g.due > at || g.lost || g.writing != notWriting || g.urgent != (how == writingUrgent) {
 			continue
 		}
 		if len(g.entries) == 0 && g.stamp == 0 {
@@ -141,22 +177,19 @@
 		when = append(when, protocol.Condition{Key: g.key, Stamp: g.stamp})
 		then = append(then, ch)
 		batch, applied = append(batch, g), append(applied, done)
-		if g.urgent {
-			prio = prioUrgent
-		}
-		g.writing, g.due, g.urgent = true, protocol.Forever, false
-		if len(then) == c.platform.TxnOps {
+		g.writing, g.due, g.urgent = how, protocol.Forever, false
+		if len(then) == most {
 			break
 		}
 	}
 	if len(then) == 0 {
 		return
 	}
-	p.busy = true
+	p.busy[how] = true
 	c.lead(prio, when, then, func(o txnOutcome, r protocol.TxnResult) {
-		p.busy = false
+		p.busy[how] = false
 		for i, g := range batch {
-			g.writing = false
+			g.writing = notWriting
 			if o == txnApplied {
 				g.stamp = r.Stamp
 				if applied[i] != nil {
@@ -164,11 +197,11 @@
 				}
 				continue
 			}
-			g.due, g.urgent = c.at.Steady, true
+			g.due, g.urgent = c.at.Steady, g.urgent || how == writingUrgent
 			g.lost = g.lost || o == txnUnknown || o == txnRefused && slices.Contains(r.Failed, g.key)
 		}
 		if o != txnApplied {
-			p.next = c.at.Steady + 300*protocol.Millisecond
+			p.next[how] = c.at.Steady + 300*protocol.Millisecond
 		}
 	})
 }
@@ -191,19 +224,21 @@
 		delete(g.entries, name)
 		p.enter(o, name, size)
 	}
+	// In the same transaction, or later.
+	g.due, g.urgent = c.at.Steady, true
 }
 
 // restamp finds out which stamp a record has after a write without an answer.
 func (c *Controller) restamp(p *pages, g *page) {
 	t := c.term
-	p.busy = true
+	g.writing = writingUrgent
 	c.get(prioUrgent, g.key, func(e protocol.Entry, found, ok bool) {
 		if c.term != t {
 			return
 		}
-		p.busy = false
+		g.writing = notWriting
 		if !ok {
-			p.next = c.at.Steady + 300*protocol.Millisecond
+			p.next[writingUrgent] = c.at.Steady + 300*protocol.Millisecond
 			return
 		}
 		g.lost, g.stamp = false, e.Stamp // 0 where there is none
