--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -25,6 +25,8 @@
 	PeerReport // a worker's report, passed to the leader; a PeerAnswer comes back
 	PeerProbe  // a leader's call to a worker, to be made by another node; so too
 	PeerCheck  // a leader's check of an instance, to be made by another node; so too
+	PeerGrant  // a leader says which revision of the configuration it goes by
+	PeerGoesBy // the answer: which one the other node does
 )
 
 // UserOp is what a user asks.
@@ -41,6 +43,12 @@
 	OpRolloutPause
 	OpRolloutResume
 	OpRolloutRevert
+	OpConfig // the others are of the configuration; Ref is a revision
+	OpConfigApply
+	OpConfigHistory
+	OpConfigRollback
+	OpConfigWait
+	OpConfigStatus
 )
 
 // PeerMessage is a user's call or a worker's report passed to the leader, a
@@ -68,6 +76,12 @@
 	Check   CheckKind
 	Path    string
 	Timeout Micros
+	// A grant has the leader's revision of the configuration, and of the last answer it
+	// has heard of the other node the life of its process and the time by its steady
+	// clock. The answer has those of the node itself. The body of a grant is the
+	// document, where the other node doesn't have it.
+	Revision, Life uint64
+	At             Micros
 	// The body of a call, a report or an answer.
 	Body []byte
 }
@@ -94,6 +108,12 @@
 		b = binary.BigEndian.AppendUint32(b, m.Heard)
 	case PeerReport:
 		b = appendPeerFlag(b, m.Returned)
+	case PeerGrant:
+		b = binary.BigEndian.AppendUint64(b, m.Epoch)
+		b = appendPeerText(b, m.From)
+		b = appendPeerRevision(b, m)
+	case PeerGoesBy:
+		b = appendPeerRevision(b, m)
 	case PeerProbe:
 		b = appendPeerText(b, m.Addr)
 	case PeerCheck:
@@ -108,6 +128,12 @@
 	return b
 }
 
+func appendPeerRevision(b []byte, m *PeerMessage) []byte {
+	b = binary.BigEndian.AppendUint64(b, m.Revision)
+	b = binary.BigEndian.AppendUint64(b, m.Life)
+	return binary.BigEndian.AppendUint64(b, uint64(m.At))
+}
+
 func appendPeerText(b []byte, s string) []byte {
 	b = binary.BigEndian.AppendUint16(b, uint16(len(s)))
 	return append(b, s...)
@@ -147,7 +173,7 @@
 		m.Op = UserOp(r.byte())
 		m.Ref = string(r.take(int(r.uint(2))))
 		m.From = string(r.take(int(r.uint(2))))
-		if m.Op < OpSubmit || m.Op > OpRolloutRevert {
+		if m.Op < OpSubmit || m.Op > OpConfigStatus {
 			return nil, errFrame
 		}
 	case PeerAnswer:
@@ -166,6 +192,15 @@
 		}
 	case PeerReport:
 		m.Returned = r.flag()
+	case PeerGrant, PeerGoesBy:
+		if m.Kind == PeerGrant {
+			m.Epoch = r.uint(8)
+			m.From = string(r.take(int(r.uint(2))))
+		}
+		m.Revision, m.Life, m.At = r.uint(8), r.uint(8), Micros(r.uint(8))
+		if m.At < 0 {
+			return nil, errFrame
+		}
 	case PeerProbe:
 		m.Addr = string(r.take(int(r.uint(2))))
 	case PeerCheck:
