--- a/cmd/mapleslip/dev.go
+++ b/cmd/mapleslip/dev.go
@@ -74,13 +74,14 @@
 
 // dev is a deployment on one machine.
 type dev struct {
-	live    *rehearsal.Live
-	cancel  context.CancelFunc
-	dir     string
-	names   []string
-	clients []string
-	files   []string // of the controllers' settings
-	rollout string
+	live          *rehearsal.Live
+	cancel        context.CancelFunc
+	dir           string
+	names         []string
+	clients       []string
+	files         []string // of the controllers' settings
+	rollout       string
+	configuration string
 
 	mu    sync.Mutex
 	procs map[string]*exec.Cmd
@@ -137,7 +138,8 @@
 	}
 	d.rollout = filepath.Join(d.dir, "rollout.toml")
 	operator := filepath.Join(d.dir, "operator.toml")
-	files := map[string]string{d.rollout: "checks_per_s = 200.0\n", operator: "idle_return_s = 120.0\n"}
+	d.configuration = filepath.Join(d.dir, "configuration.toml")
+	files := map[string]string{d.configuration: "history_pages = 16\n", d.rollout: "checks_per_s = 200.0\n", operator: "idle_return_s = 120.0\n"}
 	for n, name := range d.names {
 		q := p
 		q.Node, q.Zone, q.ClientListen, q.ClusterListen, q.StateAddr, q.CloudAddr = name, p.Zones[n], d.clients[n], cluster[n], addr(0), addr(1)
@@ -179,7 +181,7 @@
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(self, "--config", d.files[n], "--operator", filepath.Join(d.dir, "operator.toml"), "--rollout", d.rollout)
+	cmd := exec.Command(self, "--config", d.files[n], "--operator", filepath.Join(d.dir, "operator.toml"), "--rollout", d.rollout, "--configuration", d.configuration)
 	cmd.Stderr = log
 	// It ends with this process, however that ends, and Ctrl-C is for this one alone.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
--- a/cmd/mapleslip/main.go
+++ b/cmd/mapleslip/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/spf13/cobra"
 
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 	"mapleslip/internal/telemetry"
@@ -26,7 +27,7 @@
 }
 
 func command() *cobra.Command {
-	var config, operator, shown, rolls string
+	var config, operator, shown, rolls, changes string
 	var check bool
 	cmd := &cobra.Command{
 		Use:   "mapleslip --config FILE",
@@ -59,6 +60,14 @@
 				}
 				tele = &t
 			}
+			var changing *configuration.Options
+			if changes != "" {
+				o, err := configuration.LoadOptions(changes)
+				if err != nil {
+					return err
+				}
+				changing = &o
+			}
 			var rollouts *rollout.Settings
 			if rolls != "" {
 				r, err := rollout.LoadSettings(rolls)
@@ -71,19 +80,20 @@
 				fmt.Fprintln(cmd.OutOrStdout(), "settings are valid")
 				return nil
 			}
-			log := logger(os.Getenv("LOG_LEVEL"))
+			log, level := logger(os.Getenv("LOG_LEVEL"))
 			slog.SetDefault(log)
 			// One goroutine owns the state and the share is part of one core:
 			// more threads would only take turns.
 			runtime.GOMAXPROCS(1)
 			debug.SetMemoryLimit(platform.MemoryBytes * 6 / 10)
-			return serve(platform, own, tele, rollouts, log)
+			return serve(platform, own, features{tele, rollouts, changing}, log, level)
 		},
 	}
 	cmd.Flags().StringVar(&config, "config", "", "the platform's settings `FILE`")
 	cmd.Flags().StringVar(&operator, "operator", "", "the operators' own settings `FILE`")
 	cmd.Flags().StringVar(&shown, "telemetry", "", "serve metrics and send spans as the settings `FILE` says")
 	cmd.Flags().StringVar(&rolls, "rollout", "", "serve roll-outs, as the settings `FILE` says")
+	cmd.Flags().StringVar(&changes, "configuration", "", "let the configuration change while it runs, as the settings `FILE` says")
 	cmd.Flags().BoolVar(&check, "check", false, "check the settings and exit")
 	cmd.AddCommand((&users{}).commands()...)
 	cmd.AddCommand(devCommand())
@@ -91,20 +101,25 @@
 	return cmd
 }
 
-func logger(level string) *slog.Logger {
-	l, unknown := slog.LevelInfo, false
-	switch level {
+// levelNamed is a level of the log, info where the name is not one of error, info, debug.
+func levelNamed(name string) (l slog.Level, known bool) {
+	switch name {
 	case "error":
-		l = slog.LevelError
-	case "info", "":
+		return slog.LevelError, true
 	case "debug":
-		l = slog.LevelDebug
-	default:
-		unknown = true
+		return slog.LevelDebug, true
 	}
-	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: l}))
-	if unknown {
+	return slog.LevelInfo, name == "info"
+}
+
+// logger makes the log, whose level may be changed.
+func logger(level string) (*slog.Logger, *slog.LevelVar) {
+	l, known := levelNamed(level)
+	lever := new(slog.LevelVar)
+	lever.Set(l)
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: lever}))
+	if !known && level != "" {
 		log.Info("LOG_LEVEL is not one of error, info, debug: info is used", "LOG_LEVEL", level)
 	}
-	return log
+	return log, lever
 }
--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/coordination"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
@@ -26,6 +27,9 @@
 	dialers  map[coordination.Target]*transport.Dialer
 	addrs    map[coordination.Target]string
 	shown    *telemetry.Recorder // nil: telemetry is off
+
+	level      *slog.LevelVar // of the log
+	startLevel slog.Level
 }
 
 const (
@@ -39,7 +43,15 @@
 var targetNames = map[coordination.Target]string{coordination.ToState: "state", coordination.ToCloud: "cloud",
 	coordination.ToPeer: "controller", coordination.ToWorker: "worker", coordination.ToInstance: "instance"}
 
-func serve(p *protocol.Platform, o protocol.Operator, t *telemetry.Settings, r *rollout.Settings, log *slog.Logger) error {
+// features are what operators' files switch on, nil where they don't.
+type features struct {
+	telemetry     *telemetry.Settings
+	rollouts      *rollout.Settings
+	configuration *configuration.Options
+}
+
+func serve(p *protocol.Platform, o protocol.Operator, f features, log *slog.Logger, level *slog.LevelVar) error {
+	t, r := f.telemetry, f.rollouts
 	for _, l := range []struct{ key, address string }{{"client_listen", p.ClientListen}, {"cluster_listen", p.ClusterListen}} {
 		if err := transport.CanListen(l.address, bindWait); err != nil {
 			return fmt.Errorf("%s: %w", l.key, err)
@@ -47,6 +59,7 @@
 	}
 	seed := rand.Uint64()
 	d := &driver{log: log, platform: p, ctl: coordination.New(p, o, seed, log), started: time.Now(), in: make(chan any, queueLength),
+		level: level, startLevel: level.Level(),
 		meters: map[coordination.Target]*transport.Meter{
 			coordination.ToState: transport.NewMeter(p.StateRate, p.StateWriteRate, 1, p.TxnOps),
 			coordination.ToCloud: transport.NewMeter(p.CloudRate, 0, 2, 0),
@@ -66,6 +79,10 @@
 		d.ctl.EnableRollouts(*r)
 		log.Info("roll-outs are on", "checks_per_s", r.ChecksPerS)
 	}
+	if f.configuration != nil {
+		d.ctl.EnableConfiguration(*f.configuration)
+		log.Info("the configuration may change", "history_pages", f.configuration.Pages)
+	}
 	d.server = &transport.Server{Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: plan.inbound, Idle: 5 * time.Minute,
 		// Whoever reports or polls is heard again before that.
@@ -175,6 +192,30 @@
 	d.perform(effects)
 }
 
+// configOps are what is asked about the configuration, by path and method.
+var configOps = map[string]struct {
+	method string
+	op     protocol.UserOp
+	arg    string // of the query
+}{
+	"/api/config":          {"GET", protocol.OpConfig, ""},
+	"/api/config/apply":    {"POST", protocol.OpConfigApply, ""},
+	"/api/config/history":  {"GET", protocol.OpConfigHistory, "before"},
+	"/api/config/rollback": {"POST", protocol.OpConfigRollback, ""},
+	"/api/config/wait":     {"GET", protocol.OpConfigWait, "revision"},
+	"/api/config/status":   {"GET", protocol.OpConfigStatus, ""},
+}
+
+// argument is one argument of a query, "" where it is not there.
+func argument(query, name string) string {
+	for _, part := range strings.Split(query, "&") {
+		if k, v, _ := strings.Cut(part, "="); k == name {
+			return v
+		}
+	}
+	return ""
+}
+
 var rolloutOps = map[string]protocol.UserOp{"": protocol.OpRolloutShow, "pause": protocol.OpRolloutPause, "resume": protocol.OpRolloutResume,
 	"revert": protocol.OpRolloutRevert}
 
@@ -201,6 +242,12 @@
 			want = "GET"
 			ev = coordination.UserCall{Reply: to, Op: protocol.OpQuery, Ref: ref}
 		}
+	case configOps[r.Path].op > 0:
+		o := configOps[r.Path]
+		if r.Path == "/api/config" && r.Method == "POST" {
+			o = configOps["/api/config/apply"]
+		}
+		want, ev = o.method, coordination.UserCall{Reply: to, Op: o.op, Ref: argument(r.Query, o.arg), Body: r.Body}
 	case r.Path == "/api/rollouts":
 		ev = coordination.UserCall{Reply: to, Op: protocol.OpRollout, Body: r.Body}
 		if r.Method == "GET" {
@@ -237,12 +284,27 @@
 			d.call(e)
 		case coordination.Share:
 			d.share(e.Leads)
+		case coordination.LogLevel:
+			d.setLevel(e.Level)
 		case coordination.Span:
 			d.shown.Span(e, d.started)
 		}
 	}
 }
 
+// setLevel sets the level of the log; "" is the one that the process was started with.
+func (d *driver) setLevel(name string) {
+	level := d.startLevel
+	if name != "" {
+		level, _ = levelNamed(name)
+	}
+	if was := d.level.Level(); level != was {
+		d.level.Set(slog.LevelInfo)
+		d.log.Info("level of the log", "from", was.String(), "to", level.String())
+		d.level.Set(level)
+	}
+}
+
 func (d *driver) reply(r coordination.Reply) {
 	d.server.Answer(transport.ConnID(r.To.Conn), func(closing bool) []byte {
 		if r.To.Peer && r.Frame {
--- a/cmd/mapleslip/user.go
+++ b/cmd/mapleslip/user.go
@@ -47,7 +47,7 @@
 				return u.rollout(cmd, "POST", args[0], "/"+what)
 			}})
 	}
-	list := []*cobra.Command{submit, status, cancel, roll}
+	list := []*cobra.Command{submit, status, cancel, roll, u.configCommand()}
 	for _, c := range list {
 		c.PersistentFlags().StringVar(&u.server, "server", os.Getenv(serverVariable), "controllers, `IP:port[,IP:port]`; "+serverVariable+" sets it too")
 		c.PersistentFlags().BoolVar(&u.json, "json", false, "print the service's own answer")
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -215,8 +215,15 @@
 	b = fmt.Appendf(b, `{"revision":%d,"at_us":%d,"who":`, e.Revision, int64(e.At))
 	b = append(protocol.AppendQuoted(b, e.Who), `,"why":`...)
 	b = append(protocol.AppendQuoted(b, e.Why), `,"id":`...)
-	b = append(protocol.AppendQuoted(b, e.ID), `,"changes":[`...)
-	for i, c := range e.Changes {
+	b = append(protocol.AppendQuoted(b, e.ID), `,"changes":`...)
+	return append(AppendChanges(b, e.Changes), '}')
+}
+
+// AppendChanges writes changes, each as a list of key, old and new value, null where
+// there is none.
+func AppendChanges(b []byte, changes []Change) []byte {
+	b = append(b, '[')
+	for i, c := range changes {
 		if i > 0 {
 			b = append(b, ',')
 		}
@@ -224,7 +231,7 @@
 		b = append(append(b, orNull(c.Old)...), ',')
 		b = append(append(b, orNull(c.New)...), ']')
 	}
-	return append(b, "]}"...)
+	return append(b, ']')
 }
 
 func orNull(value string) string {
@@ -314,30 +321,39 @@
 	}
 	list := make([]Entry, 0, len(items))
 	for i, it := range items {
-		e := Entry{Revision: it.GetUint64("revision"), At: micros(it.GetInt64("at_us")), Who: string(it.GetStringBytes("who")),
-			Why: string(it.GetStringBytes("why")), ID: string(it.GetStringBytes("id"))}
-		for _, c := range it.GetArray("changes") {
-			part := c.GetArray()
-			if len(part) != 3 {
-				return nil, errRecord
-			}
-			ch := Change{Key: string(part[0].GetStringBytes())}
-			ok := [2]bool{true, true}
-			if part[1].Type() != fastjson.TypeNull {
-				ch.Old, ok[0] = canonical(part[1])
-			}
-			if part[2].Type() != fastjson.TypeNull {
-				ch.New, ok[1] = canonical(part[2])
-			}
-			if ch.Key == "" || !ok[0] || !ok[1] {
-				return nil, errRecord
-			}
-			e.Changes = append(e.Changes, ch)
-		}
-		if e.Revision == 0 || i > 0 && e.Revision != list[i-1].Revision+1 {
+		e, err := DecodeEntry(it)
+		if err != nil || i > 0 && e.Revision != list[i-1].Revision+1 {
 			return nil, errRecord
 		}
 		list = append(list, e)
 	}
 	return list, nil
 }
+
+// DecodeEntry reads an entry of the history.
+func DecodeEntry(it *fastjson.Value) (Entry, error) {
+	e := Entry{Revision: it.GetUint64("revision"), At: micros(it.GetInt64("at_us")), Who: string(it.GetStringBytes("who")),
+		Why: string(it.GetStringBytes("why")), ID: string(it.GetStringBytes("id"))}
+	for _, c := range it.GetArray("changes") {
+		part := c.GetArray()
+		if len(part) != 3 {
+			return e, errRecord
+		}
+		ch := Change{Key: string(part[0].GetStringBytes())}
+		ok := [2]bool{true, true}
+		if part[1].Type() != fastjson.TypeNull {
+			ch.Old, ok[0] = canonical(part[1])
+		}
+		if part[2].Type() != fastjson.TypeNull {
+			ch.New, ok[1] = canonical(part[2])
+		}
+		if ch.Key == "" || !ok[0] || !ok[1] {
+			return e, errRecord
+		}
+		e.Changes = append(e.Changes, ch)
+	}
+	if e.Revision == 0 {
+		return e, errRecord
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/coordination/configuration.go
@@ -0,0 +1,828 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/configuration"
+	"mapleslip/internal/protocol"
+)
+
+// Configuration that changes while the service runs. Only the leader writes revisions,
+// and all that they are about is decided by it, but for two things: another controller
+// may accept a job where it can't reach the leader, which depends on the stamp of the
+// head, and its log has a level, for which it holds a lease (configuration.Holder).
+
+// configState is what a controller knows of the configuration; nil: it does not change.
+type configState struct {
+	options configuration.Options
+	bounds  configuration.Bounds
+	holder  configuration.Holder
+
+	head     *configuration.Head // the newest that was read or written, nil: there is none, or only its document is known
+	revision uint64
+	document configuration.Document
+	settings *configuration.Settings // what it comes to
+
+	// The stamp of the head in the state service, as far as known: what is accepted and
+	// launched depends on it.
+	stamp   uint64
+	known   bool
+	damaged bool // the head can't be read: the last good revision is gone by
+
+	moves int // times that a head was taken or written
+
+	refreshing, again bool // the head is being read, and has to be once more
+
+	level string // of the log, as last told
+}
+
+// configTerm is what a leader has of the configuration during one epoch.
+type configTerm struct {
+	granter *configuration.Granter
+	writing bool
+	unsure  micros // until then a write without an answer may be applied
+	reread  micros
+	waits   []configWait
+	found   bool // the head was there when the records were read
+}
+
+// configWait is an operator who waits until a revision is in force everywhere.
+type configWait struct {
+	to       Address
+	revision uint64
+	until    micros
+}
+
+// Spans of that.
+const (
+	grantEvery   = protocol.Second
+	configWaits  = 1500 * protocol.Millisecond // what an operator is kept waiting for
+	configUnsure = 60 * protocol.Second
+	configReread = 3 * protocol.Second
+	configAgain  = 200 * protocol.Millisecond
+)
+
+// EnableConfiguration lets the configuration change, before Start.
+func (c *Controller) EnableConfiguration(o configuration.Options) {
+	b := configuration.Bounds{Teams: c.platform.Teams, Zones: c.platform.Zones, Operator: c.operator, ValueBytes: c.platform.ValueBytes}
+	c.config = &configState{options: o, bounds: b, holder: configuration.Holder{Life: c.rng.Uint64()}, settings: configuration.Of(&b, nil)}
+}
+
+// team is a team as the revision in force has it.
+func (c *Controller) team(name string) (configuration.Team, bool) {
+	if c.config != nil {
+		t, ok := c.config.settings.Teams[name]
+		return t, ok
+	}
+	t, ok := c.platform.Teams[name]
+	return configuration.Team{Team: t}, ok
+}
+
+// drained says whether a machine is drained, and how.
+func (c *Controller) drained(h *bookkeeping.Host) configuration.Drain {
+	if c.config == nil {
+		return configuration.NotDrained
+	}
+	return c.config.settings.Drained(h.Name, h.Zone, h.Addr)
+}
+
+// GoesBy is the revision that this controller decides by at its last step; false: it
+// decides nothing by any.
+func (c *Controller) GoesBy() (revision uint64, ok bool) {
+	if c.config == nil {
+		return 0, false
+	}
+	if leads(c.role) {
+		return c.config.revision, c.mayStart()
+	}
+	return c.config.revision, c.config.holder.Holds(c.at.Steady)
+}
+
+// setLevel tells the driver which level the log has to have.
+func (c *Controller) setLevel() {
+	if c.config == nil {
+		return
+	}
+	level := ""
+	if _, ok := c.GoesBy(); ok {
+		level = c.config.settings.Log
+	}
+	if level != c.config.level {
+		c.config.level = level
+		c.emit(LogLevel{level})
+	}
+}
+
+// LogLevel sets the level of the log, "": as the process was started.
+type LogLevel struct{ Level string }
+
+func (LogLevel) effect() {}
+
+// underRevision makes a transaction depend on the revision that this controller goes by.
+func (c *Controller) underRevision(when []protocol.Condition) []protocol.Condition {
+	if c.config == nil {
+		return when
+	}
+	return append(when, protocol.Condition{Key: configuration.KeyHead, Stamp: c.config.stamp})
+}
+
+// outdated notices a transaction that was refused because the head is another one: it is
+// read again, and what was refused is decided anew.
+func (c *Controller) outdated(o txnOutcome, r protocol.TxnResult) bool {
+	if c.config == nil || o != txnRefused || !slices.Contains(r.Failed, configuration.KeyHead) {
+		return false
+	}
+	c.stats.ConfigOutdated++
+	c.config.known = false
+	c.refresh()
+	return true
+}
+
+// refresh reads the head until it is known.
+func (c *Controller) refresh() {
+	s := c.config
+	if s.refreshing {
+		s.again = true // the read under way may have been made before
+		return
+	}
+	s.refreshing, s.again = true, false
+	c.readHead(prioUrgent, func(ok bool) {
+		s.refreshing = false
+		if ok && !s.again {
+			return
+		}
+		c.after(configAgain, func() {
+			if !s.known || s.again {
+				c.refresh()
+			}
+		})
+	})
+}
+
+// readHead reads the head and goes by it. It always asks: what is decided after it goes
+// by what the state service had after whoever decides wanted to know.
+func (c *Controller) readHead(prio uint8, done func(ok bool)) {
+	began := c.config.moves
+	c.get(prio, configuration.KeyHead, func(e protocol.Entry, found, ok bool) {
+		if ok && (found || began == c.config.moves) { // otherwise it was made meanwhile
+			c.tookHead(e, found)
+		}
+		done(ok)
+	})
+}
+
+// tookHead goes by what the state service has for the head. One that can't be read, or
+// is not there any more, stops nothing: the last good revision stays.
+func (c *Controller) tookHead(e protocol.Entry, found bool) {
+	s := c.config
+	if s.known && e.Stamp < s.stamp && found {
+		return // it was read before what is known
+	}
+	h, err := (*configuration.Head)(nil), error(nil)
+	switch {
+	case found:
+		h, err = configuration.DecodeHead(e.Value)
+	case s.revision > 0:
+		err = fmt.Errorf("it is not there any more")
+	}
+	s.stamp, s.known = e.Stamp, true
+	s.moves++
+	if err != nil || h != nil && h.Revision < s.revision {
+		if err == nil {
+			err = fmt.Errorf("it has revision %d, and %d was known", h.Revision, s.revision)
+		}
+		s.damaged = true
+		c.damaged(protocol.Entry{Key: configuration.KeyHead, Stamp: e.Stamp}, fmt.Errorf("%w: going on by revision %d", err, s.revision))
+		return
+	}
+	s.damaged = false
+	if h == nil {
+		return // there is no revision yet
+	}
+	s.head = h
+	c.goBy(h.Revision, h.Document)
+}
+
+// goBy takes a revision into force here.
+func (c *Controller) goBy(revision uint64, d configuration.Document) {
+	s := c.config
+	if revision <= s.revision {
+		return
+	}
+	was := s.settings
+	s.revision, s.document, s.settings = revision, d, configuration.Of(&s.bounds, d)
+	s.holder.Revision = max(s.holder.Revision, revision)
+	c.operator = s.settings.Operator
+	c.log.Info("configuration", "revision", revision)
+	if t := c.term; t != nil && t.config.granter != nil {
+		t.config.granter.Goes(revision, c.at.Steady)
+		c.reconsider(was)
+		c.askGrants(t)
+	}
+	c.setLevel()
+}
+
+// reconsider takes back what a leader has decided by an earlier revision and not carried
+// out yet. Rows are touched where the change is about them, and nowhere else.
+func (c *Controller) reconsider(was *configuration.Settings) {
+	t := c.term
+	s := c.config.settings
+	back := func(a *bookkeeping.Attempt) {
+		// A launch that may be on its way is repeated until the worker knows it; with the
+		// stop behind it nothing of it runs.
+		if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched && a.Doubt {
+			c.stop(a, 0)
+		}
+	}
+	if drains := func(s *configuration.Settings) int { return len(s.Zones) + len(s.Machines) + len(s.Nets) }; drains(was)+drains(s) > 0 {
+		for _, h := range t.book.Hosts() {
+			if d := c.drained(h); d != was.Drained(h.Name, h.Zone, h.Addr) {
+				h.Changed = true
+				if d != configuration.NotDrained {
+					for _, a := range h.Attempts() {
+						back(a)
+					}
+				}
+			}
+		}
+	}
+	for name, team := range s.Teams {
+		if old := was.Teams[name]; old.Limit == team.Limit && old.Guarantee == team.Guarantee {
+			continue
+		}
+		// A pass under way has its jobs in the order of the guarantees before.
+		t.pass = nil
+		if !withinLimit(team.Limit, t.book.Used[name]) {
+			c.eachOf(name, func(a *bookkeeping.Attempt) bool {
+				back(a)
+				return !withinLimit(team.Limit, t.book.Used[name])
+			})
+		}
+	}
+	t.dirty = true
+}
+
+// eachOf goes through the attempts of a team's jobs, those that come last in line first,
+// as long as more says so.
+func (c *Controller) eachOf(team string, more func(*bookkeeping.Attempt) bool) {
+	for _, j := range slices.Backward(slices.Clone(c.term.book.Line())) {
+		if j.Spec.Team != team {
+			continue
+		}
+		for _, a := range slices.Clone(j.On()) {
+			if !more(a) {
+				return
+			}
+		}
+	}
+}
+
+// enforce stops what runs against the revision in force, where it says so: on drained
+// machines, and above a team's limit. It is looked at again and again, so that a new
+// leader goes on with it.
+func (c *Controller) enforce() {
+	if c.config == nil || !c.mayStart() {
+		return
+	}
+	t, s := c.term, c.config.settings
+	gently := func(a *bookkeeping.Attempt) {
+		grace := micros(0)
+		if a.Job != nil && a.Job.Spec.Checkpoints() {
+			grace = a.Job.Spec.Saves + protocol.Second
+		}
+		c.stop(a, grace)
+	}
+	if len(s.Zones)+len(s.Machines)+len(s.Nets) > 0 {
+		for _, h := range t.book.Hosts() {
+			if h.Empty() || c.drained(h) != configuration.DrainStop {
+				continue
+			}
+			for _, a := range h.Attempts() {
+				if a.State.Occupies() && !a.Stop {
+					gently(a)
+				}
+			}
+		}
+	}
+	for name, team := range s.Teams {
+		used := t.book.Used[name]
+		if !team.StopExcess || withinLimit(team.Limit, used) {
+			continue
+		}
+		// What is told to stop counts until it is gone; nothing more is stopped for it.
+		c.eachOf(name, func(a *bookkeeping.Attempt) bool {
+			if a.Stop && a.State.MayRun() {
+				used = used.Add(a.Job.Spec.Need, -1)
+			}
+			return true
+		})
+		c.eachOf(name, func(a *bookkeeping.Attempt) bool {
+			if withinLimit(team.Limit, used) {
+				return false
+			}
+			if a.State.Occupies() && !a.Stop {
+				used = used.Add(a.Job.Spec.Need, -1)
+				gently(a)
+			}
+			return true
+		})
+	}
+}
+
+// mayRent bounds how many machines of a kind may be asked for, by the ceiling of their
+// type and zone, spot or not. mine are those that a request which is repeated has asked
+// for already.
+func (c *Controller) mayRent(k kind, mine int) int {
+	if c.config == nil {
+		return maxClaim
+	}
+	if c.config.settings.Zones[k.zone] != configuration.NotDrained {
+		return 0
+	}
+	ceiling, ok := c.config.settings.Ceilings[configuration.Kind{Type: k.typ, Zone: k.zone}]
+	if !ok {
+		return maxClaim
+	}
+	there := c.term.rental.open[kind{k.typ, k.zone, false}] + c.term.rental.open[kind{k.typ, k.zone, true}] - mine
+	for _, h := range c.term.book.Hosts() {
+		if h.TypeName == k.typ && h.Zone == k.zone && h.State != bookkeeping.HostGone {
+			there++
+		}
+	}
+	return max(0, min(maxClaim, ceiling-there))
+}
+
+// initConfig gives a new term what it needs, before the records are read.
+func (c *Controller) initConfig(t *term) {
+	if c.config != nil {
+		// Earlier leaders may have granted leases until this one had taken the lead.
+		t.config.granter = configuration.NewGranter(c.config.revision, c.at.Steady)
+	}
+}
+
+// loadHead takes the head among the records that a new leader reads.
+func (c *Controller) loadHead(e protocol.Entry) {
+	if e.Key == configuration.KeyHead {
+		c.term.config.found = true
+		c.config.known = false
+		c.tookHead(e, true)
+	}
+}
+
+// loadedConfig begins what a leader does about the configuration.
+func (c *Controller) loadedConfig(t *term) {
+	if c.config == nil {
+		return
+	}
+	if !t.config.found {
+		c.config.known = false
+		c.tookHead(protocol.Entry{}, false)
+	}
+	c.setLevel()
+	var ask func()
+	ask = func() {
+		if c.term == t {
+			c.askGrants(t)
+			c.after(grantEvery, ask)
+		}
+	}
+	ask()
+}
+
+// askGrants tells the others which revision the leader goes by, and so renews their
+// leases on it. A leader that is not certain to lead renews none.
+func (c *Controller) askGrants(t *term) {
+	if !c.mayStart() {
+		return
+	}
+	s := c.config
+	var document []byte
+	for _, o := range c.platform.Siblings {
+		q, needs := t.config.granter.Ask(o.Name, t.epoch)
+		m := &protocol.PeerMessage{Kind: protocol.PeerGrant, Epoch: q.Epoch, From: c.platform.Node, Revision: q.Revision, Life: q.Life, At: q.Heard}
+		if needs {
+			if document == nil {
+				document = configuration.EncodeDocument(s.document)
+			}
+			m.Body = document
+		}
+		c.callAddr(ToPeer, "", o.Address, "", protocol.AppendPeer(nil, m), grantEvery, func(r CallDone) {
+			if c.term != t || r.Status != 200 {
+				return
+			}
+			a, err := protocol.ParsePeer(r.Body)
+			if err != nil {
+				c.malformed("controller", err)
+				return
+			}
+			if a.Kind != protocol.PeerGoesBy {
+				return
+			}
+			t.config.granter.Answered(o.Name, a.Life, a.At, a.Revision, c.at.Steady)
+			c.answerWaits(t)
+		})
+	}
+}
+
+// GrantQuestion is a leader's question about the revision that this node goes by.
+type GrantQuestion struct {
+	Reply    Address
+	Grant    configuration.Grant
+	Document []byte // nil: this node has it
+}
+
+func (GrantQuestion) event() {}
+
+// onGrant answers a leader's question about the configuration.
+func (c *Controller) onGrant(e GrantQuestion) {
+	s := c.config
+	if s == nil || leads(c.role) || c.role == Claiming {
+		c.reply(e.Reply, 0, nil, 0)
+		return
+	}
+	var d configuration.Document
+	if len(e.Document) > 0 {
+		var err error
+		if d, err = configuration.DecodeDocument(e.Document); err != nil {
+			c.malformed("controller", err)
+		}
+	}
+	if s.holder.Take(c.at.Steady, e.Grant, d != nil) == configuration.Adopting {
+		s.known = false // its stamp is not
+		c.goBy(e.Grant.Revision, d)
+	}
+	c.setLevel()
+	c.emit(Reply{To: e.Reply, Status: 200, Frame: true, Body: protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerGoesBy,
+		Revision: s.holder.Revision, Life: s.holder.Life, At: c.at.Steady})})
+}
+
+// pulseConfig does what is due about the configuration while this node leads.
+func (c *Controller) pulseConfig(t *term) {
+	if c.config == nil {
+		return
+	}
+	at := c.at.Steady
+	if at < t.config.unsure && at >= t.config.reread {
+		t.config.reread = at + configReread
+		c.readHead(prioNormal, func(bool) {})
+	}
+	c.answerWaits(t)
+}
+
+func (c *Controller) siblingNames() []string {
+	names := make([]string, len(c.platform.Siblings))
+	for i, s := range c.platform.Siblings {
+		names[i] = s.Name
+	}
+	return names
+}
+
+// answerWaits answers the operators whose revision is in force everywhere, and those who
+// have waited for as long as they are kept. Only a leader whose lease certainly holds
+// says so: nobody else decides what it does.
+func (c *Controller) answerWaits(t *term) {
+	waits := t.config.waits
+	if len(waits) == 0 {
+		return
+	}
+	t.config.waits = nil
+	for _, w := range waits {
+		switch {
+		case c.mayStart() && w.revision <= c.config.revision && t.config.granter.InForce(w.revision, c.at.Steady, c.siblingNames()):
+			c.reply(w.to, 200, fmt.Appendf(nil, `{"revision":%d,"in_force":true}`, w.revision), 0)
+		case c.at.Steady >= w.until || !c.mayStart():
+			c.unavailable(w.to, refusedNotInForce)
+		default:
+			t.config.waits = append(t.config.waits, w)
+		}
+	}
+}
+
+// onConfig handles an operator's call about the configuration, wherever it came in.
+func (c *Controller) onConfig(e UserCall) {
+	if c.config == nil {
+		c.reply(e.Reply, 404, protocol.ErrorBody("changes of the configuration are off"), 0)
+		return
+	}
+	var r *configuration.Request
+	var revision uint64
+	var err error
+	switch e.Op {
+	case protocol.OpConfigApply, protocol.OpConfigRollback:
+		r, err = configuration.ParseRequest(e.Body, e.Op == protocol.OpConfigRollback)
+	case protocol.OpConfigWait:
+		if revision, err = strconv.ParseUint(e.Ref, 10, 64); err != nil {
+			err = fmt.Errorf("revision: must be a revision's number")
+		}
+	case protocol.OpConfigHistory:
+		if revision, err = strconv.ParseUint(e.Ref, 10, 64); err != nil && e.Ref != "" {
+			err = fmt.Errorf("before: must be a revision's number")
+		} else {
+			err = nil
+		}
+	}
+	if err != nil {
+		c.reply(e.Reply, 400, protocol.ErrorBody(err.Error()), 0)
+		return
+	}
+	if !c.mayStart() {
+		if e.Reply.Peer {
+			c.reply(e.Reply, 0, nil, 0)
+			return
+		}
+		// Only the leader can say.
+		refuse := func(CallDone) { c.unavailable(e.Reply, refusedNoLeader) }
+		if !c.toLeader(e, configWaits+500*protocol.Millisecond, refuse) {
+			refuse(CallDone{})
+		}
+		return
+	}
+	switch e.Op {
+	case protocol.OpConfig:
+		c.showConfig(e.Reply)
+	case protocol.OpConfigStatus:
+		c.configStatus(e.Reply)
+	case protocol.OpConfigWait:
+		if revision > c.config.revision {
+			c.reply(e.Reply, 409, protocol.ErrorBody(fmt.Sprintf("there is no revision %d, the last one is %d", revision, c.config.revision)), 0)
+			return
+		}
+		t := c.term
+		t.config.waits = append(t.config.waits, configWait{e.Reply, revision, c.at.Steady + configWaits})
+		c.answerWaits(t)
+	case protocol.OpConfigHistory:
+		c.history(c.once(e.Reply), revision)
+	default:
+		c.change(c.once(e.Reply), r)
+	}
+}
+
+// answerer answers an operator's call, the first time that it is called.
+type answerer func(status int, body []byte)
+
+// once makes an answerer, which answers by itself when the operator has waited for as
+// long as one is kept.
+func (c *Controller) once(to Address) answerer {
+	answered := false
+	c.after(configWaits, func() {
+		if !answered {
+			answered = true
+			c.unavailable(to, refusedState)
+		}
+	})
+	return func(status int, body []byte) {
+		switch {
+		case answered:
+			return
+		case status == 503:
+			c.unavailable(to, refusedState)
+		default:
+			c.reply(to, status, body, 0)
+		}
+		answered = true
+	}
+}
+
+// showConfig answers with the last revision.
+func (c *Controller) showConfig(to Address) {
+	s := c.config
+	b := fmt.Appendf(nil, `{"revision":%d,"damaged":%t,"document":`, s.revision, s.damaged)
+	b = append(b, configuration.EncodeDocument(s.document)...)
+	if s.head != nil && s.head.Revision == s.revision {
+		last := s.head.Log[len(s.head.Log)-1:]
+		b = append(configuration.AppendEntries(append(b, `,"last":`...), last), '}')
+	} else {
+		b = append(b, '}')
+	}
+	c.reply(to, 200, b, 0)
+}
+
+// configStatus answers where the revisions are in force.
+func (c *Controller) configStatus(to Address) {
+	s, g := c.config, c.term.config.granter
+	b := fmt.Appendf(nil, `{"revision":%d,"in_force":%d,"damaged":%t,"controllers":[{"name":%s,"revision":%d,"leads":true}`, s.revision,
+		g.Newest(c.at.Steady, c.siblingNames()), s.damaged, protocol.AppendQuoted(nil, c.platform.Node), s.revision)
+	for _, o := range c.platform.Siblings {
+		r, when := g.Acknowledged(o.Name)
+		b = append(protocol.AppendQuoted(append(b, `,{"name":`...), o.Name), `,"leads":false`...)
+		if when > 0 {
+			b = fmt.Appendf(b, `,"revision":%d,"heard_s_ago":%.1f`, r, (c.at.Steady - when).Seconds())
+		}
+		b = append(b, '}')
+	}
+	c.reply(to, 200, append(b, "]}"...), 0)
+}
+
+// mostHistory bounds the entries of an answer, in bytes.
+const mostHistory = 40 << 10
+
+// readHistory reads the history that is kept, from a revision on at least: the pages
+// before the head's part where that does not go back so far.
+func (c *Controller) readHistory(from uint64, done func(list []configuration.Entry, ok bool)) {
+	h := c.config.head
+	if h == nil {
+		done(nil, true)
+		return
+	}
+	var list []configuration.Entry
+	first, last := configuration.PageKey(h.FirstPage), configuration.PageKey(h.LastPage)
+	if h.LastPage < h.FirstPage || h.LastPage == 0 || h.Log[0].Revision <= from {
+		done(h.Log, true)
+		return
+	}
+	c.list(prioNormal, configuration.PagePrefix, func(e protocol.Entry) {
+		if e.Key < first || e.Key > last {
+			return // left by what was before the record was mended
+		}
+		page, err := configuration.DecodePage(e.Value)
+		if err != nil {
+			c.damaged(e, err)
+			return
+		}
+		list = append(list, page...)
+	}, func(_ uint64, ok bool) { done(append(list, h.Log...), ok) })
+}
+
+// history answers with the entries before a revision (0: the newest), the last one first.
+func (c *Controller) history(answer answerer, before uint64) {
+	send := func(list []configuration.Entry, more bool) {
+		b := []byte(`{"history":[`)
+		for i, e := range slices.Backward(list) {
+			if before > 0 && e.Revision >= before {
+				continue
+			}
+			if len(b) > mostHistory {
+				more = true
+				break
+			}
+			if b[len(b)-1] != '[' {
+				b = append(b, ',')
+			}
+			one := configuration.AppendEntries(nil, list[i:i+1])
+			b = append(b, one[1:len(one)-1]...)
+		}
+		answer(200, fmt.Appendf(b, `],"more":%t}`, more))
+	}
+	if h := c.config.head; h != nil && before == 0 {
+		send(h.Log, h.LastPage >= h.FirstPage && h.LastPage > 0) // the older ones are asked for if they are wanted
+		return
+	}
+	c.readHistory(0, func(list []configuration.Entry, ok bool) {
+		if !ok {
+			answer(503, nil)
+			return
+		}
+		send(list, false)
+	})
+}
+
+// change makes a revision. Whatever is wrong with it is said before anything is written.
+func (c *Controller) change(answer answerer, r *configuration.Request) {
+	t, s := c.term, c.config
+	refuse := func(status int, format string, args ...any) {
+		text := protocol.AppendQuoted([]byte(`{"error":`), fmt.Sprintf(format, args...))
+		answer(status, fmt.Appendf(text, `,"revision":%d}`, s.revision))
+	}
+	made := func(revision uint64, changed bool) {
+		answer(200, fmt.Appendf(nil, `{"revision":%d,"changed":%t}`, revision, changed))
+	}
+	if s.head != nil {
+		if e, ok := s.head.Request(r.ID); ok {
+			made(e.Revision, true) // it was made before, and its answer got lost
+			return
+		}
+	}
+	switch {
+	case t.config.writing || !s.known:
+		answer(503, nil)
+		return
+	case s.damaged && !r.Mend:
+		refuse(409, "the record of the configuration can't be read, see the leader's log: revision %d is gone by; mend puts a new record in its place", s.revision)
+		return
+	case !s.damaged && r.Mend:
+		refuse(409, "mend: the record of the configuration can be read")
+		return
+	case r.Expected != s.revision:
+		refuse(409, "expected: the last revision is %d, not %d", s.revision, r.Expected)
+		return
+	}
+	if r.Rollback {
+		revision := s.revision
+		c.readHistory(r.To+1, func(list []configuration.Entry, ok bool) {
+			switch {
+			case c.term != t || !c.mayStart() || !ok:
+				answer(503, nil)
+			case s.revision != revision:
+				refuse(409, "expected: the last revision is %d, not %d", s.revision, r.Expected)
+			case s.head == nil && r.To > 0:
+				refuse(422, "to: there is no revision %d", r.To)
+			case s.head == nil:
+				made(0, false)
+			default:
+				d, err := s.head.Back(r.To, list)
+				if err != nil {
+					refuse(422, "%v", err)
+					return
+				}
+				c.write(answer, r, configuration.Diff(s.document, d), refuse, made)
+			}
+		})
+		return
+	}
+	c.write(answer, r, r.Changes(s.document), refuse, made)
+}
+
+// write makes a revision durable, and then takes it into force: one transaction on the
+// head's stamp, and on the leader's key like each of a leader's.
+func (c *Controller) write(answer answerer, r *configuration.Request, changes []configuration.Change, refuse func(int, string, ...any), made func(uint64, bool)) {
+	t, s := c.term, c.config
+	if len(changes) == 0 && !r.Mend {
+		made(s.revision, false)
+		return
+	}
+	if t.config.writing || !s.known {
+		answer(503, nil)
+		return
+	}
+	e := configuration.Entry{At: c.at.Wall, Who: r.Who, Why: r.Why, ID: r.ID, Changes: changes}
+	var w *configuration.Write
+	var err error
+	if r.Mend {
+		w, err = configuration.Mend(&s.bounds, s.document, e, max(s.stamp, s.revision))
+	} else {
+		h := s.head
+		if h == nil {
+			h = &configuration.Head{}
+		}
+		w, err = h.Next(&s.bounds, e, s.options.Pages)
+	}
+	if err != nil {
+		refuse(422, "%v", err)
+		return
+	}
+	then := []protocol.Change{{Key: configuration.KeyHead, Value: w.Head.Encode()}}
+	if w.Page != "" {
+		then = append(then, protocol.Change{Key: w.Page, Value: w.PageValue})
+	}
+	if w.Drop != "" {
+		then = append(then, protocol.Change{Key: w.Drop})
+	}
+	when := []protocol.Condition{{Key: configuration.KeyHead, Stamp: s.stamp}}
+	t.config.writing = true
+	c.lead(prioUser, when, then, func(o txnOutcome, res protocol.TxnResult) {
+		t.config.writing = false
+		if o == txnApplied {
+			s.head, s.stamp, s.known, s.damaged = w.Head, res.Stamp, true, false
+			s.moves++
+			c.stats.ConfigChanges++
+			c.goBy(w.Head.Revision, w.Head.Document)
+			made(w.Head.Revision, true)
+			return
+		}
+		if o == txnRejected {
+			answer(503, nil)
+			return
+		}
+		// Without an answer it may have been applied, or may still be; refused, an earlier
+		// one of ours was. Its request's id says which.
+		t.config.unsure = c.at.Steady + configUnsure
+		t.config.reread = c.at.Steady + configReread
+		c.readHead(prioUser, func(ok bool) {
+			if ok && s.head != nil {
+				if e, here := s.head.Request(r.ID); here {
+					made(e.Revision, true)
+					return
+				}
+			}
+			answer(503, nil)
+		})
+	})
+}
+
+// ConfigStats is how the configuration stands at a controller.
+type ConfigStats struct {
+	Revision  uint64
+	Holds     bool              // it is gone by here
+	Damaged   bool              // the head can't be read
+	InForce   uint64            // newest revision in force everywhere, as the leader knows; 0 elsewhere
+	Revisions map[string]uint64 // of the other controllers, as they told the leader; nil elsewhere
+}
+
+func (c *Controller) configStats() *ConfigStats {
+	if c.config == nil {
+		return nil
+	}
+	s := &ConfigStats{Damaged: c.config.damaged}
+	s.Revision, s.Holds = c.GoesBy()
+	if t := c.term; t != nil {
+		names := c.siblingNames()
+		s.InForce, s.Revisions = t.config.granter.Newest(c.at.Steady, names), make(map[string]uint64, len(names))
+		for _, n := range names {
+			s.Revisions[n], _ = t.config.granter.Acknowledged(n)
+		}
+	}
+	return s
+}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 )
@@ -73,6 +74,8 @@
 		return WorkerReport{Reply: to, Body: m.Body, Returned: m.Returned}
 	case protocol.PeerProbe:
 		return WorkerCall{Reply: to, Addr: m.Addr, Body: m.Body}
+	case protocol.PeerGrant:
+		return GrantQuestion{Reply: to, Grant: configuration.Grant{Epoch: m.Epoch, Revision: m.Revision, Life: m.Life, Heard: m.At}, Document: m.Body}
 	case protocol.PeerCheck:
 		return CheckCall{Reply: to, Kind: m.Check, Addr: m.Addr, Path: m.Path, Timeout: m.Timeout}
 	}
@@ -241,6 +244,8 @@
 	asking   map[uint64]Address // operators who wait for an answer about a roll-out
 	askSeq   uint64
 
+	config *configState // nil: the configuration does not change while this runs
+
 	stats                  Stats
 	observed               bool // spans are emitted
 	stateReach, cloudReach reach
@@ -308,6 +313,8 @@
 		c.onCheckCall(e)
 	case PeerQuestion:
 		c.onAsk(e)
+	case GrantQuestion:
+		c.onGrant(e)
 	case WorkerCall:
 		c.onWorkerCall(e)
 	case CallDone:
@@ -337,6 +344,7 @@
 	if _, tick := ev.(Tick); tick && c.term != nil {
 		c.pulse()
 	}
+	c.setLevel()
 	return c.flush()
 }
 
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -153,8 +153,12 @@
 		return
 	}
 	p.busy = true
+	if p == c.term.launchPages {
+		when = c.underRevision(when)
+	}
 	c.lead(prio, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		p.busy = false
+		c.outdated(o, r)
 		for i, g := range batch {
 			g.writing = false
 			if o == txnApplied {
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -321,13 +321,17 @@
 				if at < r.refused[k] || r.open[k] > 0 {
 					continue
 				}
+				most := c.mayRent(k, 0)
+				if most == 0 {
+					continue
+				}
 				price := typ.Price
 				if spot {
 					price = typ.SpotPrice
 				}
 				tt := typ
 				offers = append(offers, &slottable.Offer{Type: typ.Name, Zone: zone, Spot: spot, Resources: typ.Offer, Price: price,
-					Boot: c.bootTime(typ) + protocol.Second, Fetch: func(size int64) micros { return c.fetchTime(tt, size) }, Most: maxClaim})
+					Boot: c.bootTime(typ) + protocol.Second, Fetch: func(size int64) micros { return c.fetchTime(tt, size) }, Most: most})
 				kinds = append(kinds, k)
 			}
 		}
@@ -534,6 +538,9 @@
 // rent asks the cloud for machines. The name of a request is never used again.
 func (c *Controller) rent(k kind, count int) {
 	t := c.term
+	if count = min(count, c.mayRent(k, 0)); count == 0 {
+		return // the offers of a type, spot and not, share a ceiling
+	}
 	t.claims++
 	cl := &claim{name: fmt.Sprintf("r-%d-%d", t.epoch, t.claims), kind: k, count: min(count, maxClaim)}
 	t.rental.open[k] += cl.count
@@ -595,7 +602,12 @@
 			return
 		}
 		c.after(protocol.Second, func() {
-			if c.term == t {
+			switch {
+			case c.term != t:
+			case c.mayRent(k, cl.count) < cl.count: // its ceiling was lowered
+				r.open[k] -= cl.count
+				r.refused[k] = c.at.Steady + 20*protocol.Second
+			default:
 				c.sendClaim(t, cl)
 			}
 		})
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -5,6 +5,7 @@
 	"sort"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/coordination/slottable"
 	"mapleslip/internal/protocol"
 )
@@ -305,7 +306,7 @@
 // usable reports whether tasks may be put on a host.
 func (c *Controller) usable(h *bookkeeping.Host) bool {
 	at := c.at.Steady
-	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed && !deaf(h) &&
+	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed && !deaf(h) && c.drained(h) == configuration.NotDrained &&
 		at >= h.FaultUntil && at >= h.FullUntil && at-h.Heard < 2*c.platform.ReportEvery+protocol.Second
 }
 
@@ -318,7 +319,7 @@
 	m.From = at
 	switch {
 	case usable:
-	case booting:
+	case booting && c.drained(h) == configuration.NotDrained:
 		m.From = c.bootedAt(h)
 	default:
 		m.Blocked = true
@@ -387,7 +388,7 @@
 		if !t.recovered && t.unlisted && j.Epoch != t.epoch {
 			continue // its tasks may be on hosts that have not reported yet
 		}
-		w := &wanted{job: j, within: holdsGuarantee(c.platform.Teams[s.Team].Guarantee, sums[s.Team])}
+		w := &wanted{job: j, within: holdsGuarantee(c.guarantee(s.Team), sums[s.Team])}
 		w.missed, w.room = c.missed(j), at < j.RoomUntil
 		w.turn = j.Submitted
 		if s.Kind == protocol.Array {
@@ -585,6 +586,11 @@
 	return false
 }
 
+func (c *Controller) guarantee(name string) protocol.Resources {
+	team, _ := c.team(name)
+	return team.Guarantee
+}
+
 func holdsGuarantee(g, sum protocol.Resources) bool {
 	return (g.CPU == 0 || sum.CPU <= g.CPU) && (g.GPU == 0 || sum.GPU <= g.GPU) && (g.CPU > 0 || g.GPU > 0)
 }
@@ -593,7 +599,8 @@
 // that may still be on hosts counted, and what is held for others of the team.
 func (c *Controller) allowance(p *pass, j *bookkeeping.Job, held protocol.Resources) int {
 	t := c.term
-	limit := c.platform.Teams[j.Spec.Team].Limit
+	team, _ := c.team(j.Spec.Team)
+	limit := team.Limit
 	used := t.book.Used[j.Spec.Team].Add(held, 1)
 	if !t.recovered && t.unlisted && limit != (protocol.Resources{}) {
 		if p.unknown {
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -12,15 +12,16 @@
 
 // Reasons for which a user's call, or a worker's report, is refused for now.
 const (
-	refusedNoLeader  = "no leader can be reached"
-	refusedState     = "the state service can't be reached"
-	refusedTypes     = "machine types are not known yet"
-	refusedBudget    = "too many submissions"
-	refusedQuestions = "too many questions"
-	refusedNotReady  = "not ready"
-	refusedGone      = "the machine is gone"
-	refusedAlone     = "this node hears nobody"
-	refusedStops     = "tasks of the job may still be on machines"
+	refusedNoLeader   = "no leader can be reached"
+	refusedState      = "the state service can't be reached"
+	refusedTypes      = "machine types are not known yet"
+	refusedBudget     = "too many submissions"
+	refusedQuestions  = "too many questions"
+	refusedNotReady   = "not ready"
+	refusedGone       = "the machine is gone"
+	refusedAlone      = "this node hears nobody"
+	refusedNotInForce = "the revision is not in force everywhere yet"
+	refusedStops      = "tasks of the job may still be on machines"
 )
 
 // Span is something that took time, for tracing. It is over when it is emitted.
@@ -77,6 +78,10 @@
 	Checks    map[string]uint64 // of instances, by what became of them: passed, failed, unmade
 	Disputed  uint64            // checks that failed where another controller saw nothing wrong
 
+	ConfigChanges  uint64       // revisions made
+	ConfigOutdated uint64       // transactions refused because the head was another one
+	Config         *ConfigStats // nil: the configuration does not change while this runs
+
 	// What a leader knows. Nothing else has them.
 	Hosts    map[string]int                          // by state
 	Waiting  map[string]int                          // jobs with tasks that wait for a place, by class
@@ -99,6 +104,7 @@
 	if c.term == nil && c.leader.Epoch > s.Epoch {
 		s.Epoch = c.leader.Epoch
 	}
+	s.Config = c.configStats()
 	s.Refused, s.Checks = maps.Clone(c.stats.Refused), maps.Clone(c.stats.Checks)
 	if c.term == nil {
 		return s
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -8,6 +8,7 @@
 	"strings"
 
 	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/coordination/slottable"
 	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
@@ -66,6 +67,7 @@
 	nextImages micros
 
 	rollouts rolloutTerm
+	config   configTerm
 
 	cutLog, budgetLog micros // when what they are about was last logged
 }
@@ -85,6 +87,7 @@
 	t.launches = make(map[string]*bookkeeping.Attempt)
 	t.unlisted, t.yields = c.seat.unlisted, c.seat.yields
 	c.initRollouts(t)
+	c.initConfig(t)
 	return t
 }
 
@@ -216,6 +219,9 @@
 	if t.rollouts.manager != nil {
 		steps = append(steps, loadStep{rollout.Prefix, c.loadRollout})
 	}
+	if c.config != nil {
+		steps = append(steps, loadStep{configuration.KeyHead, c.loadHead})
+	}
 	// All are read at once: one after the other they took as many round trips, three
 	// seconds of a slow state service, and with leaders that ended every few seconds
 	// nobody led for long enough. Only the jobs' revision has to be the first page's.
@@ -391,6 +397,7 @@
 		c.checkFinished(j)
 	}
 	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Line()), "hosts", len(t.book.Hosts()), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
+	c.loadedConfig(t)
 	c.followJobs(t, rev)
 	c.readFinals(t)
 	for _, h := range t.book.Hosts() {
@@ -552,7 +559,9 @@
 		c.callHosts()
 		return
 	}
+	c.pulseConfig(t)
 	if sweep {
+		c.enforce()
 		c.recordImages()
 		c.closeJobs()
 		c.dropOrphans()
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -42,6 +42,10 @@
 
 // onUser handles a user's call, wherever it came in.
 func (c *Controller) onUser(e UserCall) {
+	if e.Op >= protocol.OpConfig {
+		c.onConfig(e)
+		return
+	}
 	if e.Op >= protocol.OpRollout {
 		c.onRollout(e)
 		return
@@ -246,6 +250,17 @@
 		})
 		return
 	}
+	if c.config != nil && !c.config.known {
+		c.readHead(prioUser, func(ok bool) {
+			if !ok {
+				over()
+				c.unavailable(to, refusedState)
+				return
+			}
+			c.directSubmit(to, spec, over)
+		})
+		return
+	}
 	if why := c.impossible(spec); why != "" {
 		over()
 		c.refuse(to, spec, why)
@@ -254,8 +269,11 @@
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall = c.at.Wall
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
-		c.txn(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		c.txn(prioUser, c.underRevision(when), then, func(o txnOutcome, r protocol.TxnResult) {
 			over()
+			if c.outdated(o, r) {
+				o = txnRejected
+			}
 			done(o, r)
 		})
 	}, over)
@@ -264,6 +282,23 @@
 // refuse answers 422, unless the job was accepted before: machine types may
 // have been others then.
 func (c *Controller) refuse(to Address, spec *protocol.JobSpec, why string) {
+	if c.config != nil && !c.mayStart() {
+		// The revision that this node knows may be an old one, and what it refuses
+		// depends on nothing that would show it.
+		c.readHead(prioUser, func(ok bool) {
+			if why = c.impossible(spec); !ok || why == "" {
+				c.unavailable(to, refusedState)
+				return
+			}
+			c.refuseUnknown(to, spec, why)
+		})
+		return
+	}
+	c.refuseUnknown(to, spec, why)
+}
+
+// refuseUnknown answers 422 unless there is such a job.
+func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, why string) {
 	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
@@ -321,10 +356,13 @@
 
 // impossible says why a job can never run, or nothing.
 func (c *Controller) impossible(s *protocol.JobSpec) string {
-	team, ok := c.platform.Teams[s.Team]
+	team, ok := c.team(s.Team)
 	if !ok {
 		return "unknown team"
 	}
+	if team.Retired {
+		return "the team takes no new jobs"
+	}
 	fits := false
 	for _, t := range c.types {
 		if !t.Offer.Holds(s.Need) || !s.AllowsType(t.Name) {
@@ -431,9 +469,10 @@
 	j.SubmittedWall, j.Epoch = c.at.Wall, t.epoch
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
 		when = append([]protocol.Condition{{Key: bookkeeping.KeyLeader, Stamp: c.seat.stamp}}, when...)
-		c.txn(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		c.txn(prioUser, c.underRevision(when), then, func(o txnOutcome, r protocol.TxnResult) {
 			others := t.submits[ref]
 			delete(t.submits, ref)
+			outdated := c.outdated(o, r)
 			if o == txnRefused {
 				for _, k := range r.Failed {
 					if k == bookkeeping.KeyLeader {
@@ -444,6 +483,9 @@
 					}
 				}
 			}
+			if outdated {
+				o = txnRejected
+			}
 			done(o, r)
 			for _, a := range others {
 				if j := t.book.Job(ref); j != nil && c.term == t {
