--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -421,6 +421,9 @@
 // than once, since the queue takes some of what was rented before it is up.
 const sparePaces = 8
 
+// claimTimeout is how long the cloud has to answer a request for machines.
+const claimTimeout = 5 * protocol.Second
+
 // maxClaim is how many machines one request to the cloud may ask for.
 const maxClaim = 50
 
@@ -553,7 +556,7 @@
 	r := &t.rental
 	body := protocol.AppendRental(nil, cl.name, k.typ, k.zone, k.spot, cl.count)
 	asked := c.at.Steady
-	c.call(ToCloud, prioUrgent, "POST", "/machines", body, 5*protocol.Second, 0, func(res CallDone) {
+	c.call(ToCloud, prioUrgent, "POST", "/machines", body, claimTimeout, 0, func(res CallDone) {
 		if c.term != t {
 			return
 		}
--- /dev/null
+++ b/internal/rehearsal/changes_test.go
@@ -0,0 +1,130 @@
+package rehearsal
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// drawChanges makes the text of a trace: operators at several controllers change limits,
+// drain and take back, while work comes and goes and troubles overlap. What is checked
+// throughout stands in changes.go.
+func drawChanges(t *rapid.T) string {
+	nodes := rapid.SampledFrom([]int{3, 3, 5}).Draw(t, "nodes")
+	scene := fmt.Sprintf("nodes %d a b c a b\nteam red max=10\nteam blue\ntype big cpus=8 gpus=2 mem=64 boot=6 zones=a,b,c\n", nodes)
+	for _, z := range []string{"a", "b", "c"} {
+		scene += fmt.Sprintf("fleet %d big %s\n", rapid.IntRange(1, 4).Draw(t, "machines in "+z), z)
+	}
+	scene += "changes\n"
+	h := &history{}
+	const from, to, over = 8.0, 70.0, 200.0
+	at := func(name string) float64 { return from + float64(rapid.IntRange(0, 2400).Draw(t, name))/40 }
+	for i := range rapid.IntRange(3, 14).Draw(t, "jobs") {
+		kind := rapid.SampledFrom([]string{"array", "array", "array", "gang", "service"}).Draw(t, "kind")
+		team := rapid.SampledFrom([]string{"red", "red", "blue"}).Draw(t, "team")
+		h.at(at("submitted")-5, "submit req-%06d %s tasks=%d team=%s run=%d", i+1, kind, rapid.IntRange(1, 5).Draw(t, "tasks"), team, rapid.SampledFrom([]int{4, 12, 40}).Draw(t, "run"))
+	}
+	node := func() string { return fmt.Sprintf("node-%d", rapid.IntRange(0, nodes-1).Draw(t, "node")) }
+	change := func() string {
+		switch rapid.IntRange(0, 9).Draw(t, "what") {
+		case 0:
+			return "drain/zone/" + rapid.SampledFrom([]string{"a=finish", "a=stop", "b=finish", "a=-", "b=-"}).Draw(t, "zone")
+		case 1:
+			return "drain/machine/n-00000" + rapid.SampledFrom([]string{"1=stop", "2=finish", "1=-", "2=-"}).Draw(t, "machine")
+		case 2:
+			return "rent/big/" + rapid.SampledFrom([]string{"a=2", "b=3", "a=0", "a=-", "b=-"}).Draw(t, "ceiling")
+		case 3:
+			return "team/" + rapid.SampledFrom([]string{"red/retired=true", "blue/retired=true", "red/retired=false", "blue/retired=-", "red/excess=stop", "red/excess=finish"}).Draw(t, "of a team")
+		case 4:
+			return "log/level=" + rapid.SampledFrom([]string{"debug", "info", "error"}).Draw(t, "level")
+		}
+		return fmt.Sprintf("team/%s/gpus_max=%s", rapid.SampledFrom([]string{"red", "red", "blue"}).Draw(t, "whose"), rapid.SampledFrom([]string{"1", "3", "6", "9", "-", "12"}).Draw(t, "limit"))
+	}
+	for range rapid.IntRange(2, 16).Draw(t, "changes") {
+		when := at("changed")
+		words := change()
+		if more := change(); rapid.Bool().Draw(t, "two keys") && strings.Split(more, "=")[0] != strings.Split(words, "=")[0] {
+			words += " " + more
+		}
+		line := "config " + words
+		if rapid.IntRange(0, 7).Draw(t, "back") == 0 {
+			line = fmt.Sprintf("config-back %d", rapid.IntRange(0, 5).Draw(t, "to"))
+		}
+		if rapid.Bool().Draw(t, "through one") {
+			line += " via=" + node()
+		}
+		h.at(when, "%s", line)
+		if rapid.IntRange(0, 3).Draw(t, "leader ends meanwhile") == 0 {
+			h.at(when+float64(rapid.IntRange(0, 40).Draw(t, "so late"))/1000, "restart leader after=%g", rapid.SampledFrom([]float64{0.05, 0.2, 3}).Draw(t, "back after"))
+		}
+	}
+	span := func(name string, most int) (float64, float64) {
+		b := at(name + " from")
+		return b, min(to, b+float64(rapid.IntRange(1, most).Draw(t, name+" for")))
+	}
+	for range rapid.IntRange(0, 4).Draw(t, "nodes in trouble") {
+		who := rapid.SampledFrom([]string{"leader", node(), node()}).Draw(t, "who")
+		b, e := span("node", 40)
+		what := rapid.SampledFrom([][2]string{{"freeze", "thaw"}, {"freeze", "thaw"}, {"cut", "join"}, {"away", "back"}, {"kill", "start"}, {"deny", "admit"}}).Draw(t, "trouble")
+		if who == "leader" {
+			h.at(b, "if-leads %s", what[0])
+			h.at(e, "%s all", what[1])
+			continue
+		}
+		h.at(b, "%s %s", what[0], who)
+		h.at(e, "%s %s", what[1], who)
+	}
+	if rapid.IntRange(0, 2).Draw(t, "all end") == 0 {
+		b, _ := span("end", 1)
+		h.at(b, "kill all")
+		h.at(b+rapid.SampledFrom([]float64{0.05, 0.2, 4}).Draw(t, "all back after"), "start all")
+	}
+	if rapid.IntRange(0, 2).Draw(t, "outage") == 0 {
+		b, e := span("outage", 20)
+		h.at(b, "state down")
+		h.at(e, "state up")
+	}
+	if rapid.IntRange(0, 2).Draw(t, "zone cut") == 0 {
+		b, e := span("cut", 50)
+		h.at(b, "cut-zone %s", rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone cut off"))
+		h.at(e, "heal-zone")
+	}
+	if rapid.Bool().Draw(t, "late") {
+		b, e := span("late", 50)
+		h.at(b, "late-writes every=%d by=%d%s", rapid.IntRange(1, 4).Draw(t, "every"), rapid.SampledFrom([]int{2, 6, 20}).Draw(t, "by"),
+			rapid.SampledFrom([]string{"", " with=operator", " with=cfg/head"}).Draw(t, "which"))
+		h.at(e, "late-writes every=0")
+	}
+	if rapid.IntRange(0, 2).Draw(t, "copies") == 0 {
+		h.at(1, "copies %g", rapid.SampledFrom([]float64{0.1, 4, 30}).Draw(t, "copies after"))
+		h.at(to, "copies 0")
+	}
+	for _, all := range []string{"thaw all", "join all", "back all", "admit all", "start all"} {
+		h.at(to+0.5, "%s", all)
+	}
+	// All is well: whatever was asked is answered, and all of it is in the history.
+	h.at(to+75, "config team/red/gpus_max=- team/red/retired=false log/level=info")
+	h.at(to+85, "expect config settled")
+	h.at(to+85, "expect config history")
+	h.at(over, "expect leader some")
+	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
+	for _, l := range h.lines {
+		scene += fmt.Sprintf("at %g %s\n", l.at, l.text)
+	}
+	return scene
+}
+
+// Nobody decides by a revision older than one that an operator was told is in force; no
+// launch is recorded beyond the newest one; no change is lost, or carried out twice, and
+// the history has no gaps.
+func TestChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := drawChanges(t)
+		if w, err := RunTrace(text, nil); err != nil {
+			t.Fatalf("%v\nthe trace:\n%s\nwhat happened:\n%s", err, text, strings.Join(w.Log, "\n"))
+		}
+	})
+}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -349,6 +349,9 @@
 			return
 		}
 		w.request(node, "hello", body, func(status int, resp []byte) {
+			if node.ctl.Role() == coordination.Leading { // passed on, it is looked at where it is made
+				w.sends(m, resp)
+			}
 			if m.slow || m.hung || m.deaf {
 				return // lost on the way
 			}
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -267,5 +267,6 @@
 		s.keys[key] = &entry{value, s.revision, c.GetUint64("hold")}
 		s.changes = append(s.changes, change{key, value, s.revision})
 	}
+	s.w.committed(then)
 	answer(200, fmt.Sprintf(`{"generation":%d}`, s.revision))
 }
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -159,6 +159,8 @@
 		}
 	case "no-capacity":
 		w.noCapacity = true
+	case "changes": // of the configuration are on
+		w.judgeChanges()
 	case "rollouts": // are on
 		w.rollouts = &rollout.Settings{ChecksPerS: 50, AtOnce: 20, Services: 4}
 	default:
@@ -277,6 +279,11 @@
 	case "image": // image NAME passes|fails|hangs|flaps|crashes [after=SECONDS]: what its services do from now on
 		o := options(words[3:])
 		w.behaviours[words[1]] = behaviour{what: words[2], after: protocol.FromSeconds(number(o, "after", 0))}
+	case "config", "config-back": // config KEY=VALUE ... [via=NODE] [expect=N], config-back REVISION
+		return w.actConfig(words)
+	case "spoil-record": // spoil-record KEY VALUE: somebody else writes it
+		w.store.revision++
+		w.store.keys[words[1]] = &entry{value: words[2], stamp: w.store.revision}
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
 	case "count": // from here on: changes written, workers asked, users without an answer
@@ -539,6 +546,8 @@
 		return differs(strconv.Itoa(n), words[1])
 	case "ended-loading": // ended-loading COUNT: so many nodes did since ends-loading
 		return differs(strconv.Itoa(w.endedLoading), words[1])
+	case "config":
+		return w.expectConfig(words[1:])
 	case "rollout": // rollout SERVICE STATE [healthy=N] [reason=TEXT]
 		return w.expectRollout(words[1:])
 	case "due": // due class|team|largest NAME SERVED MISSED, as the leader counts
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -74,6 +74,7 @@
 	behaviours map[string]behaviour       // of services, by image
 	rollouts   *rollout.Settings          // nil: they are off
 	rolloutBy  map[string][]byte          // the last answer about a service's roll-out
+	changes    *changes                   // of the configuration, nil: they are off
 	live       *Live                      // real connections, nil: all is simulated
 	stepped    func(*node, time.Duration) // what a controller's step took, for measurements
 }
@@ -230,6 +231,10 @@
 	if w.rollouts != nil {
 		n.ctl.EnableRollouts(*w.rollouts)
 	}
+	if w.changes != nil {
+		n.ctl.EnableConfiguration(w.changes.options)
+		w.changes.level[n.name] = ""
+	}
 	life := n.life
 	w.perform(n, n.ctl.Start(w.timeOf(n)))
 	var tick func()
@@ -275,6 +280,7 @@
 	}
 	was := n.ctl.Role()
 	defer func() {
+		w.decides(n)
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
 			w.note("%s leads", n.name)
@@ -325,6 +331,8 @@
 			}
 		case coordination.Share:
 			w.share(n, e.Leads)
+		case coordination.LogLevel:
+			w.changes.level[n.name] = e.Level
 		case coordination.Call:
 			if w.limited && e.Target == coordination.ToState {
 				n.meter.Add(transport.Metered{Priority: transport.Priority(e.Priority), Changes: e.Changes, Expires: w.now + e.Timeout,
@@ -393,6 +401,14 @@
 
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
+	if w.changes != nil && c.Target == coordination.ToWorker {
+		if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
+			w.sends(m, c.Body)
+		}
+	}
+	if w.changes != nil && c.Target == coordination.ToCloud && c.Path == "/machines" && c.Method == "POST" {
+		w.rents(c.Body)
+	}
 	if c.Target == coordination.ToWorker && strings.Contains(string(c.Body), `"orders":[]`) {
 		w.questions++
 	}
@@ -534,6 +550,9 @@
 			back(200, string(body))
 			return
 		}
+		if m := w.machines[fastjson.GetString(msg.Body, "host")]; msg.Kind == protocol.PeerReport && m != nil {
+			w.sends(m, body)
+		}
 		out := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerAnswer, Status: uint16(status), Body: body})
 		frame, _, _ := protocol.SplitPeer(out)
 		back(200, string(frame))
