--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -708,6 +708,22 @@
 	case !s.damaged && r.Mend:
 		refuse(409, "mend: the record of the configuration can be read")
 		return
+	case r.Expected < s.revision && s.head != nil && r.Expected+1 < s.head.Log[0].Revision:
+		// It may be one that was made so long ago that its entry is in a page.
+		c.readHistory(r.Expected+1, func(list []configuration.Entry, ok bool) {
+			for _, e := range list {
+				if e.ID == r.ID {
+					made(e.Revision, true)
+					return
+				}
+			}
+			if !ok {
+				answer(503, nil)
+				return
+			}
+			refuse(409, "expected: the last revision is %d, not %d", s.revision, r.Expected)
+		})
+		return
 	case r.Expected != s.revision:
 		refuse(409, "expected: the last revision is %d, not %d", s.revision, r.Expected)
 		return
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -204,6 +204,9 @@
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerReport, Returned: true, Body: []byte("{}")}))
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerProbe, Addr: "10.0.0.9:9000", Body: []byte("{}")}))
 	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerCheck, Check: CheckTCP, Addr: "10.0.0.9:20001", Path: "/healthz", Timeout: Second}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerGrant, Epoch: 7, From: "n0", Revision: 412, Life: 1 << 63, At: 5 * Second, Body: []byte(`{"log/level":"info"}`)}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerGoesBy, Revision: 412, Life: 1 << 63, At: 5 * Second}))
+	f.Add(AppendPeer(nil, &PeerMessage{Kind: PeerCall, Op: OpConfigStatus, From: "n0"}))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		frame, used, err := SplitPeer(in)
 		if err != nil || used == 0 {
--- a/internal/rehearsal/changes.go
+++ b/internal/rehearsal/changes.go
@@ -311,6 +311,9 @@
 				w.broken("old revision: an operator was shown %d, and %d was told to be in force", q.Expected, g.reported)
 			}
 			w.operator(via, op, "", configuration.AppendRequest(nil, &q), func(status int, answer []byte) {
+				if made := g.ids[q.ID]; status == 409 && made > 0 {
+					w.broken("configuration: request %s is revision %d, and its operator was told that it was refused", q.ID, made)
+				}
 				switch {
 				case status == 409 && left > 0 && expect == 0 && !r.Mend:
 					try(left - 1)
@@ -369,6 +372,11 @@
 		if s := w.leader().ctl.Snapshot().Config; s.Damaged {
 			got = "yes"
 		}
+	case "outdated": // outdated some|none: transactions of the leader that were refused for it
+		got = "none"
+		if w.leader().ctl.Snapshot().ConfigOutdated > 0 {
+			got = "some"
+		}
 	case "log": // log NODE LEVEL, "-": as it was started
 		got = w.changes.level[words[1]]
 		if got == "" {
--- a/internal/rehearsal/changes_test.go
+++ b/internal/rehearsal/changes_test.go
@@ -18,14 +18,14 @@
 	for _, z := range []string{"a", "b", "c"} {
 		scene += fmt.Sprintf("fleet %d big %s\n", rapid.IntRange(1, 4).Draw(t, "machines in "+z), z)
 	}
-	scene += "changes\n"
+	scene += fmt.Sprintf("value-bytes %d\nchanges\n", rapid.SampledFrom([]int{2048, 2048, 8192}).Draw(t, "bytes of a value"))
 	h := &history{}
 	const from, to, over = 8.0, 70.0, 200.0
 	at := func(name string) float64 { return from + float64(rapid.IntRange(0, 2400).Draw(t, name))/40 }
 	for i := range rapid.IntRange(3, 14).Draw(t, "jobs") {
 		kind := rapid.SampledFrom([]string{"array", "array", "array", "gang", "service"}).Draw(t, "kind")
 		team := rapid.SampledFrom([]string{"red", "red", "blue"}).Draw(t, "team")
-		h.at(at("submitted")-5, "submit req-%06d %s tasks=%d team=%s run=%d", i+1, kind, rapid.IntRange(1, 5).Draw(t, "tasks"), team, rapid.SampledFrom([]int{4, 12, 40}).Draw(t, "run"))
+		h.at(at("submitted")-5, "submit req-%06d %s tasks=%d team=%s run=%d", i+1, kind, rapid.SampledFrom([]int{1, 2, 3, 5, 20}).Draw(t, "tasks"), team, rapid.SampledFrom([]int{1, 4, 12, 40}).Draw(t, "run"))
 	}
 	node := func() string { return fmt.Sprintf("node-%d", rapid.IntRange(0, nodes-1).Draw(t, "node")) }
 	change := func() string {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -157,6 +157,12 @@
 		for kind := range options(words[1:]) {
 			w.capacity[kind] = int(number(options(words[1:]), kind, 0))
 		}
+	case "value-bytes": // that a value of the state service may take
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.Platform.ValueBytes = n
 	case "no-capacity":
 		w.noCapacity = true
 	case "changes": // of the configuration are on
