--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -346,7 +346,7 @@
 	if !ok {
 		return maxClaim
 	}
-	if mine == 0 && (!c.term.rental.answering || c.at.Steady-c.term.led < claimTimeout+2*c.platform.ListLag) {
+	if mine == 0 && c.term.epoch > 1 && (!c.term.rental.answering || c.at.Steady-c.term.started < claimTimeout+2*c.platform.ListLag) {
 		return 0 // what an earlier leader asked for may not be listed yet
 	}
 	there := c.term.rental.open[kind{k.typ, k.zone, false}] + c.term.rental.open[kind{k.typ, k.zone, true}] - mine
