--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -76,13 +76,21 @@
 	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
 	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
 	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
+	descConfig   = prometheus.NewDesc("mapleslip_config_revision", "Newest revision of the configuration that the node knows.", nil, nil)
+	descHolds    = prometheus.NewDesc("mapleslip_config_held", "1 while the node may go by its revision, 0 while it goes by none.", nil, nil)
+	descDamaged  = prometheus.NewDesc("mapleslip_config_damaged", "1 while the record of the configuration can't be read.", nil, nil)
+	descInForce  = prometheus.NewDesc("mapleslip_config_in_force", "Newest revision that is in force at every controller, as the leader knows.", nil, nil)
+	descLag      = prometheus.NewDesc("mapleslip_config_lag", "Revisions that a controller is behind the leader, as it last told.", []string{"controller"}, nil)
+	descMade     = prometheus.NewDesc("mapleslip_config_changes_total", "Revisions that this node made as the leader.", nil, nil)
+	descOutdated = prometheus.NewDesc("mapleslip_config_outdated_total", "Transactions that were refused because a newer revision was there.", nil, nil)
 	descRunning  = prometheus.NewDesc("mapleslip_tasks_running", "Tasks that run, by class.", []string{"class"}, nil)
 )
 
 // Describe is part of prometheus.Collector.
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
-		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descWaiting, descRunning} {
+		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descWaiting, descRunning,
+		descConfig, descHolds, descDamaged, descInForce, descLag, descMade, descOutdated} {
 		ch <- d
 	}
 }
@@ -120,6 +128,20 @@
 	if st.Checks != nil {
 		count(descDisputed, st.Disputed)
 	}
+	if c := st.Config; c != nil {
+		flag := map[bool]float64{true: 1}
+		gauge(descConfig, float64(c.Revision))
+		gauge(descHolds, flag[c.Holds])
+		gauge(descDamaged, flag[c.Damaged])
+		count(descMade, st.ConfigChanges)
+		count(descOutdated, st.ConfigOutdated)
+		if c.Revisions != nil {
+			gauge(descInForce, float64(c.InForce))
+		}
+		for name, r := range c.Revisions {
+			gauge(descLag, float64(c.Revision-min(r, c.Revision)), name)
+		}
+	}
 	if st.Hosts == nil {
 		return // it does not lead: what it once knew is no news
 	}
