Configuration: a record that is gone: the leader goes by what others know

A leader whose record is torn or gone and whose process has just begun knew no revision at all. Each other controller that knows a later one sends its document with the answer to the leader's question.

--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -26,7 +26,7 @@
 // then that much has come together.
 const (
 	documentShare = 60
-	entryShare    = 20
+	entryShare    = 35
 )
 
 // Entry is one revision in the history.
--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -424,6 +424,14 @@
 			if a.Kind != protocol.PeerGoesBy {
 				return
 			}
+			if a.Revision > s.revision && len(a.Body) > 0 {
+				// It knows a later one than this leader found: the record is gone, or can't
+				// be read.
+				if d, err := configuration.DecodeDocument(a.Body); err == nil {
+					s.damaged = true
+					c.goBy(a.Revision, d)
+				}
+			}
 			t.config.granter.Answered(o.Name, a.Life, a.At, a.Revision, c.at.Steady)
 			c.answerWaits(t)
 		})
@@ -458,8 +466,11 @@
 		c.goBy(e.Grant.Revision, d)
 	}
 	c.setLevel()
-	c.emit(Reply{To: e.Reply, Status: 200, Frame: true, Body: protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerGoesBy,
-		Revision: s.holder.Revision, Life: s.holder.Life, At: c.at.Steady})})
+	m := &protocol.PeerMessage{Kind: protocol.PeerGoesBy, Revision: s.holder.Revision, Life: s.holder.Life, At: c.at.Steady}
+	if e.Grant.Revision < s.revision {
+		m.Body = configuration.EncodeDocument(s.document) // in case the leader can't read the record
+	}
+	c.emit(Reply{To: e.Reply, Status: 200, Frame: true, Body: protocol.AppendPeer(nil, m)})
 }
 
 // pulseConfig does what is due about the configuration while this node leads.
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -78,8 +78,8 @@
 	Timeout Micros
 	// A grant has the leader's revision of the configuration, and of the last answer it
 	// has heard of the other node the life of its process and the time by its steady
-	// clock. The answer has those of the node itself. The body of a grant is the
-	// document, where the other node doesn't have it.
+	// clock. The answer has those of the node itself. The body is the
+	// document, where the other side doesn't have it.
 	Revision, Life uint64
 	At             Micros
 	// The body of a call, a report or an answer.
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -287,8 +287,15 @@
 		w.behaviours[words[1]] = behaviour{what: words[2], after: protocol.FromSeconds(number(o, "after", 0))}
 	case "config", "config-back": // config KEY=VALUE ... [via=NODE] [expect=N], config-back REVISION
 		return w.actConfig(words)
-	case "spoil-record": // spoil-record KEY VALUE: somebody else writes it
+	case "spoil-record": // spoil-record KEY VALUE: somebody else writes it; without a value, drops it
+		if w.changes != nil {
+			w.changes.spoilt = true
+		}
 		w.store.revision++
+		if len(words) == 2 {
+			delete(w.store.keys, words[1])
+			return nil
+		}
 		w.store.keys[words[1]] = &entry{value: words[2], stamp: w.store.revision}
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
