Configuration: a leader behind its own late write is not a damaged record

It took the record for damaged and refused changes. Now it goes by what it hears and reads the record again.

--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -425,11 +425,12 @@
 				return
 			}
 			if a.Revision > s.revision && len(a.Body) > 0 {
-				// It knows a later one than this leader found: the record is gone, or can't
-				// be read.
+				// It knows a later one than this leader: the record is gone or can't be read,
+				// or a write of this leader without an answer was applied. To be read again.
 				if d, err := configuration.DecodeDocument(a.Body); err == nil {
-					s.damaged = true
 					c.goBy(a.Revision, d)
+					s.known = false
+					c.refresh()
 				}
 			}
 			t.config.granter.Answered(o.Name, a.Life, a.At, a.Revision, c.at.Steady)
