--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -51,7 +51,7 @@
 
 // configWait is an operator who waits until a revision is in force everywhere.
 type configWait struct {
-	to       Address
+	answer   answerer
 	revision uint64
 	until    micros
 }
@@ -495,8 +495,7 @@
 	return names
 }
 
-// answerWaits answers the operators whose revision is in force everywhere, and those who
-// have waited for as long as they are kept. Only a leader whose lease certainly holds
+// answerWaits answers the operators whose revision is in force everywhere. Only a leader whose lease certainly holds
 // says so: nobody else decides what it does.
 func (c *Controller) answerWaits(t *term) {
 	waits := t.config.waits
@@ -507,9 +506,8 @@
 	for _, w := range waits {
 		switch {
 		case c.mayStart() && w.revision <= c.config.revision && t.config.granter.InForce(w.revision, c.at.Steady, c.siblingNames()):
-			c.reply(w.to, 200, fmt.Appendf(nil, `{"revision":%d,"in_force":true}`, w.revision), 0)
-		case c.at.Steady >= w.until || !c.mayStart():
-			c.unavailable(w.to, refusedNotInForce)
+			w.answer(200, fmt.Appendf(nil, `{"revision":%d,"in_force":true}`, w.revision))
+		case c.at.Steady >= w.until: // it has been answered
 		default:
 			t.config.waits = append(t.config.waits, w)
 		}
@@ -566,26 +564,26 @@
 			return
 		}
 		t := c.term
-		t.config.waits = append(t.config.waits, configWait{e.Reply, revision, c.at.Steady + configWaits})
+		t.config.waits = append(t.config.waits, configWait{c.once(e.Reply, refusedNotInForce), revision, c.at.Steady + configWaits})
 		c.answerWaits(t)
 	case protocol.OpConfigHistory:
-		c.history(c.once(e.Reply), revision)
+		c.history(c.once(e.Reply, refusedState), revision)
 	default:
-		c.change(c.once(e.Reply), r)
+		c.change(c.once(e.Reply, refusedState), r)
 	}
 }
 
 // answerer answers an operator's call, the first time that it is called.
 type answerer func(status int, body []byte)
 
-// once makes an answerer, which answers by itself when the operator has waited for as
-// long as one is kept.
-func (c *Controller) once(to Address) answerer {
+// once makes an answerer, which answers 503 by itself when the operator has waited for as
+// long as one is kept; why is the reason.
+func (c *Controller) once(to Address, why string) answerer {
 	answered := false
 	c.after(configWaits, func() {
 		if !answered {
 			answered = true
-			c.unavailable(to, refusedState)
+			c.unavailable(to, why)
 		}
 	})
 	return func(status int, body []byte) {
@@ -593,7 +591,7 @@
 		case answered:
 			return
 		case status == 503:
-			c.unavailable(to, refusedState)
+			c.unavailable(to, why)
 		default:
 			c.reply(to, status, body, 0)
 		}
