--- a/cmd/mapleslip/scalepart.go
+++ b/cmd/mapleslip/scalepart.go
@@ -16,7 +16,8 @@
 		Hidden: true,
 		Args:   cobra.ExactArgs(1),
 		RunE: func(cmd *cobra.Command, args []string) error {
-			return part.Part(args[0], cmd.InOrStdin(), cmd.OutOrStdout(), logger(os.Getenv("LOG_LEVEL")))
+			log, _ := logger(os.Getenv("LOG_LEVEL"))
+			return part.Part(args[0], cmd.InOrStdin(), cmd.OutOrStdout(), log)
 		},
 	}
 }
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -39,6 +39,7 @@
 	of     map[string]*page
 	busy   [writingLater + 1]bool   // transactions that are on their way
 	next   [writingLater + 1]micros // none before
+	stamps bool                     // the stamp of a record that was lost is being read
 	last   int                      // number of the newest record
 	// value makes the record of some entries; applied is called once it is durable.
 	value func(names []string) (value []byte, applied func())
@@ -116,10 +117,14 @@
 // and the urgent tasks that were put on them with it, until the images of all others were.
 func (c *Controller) writePages(p *pages) {
 	at := c.at.Steady
+	if p.stamps {
+		return
+	}
 	// Before any is taken for the transaction: what was taken when a lost one was come
 	// upon counted as being written for ever. After a single transaction without an answer
 	// that carried two records, launches in the first were not recorded any more, so they
-	// never left.
+	// never left. Nor is any written before the lost one's stamp is known: carried out after
+	// another that names the same task, it would be the newer of the two to a new leader.
 	urgent, later := false, false
 	for _, g := range p.list {
 		if g.due > at || g.writing != notWriting {
@@ -129,7 +134,7 @@
 			if at >= p.next[writingUrgent] {
 				c.restamp(p, g)
 			}
-			continue
+			return
 		}
 		urgent, later = urgent || g.urgent, later || !g.urgent
 	}
@@ -154,7 +159,7 @@
 	var applied []func()
 	size := 0
 	for _, g := range p.list {
-		if g.due > at || g.lost || g.writing != notWriting || g.urgent != (how == writingUrgent) {
+		if g.due > at || g.writing != notWriting || g.urgent != (how == writingUrgent) {
 			continue
 		}
 		if len(g.entries) == 0 && g.stamp == 0 {
@@ -186,8 +191,12 @@
 		return
 	}
 	p.busy[how] = true
+	if p == c.term.launchPages {
+		when = c.underRevision(when)
+	}
 	c.lead(prio, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		p.busy[how] = false
+		c.outdated(o, r)
 		for i, g := range batch {
 			g.writing = notWriting
 			if o == txnApplied {
@@ -231,12 +240,12 @@
 // restamp finds out which stamp a record has after a write without an answer.
 func (c *Controller) restamp(p *pages, g *page) {
 	t := c.term
-	g.writing = writingUrgent
+	p.stamps = true
 	c.get(prioUrgent, g.key, func(e protocol.Entry, found, ok bool) {
 		if c.term != t {
 			return
 		}
-		g.writing = notWriting
+		p.stamps = false
 		if !ok {
 			p.next[writingUrgent] = c.at.Steady + 300*protocol.Millisecond
 			return
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -23,6 +23,7 @@
 	metered  func() bool        // the rate of changes is held
 	strict   bool               // all published limits are held
 	alarm    func(format string, args ...any)
+	applied  func(changes []*fastjson.Value) // of a transaction; nil: nobody looks
 
 	down     bool
 	keys     map[string]*entry
@@ -80,7 +81,7 @@
 }
 
 func newStore(w *World) *store {
-	return &store{now: func() micros { return w.now }, platform: &w.Platform, metered: func() bool { return w.limited }, alarm: w.broken,
+	return &store{now: func() micros { return w.now }, platform: &w.Platform, metered: func() bool { return w.limited }, alarm: w.broken, applied: w.committed,
 		keys: make(map[string]*entry), leases: make(map[uint64]*lease)}
 }
 
@@ -329,6 +330,9 @@
 		s.set(key, &entry{value, s.revision, c.GetUint64("hold")})
 		s.note(change{key, value, s.revision})
 	}
+	if s.applied != nil {
+		s.applied(then)
+	}
 	answer(200, fmt.Sprintf(`{"generation":%d}`, s.revision))
 }
 
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -160,8 +160,16 @@
 		for kind := range options(words[1:]) {
 			w.capacity[kind] = int(number(options(words[1:]), kind, 0))
 		}
+	case "value-bytes": // that a value of the state service may take
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.Platform.ValueBytes = n
 	case "no-capacity":
 		w.noCapacity = true
+	case "changes": // of the configuration are on
+		w.judgeChanges()
 	case "rollouts": // are on
 		w.rollouts = &rollout.Settings{ChecksPerS: 50, AtOnce: 20, Services: 4}
 	default:
@@ -280,6 +288,18 @@
 	case "image": // image NAME passes|fails|hangs|flaps|crashes [after=SECONDS]: what its services do from now on
 		o := options(words[3:])
 		w.behaviours[words[1]] = behaviour{what: words[2], after: protocol.FromSeconds(number(o, "after", 0))}
+	case "config", "config-back": // config KEY=VALUE ... [via=NODE] [expect=N], config-back REVISION
+		return w.actConfig(words)
+	case "spoil-record": // spoil-record KEY VALUE: somebody else writes it; without a value, drops it
+		if w.changes != nil {
+			w.changes.spoilt = true
+		}
+		w.store.revision++
+		if len(words) == 2 {
+			w.store.drop(words[1])
+			return nil
+		}
+		w.store.set(words[1], &entry{value: words[2], stamp: w.store.revision})
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
 	case "count": // from here on: changes written, workers asked, users without an answer
@@ -546,6 +566,8 @@
 		return differs(strconv.Itoa(n), words[1])
 	case "ended-loading": // ended-loading COUNT: so many nodes did since ends-loading
 		return differs(strconv.Itoa(w.endedLoading), words[1])
+	case "config":
+		return w.expectConfig(words[1:])
 	case "rollout": // rollout SERVICE STATE [healthy=N] [reason=TEXT]
 		return w.expectRollout(words[1:])
 	case "due": // due class|team|largest NAME SERVED MISSED, as the leader counts
