Scale run: the peak by itself, bytes and tasks by region, the longest round and renewal

Times are counted for what was due in the load's peak and for the rest as well; each process's bytes come from /proc/PID/io; running tasks of each region are in the report and in a picture; the longest round and renewal are read off the buckets of the controllers' histograms.

--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net/http"
 	"slices"
 	"strings"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+	dto "github.com/prometheus/client_model/go"
 	"github.com/prometheus/common/expfmt"
 	"github.com/prometheus/common/model"
 
@@ -35,7 +37,8 @@
 	steps   map[string]float64 // events handled, by kind
 	stepS   map[string]float64 // seconds in all, by kind
 	refused map[string]float64
-	other   map[string]float64 // gauges and counters without labels
+	other   map[string]float64             // gauges and counters without labels
+	times   map[string]map[float64]float64 // of steps and calls: how many took at most so many seconds
 }
 
 // sampler looks at processes once a second.
@@ -90,7 +93,14 @@
 	if err != nil {
 		return nil
 	}
-	out := &scrape{calls: make(map[string]float64), steps: make(map[string]float64), stepS: make(map[string]float64), refused: make(map[string]float64), other: make(map[string]float64)}
+	out := &scrape{calls: make(map[string]float64), steps: make(map[string]float64), stepS: make(map[string]float64), refused: make(map[string]float64), other: make(map[string]float64), times: make(map[string]map[float64]float64)}
+	buckets := func(what string, h *dto.Histogram) {
+		by := map[float64]float64{math.Inf(1): float64(h.GetSampleCount())}
+		for _, b := range h.Bucket {
+			by[b.GetUpperBound()] = float64(b.GetCumulativeCount())
+		}
+		out.times[what] = by
+	}
 	for name, f := range families {
 		for _, m := range f.Metric {
 			var labels []string
@@ -119,6 +129,9 @@
 				out.calls[label] += value
 			case name == "mapleslip_step_seconds" && m.Histogram != nil:
 				out.steps[label], out.stepS[label] = float64(m.Histogram.GetSampleCount()), m.Histogram.GetSampleSum()
+				buckets(label, m.Histogram)
+			case name == "mapleslip_call_seconds" && m.Histogram != nil && len(labels) == 2:
+				buckets(labels[1]+" "+labels[0], m.Histogram)
 			case name == "mapleslip_refused_total":
 				out.refused[label] = value
 			case len(labels) == 0 && strings.HasPrefix(name, "mapleslip_"):
@@ -129,8 +142,34 @@
 	return out
 }
 
-// Histograms are of microseconds, from 1 to an hour, with three figures.
-func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, 3600_000_000, 3) }
+// longest is an upper bound of what was counted between two scrapes, seconds; 0: nothing
+// was. It is the end of the highest bucket that grew.
+func longest(now, before map[float64]float64) float64 {
+	ends := slices.Sorted(maps.Keys(now))
+	top, below := 0.0, 0.0
+	for _, end := range ends {
+		grown := now[end] - before[end]
+		if grown > below {
+			top, below = end, grown
+		}
+	}
+	return top
+}
+
+// lastBucket is the end of the highest bucket that has one.
+func lastBucket(times map[float64]float64) (end float64) {
+	for b := range times {
+		if !math.IsInf(b, 1) {
+			end = max(end, b)
+		}
+	}
+	return end
+}
+
+// Histograms are of microseconds, from 1 to an hour, with so many figures.
+func newHistogram(figures int) *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, 3600_000_000, figures)
+}
 
 func record(h *hdrhistogram.Histogram, us int64) {
 	h.RecordValue(max(1, min(us, h.HighestTrackableValue())))
@@ -147,7 +186,7 @@
 // spanS is how long a span of a latency's series is, seconds.
 const spanS = 5
 
-func newLatency() *latency { return &latency{all: newHistogram()} }
+func newLatency() *latency { return &latency{all: newHistogram(3)} }
 
 // add takes a time that was due at a second of the run; before warmup it counts in the
 // series only.
@@ -159,7 +198,7 @@
 		l.spans = append(l.spans, nil)
 	}
 	if l.spans[second/spanS] == nil {
-		l.spans[second/spanS] = newHistogram()
+		l.spans[second/spanS] = newHistogram(2) // there are many of them
 	}
 	record(l.spans[second/spanS], us)
 	if counts {
@@ -189,6 +228,7 @@
 	jobs    map[string]*jobSeen
 	lat     map[string]*latency // submit, query, cancel, and of each class: command, fetch, wait
 	aims    map[string]int64    // class to its shortest aim on waiting, microseconds
+	peaks   [][2]int64          // spans in which rates are raised
 	seconds []Second
 	samples []*sample
 	gauges  map[string][]gauge // by part
@@ -208,10 +248,11 @@
 	Starts  int                `json:"starts"`
 	Running int                `json:"running"`
 	Leader  string             `json:"leader,omitempty"`
-	CPU     map[string]float64 `json:"cpu,omitempty"`    // cores by role, all its processes
-	RSS     map[string]float64 `json:"rss_mb,omitempty"` // by role, all its processes
-	Busy    float64            `json:"busy,omitempty"`   // share of the machine's processors
-	LagMS   float64            `json:"lag_ms,omitempty"` // the largest that a part of the tool said
+	CPU     map[string]float64 `json:"cpu,omitempty"`     // cores by role, all its processes
+	RSS     map[string]float64 `json:"rss_mb,omitempty"`  // by role, all its processes
+	Busy    float64            `json:"busy,omitempty"`    // share of the machine's processors
+	LagMS   float64            `json:"lag_ms,omitempty"`  // the largest that a part of the tool said
+	Regions map[string]float64 `json:"regions,omitempty"` // tasks that run, as the workers say
 }
 
 func newMeter(f *File) *meter {
@@ -226,7 +267,13 @@
 }
 
 func (m *meter) begin(at int64, f *File) {
-	m.began, m.warmup, m.ends = at, at+int64(protocol.FromSeconds(f.WarmupS)), at+int64(protocol.FromSeconds(f.DurationS))
+	us := func(s float64) int64 { return int64(protocol.FromSeconds(s)) }
+	m.began, m.warmup, m.ends = at, at+us(f.WarmupS), at+us(f.DurationS)
+	for _, l := range f.Load {
+		if l.Factor > 1 {
+			m.peaks = append(m.peaks, [2]int64{at + us(l.AtS), at + us(l.AtS+l.ForS)})
+		}
+	}
 }
 
 // second is the second of the run in which a time is; -1: before the load.
@@ -258,6 +305,32 @@
 
 func (m *meter) counts(due int64) bool { return due >= m.warmup && due < m.ends }
 
+// add takes a time of something that was due. If the load has a peak, what was due in it
+// is counted by itself as well, and so is the rest.
+func (m *meter) add(name string, due, us int64, counts bool) {
+	names := []string{name}
+	if len(m.peaks) > 0 {
+		part := ", rest"
+		for _, p := range m.peaks {
+			if due >= p[0] && due < p[1] {
+				part = ", peak"
+			}
+		}
+		names = append(names, name+part)
+	}
+	class, _, wait := strings.Cut(name, " wait")
+	for i, n := range names {
+		if i > 0 && !counts {
+			continue
+		}
+		l := m.latency(n)
+		if wait {
+			l.within = m.aims[class]
+		}
+		l.add(m.second(due), us, counts)
+	}
+}
+
 // take looks at a part's message for what is measured.
 func (m *meter) take(p *process, msg *wire.Message) {
 	switch msg.Kind {
@@ -271,17 +344,17 @@
 		j := m.jobs[msg.Ref]
 		switch {
 		case msg.Op == "query" && msg.Status == 200:
-			m.latency("query").add(m.second(msg.Due), msg.At-msg.Due, m.counts(msg.Due))
+			m.add("query", msg.Due, msg.At-msg.Due, m.counts(msg.Due))
 		case j == nil:
 		case msg.Op == "submit" && (msg.Status == 200 || msg.Status == 201):
 			if !j.accepted {
-				m.latency("submit").add(m.second(j.due), msg.At-j.due, m.counts(j.due))
+				m.add("submit", j.due, msg.At-j.due, m.counts(j.due))
 			}
 			j.accepted = true
 		case msg.Op == "submit" && (msg.Status == 400 || msg.Status == 422):
 			j.ended = true
 		case msg.Op == "cancel" && msg.Status == 200:
-			m.latency("cancel").add(m.second(j.cancelDue), msg.At-j.cancelDue, m.counts(j.cancelDue))
+			m.add("cancel", j.cancelDue, msg.At-j.cancelDue, m.counts(j.cancelDue))
 		}
 	case wire.Cancel:
 		if j := m.jobs[msg.Ref]; j != nil {
@@ -307,19 +380,13 @@
 		j.started += max(1, s.Tasks)
 	}
 	wait := max(0, s.At-s.Due-s.Fetch)
-	m.waited(s.Spec.Class, s.Due, wait)
-	m.latency(s.Spec.Class+" fetch").add(m.second(s.Due), s.Fetch, m.counts(s.Due) && s.Fetch > 0)
+	m.add(s.Spec.Class+" wait", s.Due, wait, m.counts(s.Due))
+	m.add(s.Spec.Class+" fetch", s.Due, s.Fetch, m.counts(s.Due) && s.Fetch > 0)
 	if s.Asked > 0 {
-		m.latency(s.Spec.Class+" command").add(m.second(s.Due), max(0, s.Asked-s.Due), m.counts(s.Due))
+		m.add(s.Spec.Class+" command", s.Due, max(0, s.Asked-s.Due), m.counts(s.Due))
 	}
 }
 
-func (m *meter) waited(class string, due, wait int64) {
-	l := m.latency(class + " wait")
-	l.within = m.aims[class]
-	l.add(m.second(due), wait, m.counts(due))
-}
-
 // rest counts what has not started by the end as having waited until then.
 func (m *meter) rest(end int64) (unstarted map[string]int) {
 	unstarted = make(map[string]int)
@@ -328,7 +395,7 @@
 			continue
 		}
 		for range j.tasks - j.started {
-			m.waited(j.class, j.due, end-j.due)
+			m.add(j.class+" wait", j.due, end-j.due, true)
 		}
 		if n := j.tasks - j.started; n > 0 {
 			unstarted[j.class] += n
@@ -358,7 +425,12 @@
 	}
 	sec := m.at(m.second(s.at))
 	sec.Running, sec.Leader = running, leaderOf(s.scraped)
-	sec.CPU, sec.RSS = make(map[string]float64), make(map[string]float64)
+	sec.CPU, sec.RSS, sec.Regions = make(map[string]float64), make(map[string]float64), make(map[string]float64)
+	for name, list := range m.gauges {
+		if p := m.parts[name]; p.role == wire.RoleHollow || p.role == wire.RoleWorker {
+			sec.Regions[p.region] += list[len(list)-1].values["tasks_running"]
+		}
+	}
 	for p, u := range s.usage {
 		sec.RSS[roleIn(p, sec.Leader)] += float64(u.rss) / 1e6
 	}
--- a/internal/scale/plot.go
+++ b/internal/scale/plot.go
@@ -34,7 +34,7 @@
 		return nil
 	}
 	starts, running := curve{name: "starts a second"}, curve{name: "tasks running"}
-	cpu, rss := make(map[string]*curve), make(map[string]*curve)
+	cpu, rss, regions := make(map[string]*curve), make(map[string]*curve), make(map[string]*curve)
 	add := func(to map[string]*curve, t int, values map[string]float64) {
 		for role, v := range values {
 			c := to[role]
@@ -52,6 +52,7 @@
 		}
 		add(cpu, s.T, s.CPU)
 		add(rss, s.T, s.RSS)
+		add(regions, s.T, s.Regions)
 	}
 	list := func(m map[string]*curve) (out []curve) {
 		for _, k := range slices.Sorted(maps.Keys(m)) {
@@ -65,6 +66,7 @@
 	}{
 		{"starts.svg", "Starts of tasks", "a second", []curve{starts}},
 		{"running.svg", "Tasks on machines", "tasks", []curve{running}},
+		{"regions.svg", "Tasks that run, by region, as the workers say", "tasks", list(regions)},
 		{"processor.svg", "Processor time by role, all its processes", "cores", list(cpu)},
 		{"memory.svg", "Memory by role, all its processes", "MB", list(rss)},
 	}
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -178,6 +178,7 @@
 type usage struct {
 	cpu     time.Duration // user and system
 	rss     int64         // bytes
+	in, out int64         // bytes that it read and wrote, nearly all of them on sockets and pipes
 	sockets int           // -1: not counted
 }
 
@@ -200,6 +201,18 @@
 	system, _ := strconv.ParseInt(f[12], 10, 64)
 	pages, _ := strconv.ParseInt(f[21], 10, 64)
 	u.cpu, u.rss, u.sockets = time.Duration(user+system)*clockTick, pages*int64(os.Getpagesize()), -1
+	if text, err := os.ReadFile(dir + "/io"); err == nil {
+		for line := range strings.Lines(string(text)) {
+			name, v, _ := strings.Cut(strings.TrimSpace(line), ": ")
+			n, _ := strconv.ParseInt(v, 10, 64)
+			switch name {
+			case "rchar":
+				u.in = n
+			case "wchar":
+				u.out = n
+			}
+		}
+	}
 	if !sockets {
 		return u, nil
 	}
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -182,10 +182,12 @@
 	type sum struct {
 		cpu, span, top  float64 // seconds of processor time and of processes, largest cores of one
 		rss, rssTop, n  float64
+		in, out         float64 // bytes
 		sockets, socksN float64
 		socksTop        float64
 	}
 	roles := make(map[string]*sum)
+	tops := make(map[string]float64)
 	rate := make(map[string]float64)
 	leaderSpan, otherSpan := 0.0, 0.0
 	var before *sample
@@ -217,6 +219,8 @@
 				cpu := (u.cpu - was.cpu).Seconds()
 				a.cpu += cpu
 				a.span += span
+				a.in += float64(u.in - was.in)
+				a.out += float64(u.out - was.out)
 				a.top = max(a.top, cpu/span)
 			}
 		}
@@ -245,6 +249,14 @@
 						rate[role+" "+what+" "+k] += d
 					}
 				}
+				for _, what := range []string{"tick", "report", "state lease", "state commit"} {
+					// Counts of a process that began anew have fallen: nothing has grown.
+					k, d := role+" longest "+what+" s, at most", longest(c.times[what], was.times[what])
+					if math.IsInf(d, 1) { // beyond the last bucket
+						k, d = role+" longest "+what+" s, over", lastBucket(c.times[what])
+					}
+					tops[k] = max(tops[k], d)
+				}
 			}
 		}
 		before = s
@@ -253,6 +265,7 @@
 		if a.span > 0 {
 			r.Rows[role+" cores"] = a.cpu / a.span
 			r.Rows[role+" cores, largest second"] = a.top
+			r.Rows[role+" bytes in per s"], r.Rows[role+" bytes out per s"] = a.in/a.span, a.out/a.span
 		}
 		r.Rows[role+" memory MB"] = a.rss / a.n
 		r.Rows[role+" memory MB, largest"] = a.rssTop
@@ -270,7 +283,19 @@
 			r.Rows[k+" per s"] = v / span
 		}
 	}
+	for k, v := range tops {
+		if v > 0 {
+			r.Rows[k] = v
+		}
+	}
 	m.partRows(r, from, to)
+	worker := 0.0
+	for _, k := range []string{"hello_in", "hello_out", "commands_in", "commands_out"} {
+		worker += r.Rows[wire.RoleWorker+" "+k+"_bytes per s"]
+	}
+	if worker > 0 {
+		r.Rows["worker control bytes per s, both ways"] = worker
+	}
 	starts, running, n := 0, 0, 0
 	for _, s := range r.Seconds {
 		if float64(s.T) >= r.WindowS[0] && float64(s.T) < r.WindowS[1] {
@@ -425,7 +450,7 @@
 		if p.AimS > 0 {
 			within = fmt.Sprintf("%.4f of %g s", p.Within, p.AimS)
 		}
-		if class, ok := strings.CutSuffix(k, " wait"); ok {
+		if class, ok := strings.CutSuffix(k, " wait"); ok { // not of the peak and the rest
 			never = fmt.Sprint(r.Unstarted[class])
 		}
 		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", k, p.Count, ms(p.P50), ms(p.P99), ms(p.P999), ms(p.Max), within, never)
@@ -433,13 +458,20 @@
 	w.Flush()
 
 	fmt.Fprintln(out)
-	fmt.Fprintln(w, "role, each process\tcores\tlargest second\tMB\tlargest\tsockets\tlargest")
+	fmt.Fprintln(w, "role, each process\tcores\tlargest second\tMB\tlargest\tsockets\tlargest\tKB/s in\tout")
 	for _, role := range []string{"leader", roleController, wire.RoleWorker, wire.RoleHollow, wire.RoleStandins, wire.RoleRelay, wire.RoleUsers, "supervisor"} {
 		if _, ok := r.Rows[role+" memory MB"]; !ok {
 			continue
 		}
 		v := func(k string) float64 { return r.Rows[role+" "+k] }
-		fmt.Fprintf(w, "%s\t%.4f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\n", role, v("cores"), v("cores, largest second"), v("memory MB"), v("memory MB, largest"), v("sockets"), v("sockets, largest"))
+		fmt.Fprintf(w, "%s\t%.4f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.1f\t%.1f\n", role, v("cores"), v("cores, largest second"), v("memory MB"), v("memory MB, largest"), v("sockets"), v("sockets, largest"),
+			v("bytes in per s")/1000, v("bytes out per s")/1000)
 	}
 	w.Flush()
+	if v := r.Rows["worker control bytes per s, both ways"]; v > 0 {
+		fmt.Fprintf(out, "control of a real worker: %.0f bytes a second both ways at %.1f tasks\n", v, r.Rows["worker tasks_running"])
+	}
+	if v := r.Rows["leader longest tick s, at most"]; v > 0 {
+		fmt.Fprintf(out, "leader: longest round at most %.2g s, longest renewal at most %.2g s\n", v, r.Rows["leader longest state lease s, at most"])
+	}
 }
--- a/internal/scale/report_test.go
+++ b/internal/scale/report_test.go
@@ -70,6 +70,9 @@
 	near("submission", percentiles(m.lat["submit"].all).Max, 2000)
 	near("command", percentiles(m.lat["urgent command"].all).Max, 3000)
 	near("fetch", percentiles(m.lat["urgent fetch"].all).Max, 1000)
+	if peak, rest := m.lat["urgent wait, peak"], m.lat["urgent wait, rest"]; peak.all.TotalCount() != 4 || rest != nil {
+		t.Errorf("%+v %+v, of four that were due in the peak", peak, rest)
+	}
 	if m.seconds[31].Starts != 1 || m.seconds[103].Starts != 2 || m.seconds[131].Starts != 1 {
 		t.Error("starts a second are wrong")
 	}
@@ -105,6 +108,26 @@
 	}
 }
 
+// The longest step between two scrapes is that of the highest bucket that grew.
+func TestLongest(t *testing.T) {
+	inf := math.Inf(1)
+	before := map[float64]float64{0.1: 5, 0.3: 6, 0.9: 6, inf: 6}
+	for _, c := range []struct {
+		now  map[float64]float64
+		want float64
+	}{
+		{map[float64]float64{0.1: 5, 0.3: 6, 0.9: 6, inf: 6}, 0},
+		{map[float64]float64{0.1: 7, 0.3: 8, 0.9: 8, inf: 8}, 0.1},
+		{map[float64]float64{0.1: 7, 0.3: 8, 0.9: 9, inf: 9}, 0.9},
+		{map[float64]float64{0.1: 7, 0.3: 8, 0.9: 9, inf: 10}, inf},
+		{map[float64]float64{0.1: 1, 0.3: 1, 0.9: 1, inf: 1}, 0}, // it began anew
+	} {
+		if got := longest(c.now, before); got != c.want {
+			t.Errorf("%v: %g, want %g", c.now, got, c.want)
+		}
+	}
+}
+
 // A broken rule comes before all else, a lag makes a good run void, and a run in which
 // nothing started is no good one.
 func TestVerdict(t *testing.T) {
