--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -139,6 +139,9 @@
 	if n := s.processes(); n > s.f.Limits.Processes {
 		return &limitError{fmt.Sprintf("%d processes, limits.processes is %d", n, s.f.Limits.Processes)}
 	}
+	if n := int(math.Ceil(float64(s.f.Machines()) * (1 + s.f.Deployment.SpareShare))); n > wire.MostMachines {
+		return &limitError{fmt.Sprintf("%d machines with the spare ones, a network has addresses for %d", n, wire.MostMachines)}
+	}
 	total, available, err := memory()
 	if err != nil {
 		return err
@@ -799,6 +802,9 @@
 			}
 		case sm := <-samples:
 			rss := s.meter.sampled(sm, s.hub.Counts().Running)
+			if n := len(sm.usage); n > s.f.Limits.Processes {
+				return &limitError{fmt.Sprintf("%d processes, limits.processes is %d", n, s.f.Limits.Processes)}
+			}
 			if total, _, err := memory(); err == nil && float64(rss) > s.f.Limits.Memory*float64(total) {
 				return &limitError{fmt.Sprintf("processes take %d MB, more than limits.memory = %g of %d MB", rss>>20, s.f.Limits.Memory, total>>20)}
 			}
