--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -894,6 +894,9 @@
 		return
 	}
 	last := s.meter.seconds[n-2]
+	for i := n - 3; i >= 0 && last.CPU == nil; i-- { // the sampler is behind
+		last = s.meter.seconds[i]
+	}
 	starts := 0 // in five seconds that are judged
 	for _, sec := range s.meter.seconds[max(0, n-9) : n-4] {
 		starts += sec.Starts
