A machine that boots is used before another one is rented

An array's task that has waited mistrusts a place on a machine that runs. Where tasks end all the time the earliest place is always such a one, so a machine was rented for it, although others that boot had room and were expected sooner; and since the place on the running machine stayed the best for the next task, each task had a machine of its own, 24 of which one could take, again every second. Of GPU tasks, all that sites have today, few share a machine. Now those that boot, and what the same plan rents, are looked at first.

--- a/internal/coordination/slottable/rental.go
+++ b/internal/coordination/slottable/rental.go
@@ -1,6 +1,9 @@
 package slottable
 
-import "slices"
+import (
+	"cmp"
+	"slices"
+)
 
 // Offer is a kind of machine that could be rented.
 type Offer struct {
@@ -19,6 +22,14 @@
 // leaves the table as it was.
 func (t *Table) Rent(requests []*Request, offers []*Offer, slack micros, most, work int) (rent map[int]int, needed []*Machine) {
 	rent = make(map[int]int)
+	var up []*Machine
+	for _, m := range t.machines {
+		if m.From > t.Now && !m.Blocked {
+			up = append(up, m)
+		}
+	}
+	slices.SortStableFunc(up, func(a, b *Machine) int { return cmp.Compare(a.From, b.From) })
+	t.Work += workLook * len(up)
 	t.try(func() bool {
 		for _, r := range requests {
 			if work <= 0 {
@@ -26,7 +37,7 @@
 			}
 			before := t.Work
 			if r.Limit > 0 {
-				most -= t.rentFor(r, offers, slack, most, rent)
+				most -= t.rentFor(r, offers, slack, most, rent, &up)
 			}
 			work -= t.Work - before
 		}
@@ -40,8 +51,9 @@
 	return rent, needed
 }
 
-// rentFor plans one request, and returns how many machines it would rent.
-func (t *Table) rentFor(r *Request, offers []*Offer, slack micros, most int, rent map[int]int) int {
+// rentFor plans one request, and returns how many machines it would rent. up are those
+// that boot, in the order in which they are expected; what is rented joins them.
+func (t *Table) rentFor(r *Request, offers []*Offer, slack micros, most int, rent map[int]int, up *[]*Machine) int {
 	if r.Guest && !slices.ContainsFunc(offers, func(o *Offer) bool { return o.Suits(r) }) {
 		return 0 // nothing to find out: it keeps no machine either
 	}
@@ -50,7 +62,7 @@
 	z := newZones(r)
 	s := &t.any
 	s.begin(t, r, z, "", true, false)
-	total := 0
+	total, full := 0, 0
 	n := min(r.Tasks, r.Limit, maxBooked)
 	for i := 0; i < n; i++ {
 		c, ok := s.top()
@@ -79,6 +91,17 @@
 				}
 			}
 		}
+		if best >= 0 && ok && r.WaitedFor(p, t.Now) > 0 {
+			// What is mistrusted is on a machine that runs. Before another one is rented
+			// for the task, those that boot are looked at, which are not mistrusted: the
+			// best place is none of theirs for as long as tasks end everywhere. Each task
+			// of an array that had waited had a machine of its own rented, every second.
+			var q Place
+			var found bool
+			if q, full, found = t.placeOn(*up, full, r, z, bestReady+slack); found {
+				best, p = -1, q
+			}
+		}
 		if best >= 0 {
 			o := offers[best]
 			m := &Machine{Name: "+" + o.Type, Type: o.Type, Zone: o.Zone, Spot: o.Spot, Offer: o.Resources,
@@ -86,6 +109,7 @@
 			m.settle(t.Now)
 			t.take(m)
 			t.rented = append(t.rented, m)
+			*up = append(*up, m)
 			rent[best]++
 			total++
 			p = Place{m, m.From, bestReady}
@@ -99,6 +123,27 @@
 	return total
 }
 
+// placeOn is a place for one more task on one of some machines by which it is ready in
+// time, those from full on. It returns up to where they have none left as well.
+func (t *Table) placeOn(list []*Machine, full int, r *Request, z *zones, until micros) (Place, int, bool) {
+	for i := full; i < len(list); i++ {
+		m := list[i]
+		if m.From > until {
+			break
+		}
+		if r.allows(m) && z.allows(m.Zone) && m.Offer.Holds(r.Need) {
+			t.Work += workRoom
+			if c, ok := t.laterOn(r, m, t.Now); ok && c.place.Ready <= until {
+				return c.place, full, true
+			}
+		}
+		if i == full && z.allows(m.Zone) {
+			full++
+		}
+	}
+	return Place{}, full, false
+}
+
 // WaitedFor is how much a place's time is mistrusted, because the request has
 // waited. That of a machine that boots is not: more machines would be rented in
 // its place each second that it is late.
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -564,6 +564,7 @@
 			}
 			names = append(names, fmt.Sprintf("%q", m.name))
 		}
+		w.rented += len(names)
 		w.claims[claim] = `{"hosts":[` + strings.Join(names, ",") + `]}`
 		return 200, w.claims[claim]
 	case path == "/machines/release":
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -524,6 +524,8 @@
 			got = w.leaders - w.led
 		case "refused": // transactions, in all
 			got = w.store.refused
+		case "rented": // machines, in all
+			got = w.rented
 		case "starts": // in all
 			got = w.started
 		case "in-vain": // questions of storms that got no answer
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -60,6 +60,7 @@
 	backlog        int            // events that wait at every node
 	noCapacity     bool
 	removed        int
+	rented         int
 	started        int
 	poller         int
 	sticky         *node // where users' requests go, nil: to one after another
