Only machines that this leader rented teach how long machines boot

A report of a machine that nobody had heard of, and one that was listed and up, counted as a boot that took no time: after the first reports of a fleet that was there already, machines were expected up after 0.3 of their boot time. So what was rented looked sooner than it is, and room to spare was kept for the arrivals of 12 s instead of 40.

--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -50,6 +50,7 @@
 	RecordedWall micros // time of day of its record
 	FromRecord   bool   // recorded under an earlier epoch: may hold tasks unseen
 	Stray        bool   // known by a report of another epoch alone, which may be a late copy
+	Rented       bool   // by this leader, which knows since when
 	Replied      micros // when this leader last answered a report
 	Unheeded     int    // answers and calls in a row that showed no effect, see deaf
 	Proven       bool   // has reported under this epoch, or its tasks are gone
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -568,7 +568,7 @@
 			for _, name := range names {
 				if _, gone := t.gone[name]; t.book.Host(name) == nil && !gone {
 					h := bookkeeping.NewHost(asked, name, k.typ, k.zone, k.spot)
-					h.Type = c.typeByName[k.typ]
+					h.Type, h.Rented = c.typeByName[k.typ], true
 					h.Heard = at
 					t.book.AddHost(h)
 				}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -121,7 +121,9 @@
 		h.Type, h.Changed = c.typeByName[r.Type], true
 	}
 	if h.State == bookkeeping.HostBooting || h.State == bookkeeping.HostSilent {
-		if h.State == bookkeeping.HostBooting && !h.FromRecord {
+		if h.State == bookkeeping.HostBooting && h.Rented {
+			// One that was there already says nothing of that: a fleet that is there from
+			// the start taught that machines boot in no time.
 			t.rental.booted(h, at)
 		}
 		h.To(bookkeeping.HostReady)
