--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"math"
@@ -229,6 +230,7 @@
 	lat     map[string]*latency // submit, query, cancel, and of each class: command, fetch, wait
 	aims    map[string]int64    // class to its shortest aim on waiting, microseconds
 	peaks   [][2]int64          // spans in which rates are raised
+	slowest map[string][]Slow   // by class
 	seconds []Second
 	samples []*sample
 	gauges  map[string][]gauge // by part
@@ -256,7 +258,7 @@
 }
 
 func newMeter(f *File) *meter {
-	m := &meter{jobs: make(map[string]*jobSeen), lat: make(map[string]*latency), aims: make(map[string]int64), gauges: make(map[string][]gauge), parts: make(map[string]*process)}
+	m := &meter{jobs: make(map[string]*jobSeen), lat: make(map[string]*latency), aims: make(map[string]int64), gauges: make(map[string][]gauge), parts: make(map[string]*process), slowest: make(map[string][]Slow)}
 	for _, a := range f.Aims {
 		within := int64(protocol.FromSeconds(a.WithinS))
 		if a.Kind == "wait" && (m.aims[a.Class] == 0 || within < m.aims[a.Class]) {
@@ -381,12 +383,35 @@
 	}
 	wait := max(0, s.At-s.Due-s.Fetch)
 	m.add(s.Spec.Class+" wait", s.Due, wait, m.counts(s.Due))
+	if m.counts(s.Due) {
+		m.slow(s.Spec.Class, Slow{s.Task, float64(s.Due-m.began) / 1e6, float64(wait) / 1e6})
+	}
 	m.add(s.Spec.Class+" fetch", s.Due, s.Fetch, m.counts(s.Due) && s.Fetch > 0)
 	if s.Asked > 0 {
 		m.add(s.Spec.Class+" command", s.Due, max(0, s.Asked-s.Due), m.counts(s.Due))
 	}
 }
 
+// Slow is a task that waited long.
+type Slow struct {
+	Task  string  `json:"task"`
+	DueT  float64 `json:"due_t"` // seconds of the run
+	WaitS float64 `json:"wait_s"`
+}
+
+// mostSlow is how many of a class are kept.
+const mostSlow = 5
+
+// slow keeps the tasks of a class that waited longest.
+func (m *meter) slow(class string, s Slow) {
+	list := m.slowest[class]
+	at, _ := slices.BinarySearchFunc(list, s, func(a, b Slow) int { return cmp.Compare(b.WaitS, a.WaitS) })
+	if at < mostSlow {
+		list = slices.Insert(list, at, s)
+		m.slowest[class] = list[:min(len(list), mostSlow)]
+	}
+}
+
 // rest counts what has not started by the end as having waited until then.
 func (m *meter) rest(end int64) (unstarted map[string]int) {
 	unstarted = make(map[string]int)
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -42,6 +42,7 @@
 	Broken      []hub.Violation        `json:"broken"`
 	Faults      []Played               `json:"faults"`
 	Latency     map[string]Percentiles `json:"latency"`
+	Slowest     map[string][]Slow      `json:"slowest"`   // of each class, first starts
 	Unstarted   map[string]int         `json:"unstarted"` // tasks by class that were due in the window and never started
 	Rows        map[string]float64     `json:"rows"`      // means and rates in the window, see docs/scale.md
 	Notes       []string               `json:"notes"`
@@ -96,7 +97,7 @@
 	m := s.meter
 	r := &Report{Name: s.f.Name, Part: s.o.Part, Seed: s.f.Seed, Began: began.UTC().Truncate(time.Second), TookS: math.Round(time.Since(began).Seconds()*10) / 10,
 		Workers: s.f.Machines(), Controllers: len(s.controllers), Teams: s.f.Teams.Count, Faults: s.played, Notes: s.notes,
-		Latency: make(map[string]Percentiles), Rows: make(map[string]float64), Series: make(map[string][]Span), Seconds: m.seconds}
+		Latency: make(map[string]Percentiles), Rows: make(map[string]float64), Series: make(map[string][]Span), Seconds: m.seconds, Slowest: m.slowest}
 	if s.o.Controller != s.self {
 		r.Controller = filepath.Base(s.o.Controller)
 	}
@@ -436,6 +437,14 @@
 	for _, f := range r.Faults {
 		line("fault", "%.1f s: %s: %s", f.T, f.Fault, f.What)
 	}
+	for _, class := range slices.Sorted(maps.Keys(r.Slowest)) {
+		aim := r.Latency[class+" wait"].AimS
+		for _, s := range r.Slowest[class] {
+			if aim > 0 && s.WaitS > aim {
+				line("late", "%s: %s, due at %.1f s, waited %.1f s", class, s.Task, s.DueT, s.WaitS)
+			}
+		}
+	}
 	for _, n := range r.Notes[:min(len(r.Notes), 10)] {
 		line("note", "%s", n)
 	}
--- a/internal/scale/report_test.go
+++ b/internal/scale/report_test.go
@@ -70,6 +70,9 @@
 	near("submission", percentiles(m.lat["submit"].all).Max, 2000)
 	near("command", percentiles(m.lat["urgent command"].all).Max, 3000)
 	near("fetch", percentiles(m.lat["urgent fetch"].all).Max, 1000)
+	if got := m.slowest["urgent"]; len(got) != 2 || got[0] != (Slow{"", 100, 3.5}) || got[1] != (Slow{"", 100, 2}) {
+		t.Errorf("slowest: %v", got)
+	}
 	if peak, rest := m.lat["urgent wait, peak"], m.lat["urgent wait, rest"]; peak.all.TotalCount() != 4 || rest != nil {
 		t.Errorf("%+v %+v, of four that were due in the peak", peak, rest)
 	}
@@ -166,6 +169,10 @@
 		for repeat := range 2 {
 			workers := 4200 * part
 			reports = append(reports, &Report{Part: part, Workers: int(workers), Rows: map[string]float64{"leader cores": 0.02 + workers*1e-4, "noisy": 10 + float64(repeat)}})
+			if part == 0.5 {
+				reports[len(reports)-1].Rows["leader refused x per s"] = 3
+				reports[len(reports)-1].Rows["leader longest x"] = 3
+			}
 		}
 	}
 	reports = append(reports, &Report{Part: 1, Workers: 4200, Exit: ExitVoid, Rows: map[string]float64{"leader cores": 99}})
@@ -186,6 +193,13 @@
 			if s.Residual > 1e-9 || s.Spread > 1e-9 || len(s.Means) != 3 {
 				t.Errorf("%+v", s)
 			}
+		case "leader refused x per s":
+			found++
+			if s.Means[0] != 0 || s.Means[2] != 3 {
+				t.Errorf("%+v", s)
+			}
+		case "leader longest x":
+			t.Error("a row that some runs don't have")
 		case "noisy":
 			found++
 			if math.Abs(s.Spread-1/10.5) > 1e-9 || math.Abs(s.Residual-0.5/10.5) > 1e-9 {
@@ -193,7 +207,7 @@
 			}
 		}
 	}
-	if found != 2 {
+	if found != 3 {
 		t.Errorf("%d rows", found)
 	}
 	var out bytes.Buffer
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -36,7 +36,7 @@
 	AtTwo     float64   `json:"at_two"`
 }
 
-// Slopes fits a line to each row that all good runs have. by names the figure that is
+// Slopes fits a line to each row that all good runs have, and to each rate that one has. by names the figure that is
 // the size: "" is the number of workers. Runs that are not good are left out.
 func Slopes(reports []*Report, by string) ([]Slope, error) {
 	type point struct {
@@ -76,9 +76,16 @@
 		a, b := stat.LinearRegression(parts, sizes, nil, false)
 		one = a + b
 	}
-	rows := maps.Clone(points[0].r)
+	// Of a rate that a run doesn't have, nothing happened in it.
+	rows := make(map[string]float64)
 	for _, p := range points {
-		maps.DeleteFunc(rows, func(k string, _ float64) bool { _, ok := p.r[k]; return !ok })
+		maps.Copy(rows, p.r)
+	}
+	for _, p := range points {
+		maps.DeleteFunc(rows, func(k string, _ float64) bool {
+			_, ok := p.r[k]
+			return !ok && !strings.HasSuffix(k, " per s")
+		})
 	}
 	var out []Slope
 	for _, row := range slices.Sorted(maps.Keys(rows)) {
