Tests of stand-ins on real connections take a loopback network of their own

Cause: TestLive failed with a refused connection while the same tests ran in another checkout on this machine; both took 127.19.0.0/16.

--- a/internal/rehearsal/live_test.go
+++ b/internal/rehearsal/live_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fastjson"
 
+	"mapleslip/internal/loopback"
 	"mapleslip/internal/protocol"
 )
 
@@ -26,8 +27,16 @@
 	return l.Addr().String()
 }
 
+// liveSettings are those of a network that nobody else on this machine has: two runs of
+// these tests side by side took each other's addresses of workers.
 func liveSettings(t *testing.T, controller string) LiveSettings {
-	return LiveSettings{State: freeAddr(t), Cloud: freeAddr(t), Names: []string{"node-0"}, Clients: []string{controller}, Network: "127.19.",
+	t.Helper()
+	network, err := loopback.Reserve()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { network.Close() })
+	return LiveSettings{State: freeAddr(t), Cloud: freeAddr(t), Names: []string{"node-0"}, Clients: []string{controller}, Network: network.Prefix,
 		Platform: NewWorld(0).Platform, Types: []*protocol.MachineType{{Name: "small", Offer: protocol.Resources{CPU: 8000, Mem: 8000}, Cache: 9000, FetchRate: 1, Zones: []string{"a"}}}}
 }
 
@@ -83,7 +92,7 @@
 	host := fastjson.GetString([]byte(text), "hosts", "0")
 	report := <-reports
 	worker := fastjson.GetString([]byte(report), "addr")
-	if host == "" || fastjson.GetString([]byte(report), "host") != host || !strings.HasPrefix(worker, "127.19.") {
+	if host == "" || fastjson.GetString([]byte(report), "host") != host || !strings.HasPrefix(worker, s.Network) {
 		t.Fatal(text, report)
 	}
 	if status, text := ask(t, "POST", "http://"+worker+"/commands", `{"epoch":1,"tenure":1,"orders":[{"verb":"launch","shard":"req-000001/0","try":1}]}`); status != 200 || !strings.Contains(text, "req-000001/0") {
