Operators can say how long the machines of a zone that is cut off are kept

Change: operators' setting cut_keep_s, 0 (eight leases) as before; traces cut several zones together.

--- a/internal/coordination/memory.go
+++ b/internal/coordination/memory.go
@@ -108,7 +108,7 @@
 	t.memory.kept, t.memory.told = c.memory, make(map[string]toldMemory)
 	in := leadership.Inherit(c.memory)
 	for zone, cut := range in.Cuts() {
-		if c.at.Wall-cut.Seen < cutPatience*c.platform.WorkerLease {
+		if c.at.Wall-cut.Seen < c.cutKeep() {
 			t.cutSeen[zone] = at // its hosts soon show whether it still is
 		}
 	}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -777,11 +777,20 @@
 	return max(0.2, min(0.5, 0.6*begun))
 }
 
-// cutPatience is how many leases the machines of a zone that is cut off are kept.
-// Four were fewer than a cut of two minutes takes: hsos-foldrenges-fleet released 280
-// machines just before it ended, and had to boot and fill as many.
+// cutPatience is how many leases the machines of a zone that is cut off are kept, unless
+// the operators say for how long. Four were fewer than a cut of two minutes takes:
+// hsos-foldrenges-fleet released 280 machines just before it ended, and had to boot and
+// fill as many.
 const cutPatience = 8
 
+// cutKeep is how long the machines of a zone that is cut off are kept.
+func (c *Controller) cutKeep() micros {
+	if c.operator.CutKeep > 0 {
+		return c.operator.CutKeep
+	}
+	return cutPatience * c.platform.WorkerLease
+}
+
 // watchHosts notices silence, proves tasks gone, and sees when every recorded
 // host is accounted for.
 func (c *Controller) watchHosts() {
@@ -844,7 +853,7 @@
 			// release would end them all. After that the machines are worth
 			// keeping for a while, with their images. When the cut ends, its
 			// hosts do not all come back at the same instant.
-			limit = max(limit, cutPatience*lease)
+			limit = max(limit, c.cutKeep())
 		}
 		if deaf(h) {
 			// Its worker goes from node to node, each time after it has waited for an
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -261,6 +261,7 @@
 	AnswerOn       Micros  // how long workers are answered after the lease may have ended
 	SilentRelease  Micros  // silence after which a machine is released as a fence
 	IdleReturn     Micros  // idle time after which a machine goes back
+	CutKeep        Micros  // how long the machines of a zone that is cut off are kept; 0: eight leases
 	WarmSpare      float64 // arrivals per class for which room is kept, in units of what comes during a boot
 
 	SourceAddress netip.Addr // local address of outbound connections; the zero value: the system's choice
@@ -281,6 +282,7 @@
 	AnswerOnS       *float64 `toml:"answer_on_s"`
 	SilentReleaseS  *float64 `toml:"silent_release_s"`
 	IdleReturnS     *float64 `toml:"idle_return_s"`
+	CutKeepS        *float64 `toml:"cut_keep_s"`
 	WarmSpare       *float64 `toml:"warm_spare"`
 	SourceAddress   *string  `toml:"source_address"`
 }
@@ -308,6 +310,7 @@
 		{"answer_on_s", f.AnswerOnS, &o.AnswerOn, 0, 600},
 		{"silent_release_s", f.SilentReleaseS, &o.SilentRelease, 5, 3600},
 		{"idle_return_s", f.IdleReturnS, &o.IdleReturn, 1, 86400},
+		{"cut_keep_s", f.CutKeepS, &o.CutKeep, 0, 86400},
 	}
 	for _, s := range spans {
 		seconds := s.to.Seconds()
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -151,6 +151,8 @@
 		w.Platform.ReportEvery = protocol.FromSeconds(number(o, "report", w.Platform.ReportEvery.Seconds()))
 		w.Platform.WorkerLease = protocol.FromSeconds(number(o, "lease", w.Platform.WorkerLease.Seconds()))
 		w.Platform.Cancel = protocol.FromSeconds(number(o, "cancel", w.Platform.Cancel.Seconds()))
+	case "operator": // operator cut-keep=600: the operators' settings
+		w.Operator.CutKeep = protocol.FromSeconds(number(options(words[1:]), "cut-keep", 0))
 	case "limits": // of the state service are held: limits changes=35
 		w.limited, w.Platform.StateWriteRate = true, number(options(words[1:]), "changes", 35)
 	case "connections": // to other controllers are bounded: connections peers=24
@@ -358,8 +360,8 @@
 			return err
 		}
 		w.storm(count)
-	case "cut-zone": // from everything outside, messages are held
-		w.cutZone = words[1]
+	case "cut-zone": // cut-zone a b: zones, together, from everything outside; messages are held
+		w.cutZones = words[1:]
 	case "heal-zone":
 		w.heal()
 	case "forget-launches": // the records become those of form 1: an epoch that is a number, no launches
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -48,7 +49,7 @@
 	boots          float64        // boot times are so many times as long, 0: machines never come up
 	listLag        micros         // machines younger than that are not listed
 	inVain         int            // questions of a storm that got neither 200 nor 404
-	cutZone        string         // is cut off from everything outside; inside, all goes on
+	cutZones       []string       // are cut off together from everything outside; inside, all goes on
 	mail           []func()       // messages held at the cut, in order
 	quiet          bool           // no log is kept
 	limited        bool           // calls are metered as the program does, and the limits are held
@@ -385,7 +386,7 @@
 
 // cross carries a message between zones ("": outside of all), or holds it.
 func (w *World) cross(a, b string, deliver func()) {
-	if w.cutZone != "" && (a == w.cutZone) != (b == w.cutZone) {
+	if slices.Contains(w.cutZones, a) != slices.Contains(w.cutZones, b) {
 		w.mail = append(w.mail, deliver)
 		return
 	}
@@ -394,7 +395,7 @@
 
 // heal ends the cut; what was held is delivered.
 func (w *World) heal() {
-	w.cutZone = ""
+	w.cutZones = nil
 	mail := w.mail
 	w.mail = nil
 	for _, deliver := range mail {
@@ -610,7 +611,7 @@
 
 // reachable reports whether users, who are in no zone, reach a node.
 func (w *World) reachable(n *node) bool {
-	return n.alive && !n.cut && (w.cutZone == "" || n.zone != w.cutZone)
+	return n.alive && !n.cut && !slices.Contains(w.cutZones, n.zone)
 }
 
 // insist sends a request as a user would, to one node after another until
