Scale run: operators change the configuration while it is under load

The history is read at the end and judged: a change that was told made is in it once, with its revision, without a gap (rule lost_change). deploy/scale/changes.toml is ahead.toml with 20 changes a second, a region apart for 40 s, and the peak.

Tests: what is drawn is taken by internal/configuration and the same for a seed; the operators' states, drawn answers; each way in which a history can be wrong; settings.

--- a/internal/scale/hub/hub.go
+++ b/internal/scale/hub/hub.go
@@ -171,7 +171,7 @@
 }
 
 // Take takes a message of a part: those of kind Submit, Answer, Jobs, Enter, Leave,
-// Waiting, Peers, Progress and Ended matter, others are let pass. Rules are judged later,
+// Waiting, Peers, Progress, Ended and Broken matter, others are let pass. Rules are judged later,
 // by Tick, since messages of several parts come out of order.
 //
 // An Answer's Due is when its request was due, or sent; Status is 0 where no answer came in
@@ -190,6 +190,8 @@
 				j.ask(m.Due)
 			}
 		})
+	case wire.Broken:
+		h.push(m.At, byAnswer, func() { h.violated(m.At, m.Name, "%s", m.Text) })
 	case wire.Answer:
 		h.push(m.At, byAnswer, func() { h.answered(m) })
 	case wire.Enter, wire.Leave, wire.Waiting, wire.Peers, wire.Progress, wire.Ended:
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -229,6 +229,7 @@
 	lat     map[string]*latency // submit, query, cancel, and of each class: command, fetch, wait
 	aims    map[string]int64    // class to its shortest aim on waiting, microseconds
 	peaks   [][2]int64          // spans in which rates are raised
+	cuts    []cut               // spans in which a region is apart
 	seconds []Second
 	samples []*sample
 	gauges  map[string][]gauge // by part
@@ -236,6 +237,12 @@
 	peakRSS int64
 }
 
+// cut is a span in which a region is apart, microseconds.
+type cut struct {
+	region   string
+	from, to int64
+}
+
 // gauge is what a part said of itself at a time.
 type gauge struct {
 	at     int64
@@ -274,6 +281,11 @@
 			m.peaks = append(m.peaks, [2]int64{at + us(l.AtS), at + us(l.AtS+l.ForS)})
 		}
 	}
+	for _, t := range f.Faults {
+		if t.Kind == FaultRegionCut {
+			m.cuts = append(m.cuts, cut{t.Region, at + us(t.AtS), at + us(t.AtS+t.ForS)})
+		}
+	}
 }
 
 // second is the second of the run in which a time is; -1: before the load.
@@ -331,6 +343,30 @@
 	}
 }
 
+// addChange takes a time of a change of the configuration. What was due while a region is
+// apart, in it or elsewhere, in a peak, and at rest, is counted by itself as well.
+func (m *meter) addChange(name, region string, due, us int64) {
+	part := "at rest"
+	for _, p := range m.peaks {
+		if due >= p[0] && due < p[1] {
+			part = "peak"
+		}
+	}
+	for _, c := range m.cuts {
+		if due >= c.from && due < c.to {
+			if part = "a region apart"; region == c.region {
+				part = "in the region apart"
+				break
+			}
+		}
+	}
+	counts := m.counts(due)
+	m.latency(name).add(m.second(due), us, counts)
+	if counts {
+		m.latency(name+", "+part).add(m.second(due), us, true)
+	}
+}
+
 // take looks at a part's message for what is measured.
 func (m *meter) take(p *process, msg *wire.Message) {
 	switch msg.Kind {
@@ -345,6 +381,11 @@
 		switch {
 		case msg.Op == "query" && msg.Status == 200:
 			m.add("query", msg.Due, msg.At-msg.Due, m.counts(msg.Due))
+		case msg.Op == "config" && msg.Phase == "made":
+			m.addChange("config change", msg.Region, msg.Due, msg.At-msg.Due)
+		case msg.Op == "config" && msg.Phase == "in_force":
+			m.addChange("config in force", msg.Region, msg.Due, msg.At-msg.Due)
+			m.addChange("config in force, after made", msg.Region, msg.Due, msg.At-msg.Run)
 		case j == nil:
 		case msg.Op == "submit" && (msg.Status == 200 || msg.Status == 201):
 			if !j.accepted {
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -189,7 +189,7 @@
 	roles := make(map[string]*sum)
 	tops := make(map[string]float64)
 	rate := make(map[string]float64)
-	leaderSpan, otherSpan := 0.0, 0.0
+	leaderSpan, otherSpan, stateCalls := 0.0, 0.0, 0.0
 	var before *sample
 	for _, s := range m.samples {
 		if s.at < from || s.at >= to {
@@ -249,6 +249,12 @@
 						rate[role+" "+what+" "+k] += d
 					}
 				}
+				for k, what := range map[string]string{"config_changes_total": "config revisions", "config_outdated_total": "config outdated"} {
+					if d := c.other[k] - was.other[k]; d > 0 {
+						rate[role+" "+what] += d
+					}
+				}
+				stateCalls += grown(c.calls, was.calls, "state ")
 				for _, what := range []string{"tick", "report", "state lease", "state commit"} {
 					// Counts of a process that began anew have fallen: nothing has grown.
 					k, d := role+" longest "+what+" s, at most", longest(c.times[what], was.times[what])
@@ -289,6 +295,11 @@
 		}
 	}
 	m.partRows(r, from, to)
+	if n := rate["leader config revisions"]; n > 0 && leaderSpan > 0 {
+		// Of all that goes on: what changes alone take is the difference to a run without.
+		r.Rows["run state calls by change, all of them"] = stateCalls / n
+		r.Rows["run state writes by change, all of them"] = r.Rows[wire.RoleStandins+" state_writes per s"] / (n / leaderSpan)
+	}
 	worker := 0.0
 	for _, k := range []string{"hello_in", "hello_out", "commands_in", "commands_out"} {
 		worker += r.Rows[wire.RoleWorker+" "+k+"_bytes per s"]
@@ -309,6 +320,21 @@
 	}
 }
 
+// grown is by how much counters whose names begin so have grown; those of a process that
+// began anew from nothing.
+func grown(now, before map[string]float64, prefix string) (sum float64) {
+	for k, v := range now {
+		if strings.HasPrefix(k, prefix) {
+			d := v - before[k]
+			if d < 0 {
+				d = v
+			}
+			sum += d
+		}
+	}
+	return sum
+}
+
 // levels are what parts say of themselves that goes up and down; of names that end with
 // _max or _p99 the largest is kept, and everything else is a counter.
 var levels = map[string]bool{"state_keys": true, "state_bytes": true, "state_leases": true, "state_watches": true, "state_connections": true,
--- a/internal/scale/report_test.go
+++ b/internal/scale/report_test.go
@@ -206,6 +206,40 @@
 	}
 }
 
+// Times of changes of the configuration count from when a change was due, and by what went
+// on then; those that were due before the warm-up count for none.
+func TestChangeTimes(t *testing.T) {
+	f, err := Parse([]byte(deployFile(t, "changes.toml")))
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := newMeter(f)
+	m.begin(1_000_000_000, f)
+	told := func(region, phase string, due, made, at float64) {
+		us := func(s float64) int64 { return m.began + int64(s*1e6) }
+		m.take(nil, &wire.Message{Kind: wire.Answer, Op: "config", Ref: "c-1", Region: region, Status: 200, Phase: phase, Due: us(due), Run: us(made), At: us(at)})
+	}
+	told("r0", "made", 10, 11, 11) // before the warm-up
+	told("r0", "made", 40, 41, 41)
+	told("r0", "in_force", 40, 41, 43)
+	told("r1", "in_force", 70, 70.5, 75) // r5 is apart from 60 s to 100 s
+	told("r5", "in_force", 70, 101, 102)
+	told("r1", "in_force", 110, 110, 110.5) // the peak begins at 105 s
+	got := make(map[string]float64)
+	for name, l := range m.lat {
+		if n := l.all.TotalCount(); n > 0 {
+			got[name] = math.Round(percentiles(l.all).Max/100) / 10
+		}
+	}
+	want := map[string]float64{"config change": 1, "config change, at rest": 1, "config in force": 32, "config in force, at rest": 3,
+		"config in force, a region apart": 5, "config in force, in the region apart": 32, "config in force, peak": 0.5,
+		"config in force, after made": 4.5, "config in force, after made, at rest": 2, "config in force, after made, a region apart": 4.5,
+		"config in force, after made, in the region apart": 1, "config in force, after made, peak": 0.5}
+	if d := cmp.Diff(want, got); d != "" {
+		t.Error(d)
+	}
+}
+
 // A report is read as it was written, and has its pictures beside it.
 func TestWriteReport(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -329,6 +329,9 @@
 	return s.loop(ctx, begin)
 }
 
+// historyPages is how much history controllers keep, as in deploy/configuration.toml.
+const historyPages = 256
+
 // settings writes the controllers' files, and returns the text of the first one.
 func (s *supervisor) settings() (string, error) {
 	first := ""
@@ -365,6 +368,15 @@
 			c.args = append(c.args, file.flag, path)
 		}
 	}
+	if s.f.Changes != nil {
+		path, err := write("configuration.toml", fmt.Sprintf("history_pages = %d\n", historyPages))
+		if err != nil {
+			return "", err
+		}
+		for _, c := range s.controllers {
+			c.args = append(c.args, "--configuration", path)
+		}
+	}
 	text, err := s.f.Text()
 	if err != nil {
 		return "", err
@@ -509,6 +521,19 @@
 		p.Regions = append(p.Regions, r.Name)
 		p.Sources[r.Name] = s.userIP(r.Name)
 	}
+	if s.f.Changes == nil {
+		return p
+	}
+	p.Operators = s.f.Changes
+	platform := s.f.platform()
+	for _, name := range s.f.teamNames() {
+		p.Bounds.Teams = append(p.Bounds.Teams, platform.Teams[name])
+	}
+	p.Bounds.Machines = slices.Sorted(maps.Keys(s.machines))
+	p.Bounds.Ceilings = make(map[string]int)
+	for _, m := range s.machines {
+		p.Bounds.Ceilings[m.Type+"/"+m.Zone]++
+	}
 	return p
 }
 
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -45,6 +45,8 @@
 	Faults      []Fault         `toml:"faults"`
 	Limits      Limits          `toml:"limits"`
 	Users       UserSettings    `toml:"users"`
+	// Changes of the configuration; nil: controllers run without --configuration.
+	Changes *users.Operators `toml:"changes"`
 }
 
 // Deployment is how the processes that play workers are shared out.
@@ -462,6 +464,11 @@
 	for i := range f.Faults {
 		f.checkFault(c, fmt.Sprintf("faults[%d].", i), &f.Faults[i], regions, zones)
 	}
+	if f.Changes != nil {
+		if e := f.Changes.Check(); e != nil {
+			c.fail("changes."+e.Key, e.Problem)
+		}
+	}
 	least := f.DurationS + f.SettleS
 	c.number("limits.max_s", f.Limits.MaxS, least, 86400)
 	c.number("limits.lag_ms", f.Limits.LagMS, 1, 60000)
--- a/internal/scale/settings_test.go
+++ b/internal/scale/settings_test.go
@@ -22,7 +22,7 @@
 
 // The files that are delivered are of the size that they say, whatever the part.
 func TestDeliveredFiles(t *testing.T) {
-	for _, name := range []string{"ahead.toml", "tenth.toml", "region.toml", "small.toml"} {
+	for _, name := range []string{"ahead.toml", "tenth.toml", "region.toml", "changes.toml", "small.toml"} {
 		f, err := Parse([]byte(deployFile(t, name)))
 		if err != nil {
 			t.Errorf("%s: %v", name, err)
@@ -65,7 +65,7 @@
 
 // Whatever is wrong in a file ends with its line and key.
 func TestBadFiles(t *testing.T) {
-	good := deployFile(t, "ahead.toml")
+	ahead, changes := deployFile(t, "ahead.toml"), deployFile(t, "changes.toml")
 	for _, c := range []struct {
 		from, to, key, problem string
 		below                  int // lines from the first changed one
@@ -87,10 +87,18 @@
 		{`name = "gpu-box"`, `name = "cpu-box"`, "types[1].name", "once only", 0},
 		{`real_workers = 24`, "real_workers = 24\nreal_workers = 25", "real_workers", "", 1},
 		{`duration_s = 150.0`, `duration_s = 150.0.0`, "", "", 0},
+		{`operators = 12 `, `operators = 0 `, "changes.operators", "must be from 1 to 100", 0},
+		{`rate = 20.0 `, `rate = -1.0 `, "changes.rate", "must be from 0.001 to 1000", 0},
+		{`drained = 0.02 `, `drained = 0.0 `, "changes.drained", "must be above 0", 0},
+		{`drains = 3.0 `, `drain = 3.0 `, "changes.drain", "unknown key", 0},
 		{`[limits]`, "[[faults]]\nat_s = 10.0\nkind = \"region_cut\"\nregion = \"r1\"\n[limits]", "faults[0].for_s", "missing: region_cut needs it", 0},
 		{`[limits]`, "[[faults]]\nat_s = 10.0\nkind = \"rain\"\n[limits]", "faults[0].kind", "unknown fault", 2},
 		{`[limits]`, "[[faults]]\nat_s = 1e9\nkind = \"worker_end\"\ncount = 1\n[limits]", "faults[0].at_s", "must be from 0", 1},
 	} {
+		good := ahead
+		if strings.HasPrefix(c.key, "changes.") {
+			good = changes
+		}
 		text := strings.Replace(good, c.from, c.to, 1)
 		if text == good {
 			t.Fatalf("%s is not in the file", c.from)
--- a/internal/scale/users/mix.go
+++ b/internal/scale/users/mix.go
@@ -68,6 +68,8 @@
 	Changes                                       []Change
 	Sources                                       map[string]string // region to the IP that its users call from
 	Strangers                                     float64           // questions a second about jobs that nobody submitted
+	Operators                                     *Operators        // nil: the configuration stays
+	Bounds                                        Bounds            // of what they change
 }
 
 var kinds = map[string]protocol.Kind{"array": protocol.Array, "gang": protocol.Gang, "service": protocol.Service}
--- /dev/null
+++ b/internal/scale/users/operators_test.go
@@ -0,0 +1,197 @@
+package users
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"mapleslip/internal/configuration"
+	"mapleslip/internal/protocol"
+)
+
+func operatorsPlan() *Plan {
+	p := testPlan()
+	p.Operators = &Operators{Rate: 20, Operators: 3, Limits: 3, Guarantees: 3, Drains: 3, Ceilings: 1, Drained: 0.2}
+	for i := range 62 {
+		p.Bounds.Teams = append(p.Bounds.Teams, protocol.Team{Name: fmt.Sprintf("team-%02d", i), Guarantee: protocol.Resources{CPU: 180_500, GPU: 35_000}, Limit: protocol.Resources{CPU: 1_536_500, GPU: 128_000}})
+	}
+	for i := range 40 {
+		p.Bounds.Machines = append(p.Bounds.Machines, fmt.Sprintf("n-%06d", i+1))
+	}
+	p.Bounds.Ceilings = map[string]int{"big/z1": 10, "big/z2": 3}
+	return p
+}
+
+// A seed always draws the same changes. Made in their order, each is one that the service
+// takes, makes a revision of its own but for a few, and few machines are drained at once.
+func TestChanges(t *testing.T) {
+	p := operatorsPlan()
+	all := p.changes(5)
+	if d := cmp.Diff(all, p.changes(5), cmp.AllowUnexported(change{})); d != "" {
+		t.Fatal(d)
+	}
+	if n := len(all); n < 2000-7*45 || n > 2000+7*45 { // seven standard deviations
+		t.Fatalf("%d changes in 100 s", n)
+	}
+	teams := make(map[string]protocol.Team)
+	for _, m := range p.Bounds.Teams {
+		teams[m.Name] = m
+	}
+	b := &configuration.Bounds{Teams: teams, Zones: []string{"z1", "z2"}, ValueBytes: 8 << 10}
+	h := &configuration.Head{}
+	last, unchanged := int64(0), 0
+	kinds := make(map[string]int)
+	for i, c := range all {
+		if c.due < last || c.due < p.BeginUS || c.due > p.BeginUS+p.DurationUS || c.operator != i%3 || c.region != p.Regions[c.operator%2] {
+			t.Fatalf("%+v after %d", c, last)
+		}
+		last = c.due
+		v := c.begin(c.due)
+		v.state = posting
+		_, _, body := v.request()
+		r, err := configuration.ParseRequest(body, false)
+		if err != nil {
+			t.Fatalf("%s: %v", body, err)
+		}
+		changes := r.Changes(h.Document)
+		if len(changes) == 0 {
+			unchanged++
+			continue
+		}
+		w, err := h.Next(b, configuration.Entry{At: 1, Who: r.Who, Why: r.Why, ID: r.ID, Changes: changes}, 256)
+		if err != nil {
+			t.Fatalf("%s: %v", body, err)
+		}
+		h = w.Head
+		kinds[strings.Split(changes[0].Key, "/")[0]]++
+		drained := 0
+		for key := range h.Document {
+			if strings.HasPrefix(key, "drain/") {
+				drained++
+			}
+		}
+		if drained > 8 {
+			t.Fatalf("%d of 40 machines are drained", drained)
+		}
+	}
+	if unchanged > len(all)/20 || kinds["team"] < 1000 || kinds["drain"] < 400 || kinds["rent"] < 100 {
+		t.Errorf("%v, %d of %d were so already", kinds, unchanged, len(all))
+	}
+}
+
+// What an operator does after each answer.
+func TestChanging(t *testing.T) {
+	ok := func(body string) answer { return answer{status: 200, body: []byte(body)} }
+	type step struct {
+		a     answer
+		at    int64
+		state changeState
+		pause int64
+	}
+	for _, c := range []struct {
+		name  string
+		steps []step
+	}{
+		{"plain", []step{
+			{ok(`{"revision":7}`), 1, posting, 0},
+			{ok(`{"revision":8,"changed":true}`), 2, waiting, 0},
+			{ok(`{"revision":8,"in_force":true}`), 3, inForce, 0}}},
+		{"somebody was first", []step{
+			{ok(`{"revision":7}`), 1, posting, 0},
+			{answer{status: 409}, 2, reading, 0},
+			{ok(`{"revision":9}`), 3, posting, 0},
+			{ok(`{"revision":8,"changed":true}`), 4, waiting, 0}}},
+		{"refused", []step{
+			{ok(`{"revision":7}`), 1, posting, 0},
+			{answer{status: 422}, 2, refused, 0}}},
+		{"nobody can say", []step{
+			{answer{}, 1, reading, second},
+			{answer{status: 503, retryAfter: 5 * second}, 2, reading, 5 * second},
+			{answer{status: 503, retryAfter: 90 * second}, 30 * second, reading, 30 * second},
+			{answer{status: 503}, 59*second + 1, givenUp, 0}}},
+		{"the answer got lost", []step{ // the same request again, with its id and what it expected
+			{ok(`{"revision":7}`), 1, posting, 0},
+			{answer{}, 2, posting, second},
+			{ok(`{"revision":8,"changed":true}`), second, waiting, 0}}},
+		{"not in force for a minute", []step{
+			{ok(`{"revision":7}`), 50 * second, posting, 0},
+			{ok(`{"revision":8,"changed":true}`), 55 * second, waiting, 0},
+			{answer{status: 409}, 56 * second, waiting, second},
+			{answer{status: 503, retryAfter: second}, 114 * second, waiting, second},
+			{answer{status: 503, retryAfter: second}, 114*second + 1, givenUp, 0}}},
+	} {
+		v := (&change{id: "c-1", set: map[string]string{"drain/machine/m": ""}}).begin(0)
+		posted := ""
+		for i, s := range c.steps {
+			was := v.state
+			_, _, body := v.request()
+			if was == posting {
+				if posted != "" && v.conflicts == 0 && posted != string(body) {
+					t.Errorf("%s: %s, then %s", c.name, posted, body)
+				}
+				posted = string(body)
+			}
+			if pause := v.answered(s.a, s.at); v.state != s.state || pause != s.pause {
+				t.Fatalf("%s, step %d: state %d and a pause of %d, want %d and %d", c.name, i, v.state, pause, s.state, s.pause)
+			}
+		}
+		if v.state == waiting && (!v.changed || v.revision != 8) {
+			t.Errorf("%s: %+v", c.name, v)
+		}
+	}
+}
+
+// Whatever is answered, a change is over a minute after its operator began, or after it
+// was made.
+func TestChangingEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		v := (&change{id: "c-1"}).begin(0)
+		at := int64(0)
+		for !v.state.over() {
+			at += rapid.Int64Range(1000, configTry).Draw(t, "took")
+			a := answer{status: rapid.SampledFrom([]int{0, 200, 409, 422, 503}).Draw(t, "status"), retryAfter: rapid.Int64Range(0, 3600*second).Draw(t, "retry")}
+			a.body = []byte(`{"revision":3,"changed":true}`)
+			pause := v.answered(a, at)
+			if pause < 0 || pause > mostRetry || a.status == 503 && !v.state.over() && pause < min(a.retryAfter, mostRetry) {
+				t.Fatalf("a pause of %d after %+v", pause, a)
+			}
+			at += pause
+			if at > 2*(retryFor+configTry) {
+				t.Fatalf("state %d after %d s", v.state, at/second)
+			}
+		}
+	})
+}
+
+// Each way in which a history can be wrong is seen.
+func TestJudgeHistory(t *testing.T) {
+	entry := func(revision uint64, id string) configuration.Entry {
+		return configuration.Entry{Revision: revision, ID: id}
+	}
+	good := []configuration.Entry{entry(1, "a"), entry(2, "b"), entry(3, "c")}
+	sent := map[string]bool{"a": true, "b": true, "c": true, "d": true}
+	for _, c := range []struct {
+		name     string
+		history  []configuration.Entry
+		accepted map[string]uint64
+		problem  string
+	}{
+		{"good", good, map[string]uint64{"a": 1, "c": 3}, ""},
+		{"empty", nil, nil, ""},
+		{"a gap", []configuration.Entry{good[0], good[2]}, nil, "has revision 3 as its entry 2"},
+		{"its beginning is missing", good[1:], nil, "has revision 2 as its entry 1"},
+		{"a lost one", good, map[string]uint64{"d": 4}, "d was told made as revision 4, the history has it as 0"},
+		{"another revision", good, map[string]uint64{"a": 2}, "a was told made as revision 2, the history has it as 1"},
+		{"twice", append(slices.Clone(good), entry(4, "a")), nil, "a is in the history twice"},
+		{"nobody's", append(slices.Clone(good), entry(4, "x")), nil, `"x", which nobody asked for`},
+	} {
+		got := strings.Join(judgeHistory(c.history, sent, c.accepted), "; ")
+		if (got == "") != (c.problem == "") || !strings.Contains(got, c.problem) {
+			t.Errorf("%s: %q, want %q", c.name, got, c.problem)
+		}
+	}
+}
--- a/internal/scale/users/run.go
+++ b/internal/scale/users/run.go
@@ -123,6 +123,10 @@
 	if l.plan.Strangers > 0 {
 		l.at(l.plan.BeginUS+second, l.stranger)
 	}
+	var changes []*change
+	if l.plan.Operators != nil {
+		changes = l.plan.changes(l.pipe.Config.Seed)
+	}
 	if err := l.pipe.Ready(nil); err != nil {
 		return err
 	}
@@ -134,6 +138,9 @@
 		}
 		go s.sweep(over)
 	}
+	if len(changes) > 0 {
+		l.operate(changes, over)
+	}
 	go l.pace(over)
 	go l.report(over)
 	for range l.pipe.In {
@@ -240,6 +247,7 @@
 	status     int
 	phase      string
 	retryAfter int64
+	body       []byte
 }
 
 // request makes a request when it is due and tells the supervisor how it went.
@@ -462,7 +470,7 @@
 		if used == 0 {
 			continue
 		}
-		a.status = r.Status
+		a.status, a.body = r.Status, r.Body
 		a.phase = fastjson.GetString(r.Body, "phase")
 		a.retryAfter = retryAfter(buf[:used-len(r.Body)])
 		return a, rerr == nil && used == len(buf) && !r.Close, len(buf), out
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -48,6 +48,7 @@
 	Ended    = "ended"    // [hollow to S] Task completed: its result is kept
 	Fault    = "fault"    // [S to any] Text: which (see Faults), Names, Region, For, Factor
 	Gauge    = "gauge"    // [all to S] once a second: Values by name (lag_ms_max, messages and bytes by kind)
+	Broken   = "broken"   // [users to S] a rule is broken: Name which, Text how, At
 	Note     = "note"     // [all to S] Text for the report
 	Stop     = "stop"     // [S to all] the run ends; the part exits with 0. So it does when its input ends
 )
