A new leader's records that come after its lease has ended are nobody's

Jobs' records (learnJob) and roll-outs' were taken the same way. Now each step takes what comes only for its own term.

TestRecordsAfterTheLease fails with a nil dereference without it.

--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -1,11 +1,13 @@
 package coordination
 
 import (
+	"fmt"
 	"io"
 	"log/slog"
 	"strings"
 	"testing"
 
+	"mapleslip/internal/configuration"
 	"mapleslip/internal/protocol"
 )
 
@@ -48,3 +50,35 @@
 		t.Errorf("%d of 100 were refused at once", refused)
 	}
 }
+
+// A new leader's records may come when its lease has ended meanwhile, from a slow state
+// service or to a process that stood still: they are nobody's then, and stop nothing.
+func TestRecordsAfterTheLease(t *testing.T) {
+	p := &protocol.Platform{Node: "n0", StateRate: 100, StateWriteRate: 20, ValueBytes: 8 << 10, ReportEvery: protocol.Second, WorkerLease: 30 * protocol.Second}
+	c := New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	c.EnableConfiguration(configuration.Options{Pages: 4})
+	c.Start(now{})
+	c.load()
+	var lists []Call
+	for _, e := range c.Step(now{Steady: 1000}, Tick{}) {
+		if call, ok := e.(Call); ok && strings.HasPrefix(call.Path, "/store?under=") {
+			lists = append(lists, call)
+		}
+	}
+	if len(lists) < 5 {
+		t.Fatalf("%d lists of records", len(lists))
+	}
+	c.followIn(protocol.Second)
+	for _, call := range lists {
+		prefix := strings.TrimSuffix(strings.TrimPrefix(call.Path, "/store?under="), "&page=500")
+		key, value := prefix+"x", `{}`
+		if prefix == configuration.KeyHead {
+			key, value = prefix, string((&configuration.Head{Revision: 1, Log: []configuration.Entry{{Revision: 1, ID: "a", Who: "b"}}, Started: 1}).Encode())
+		}
+		body := fmt.Sprintf(`{"entries":[{"path":%q,"data":%s,"stamp":9}],"generation":9,"truncated":false}`, key, value)
+		c.Step(now{Steady: 2000}, CallDone{ID: call.ID, Status: 200, Body: []byte(body)})
+	}
+	if c.term != nil || c.config.revision != 0 {
+		t.Errorf("term %v, revision %d", c.term, c.config.revision)
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -231,7 +231,12 @@
 	var read func(s loadStep)
 	read = func(s loadStep) {
 		began := c.at.Steady
-		c.list(prioLeadership, s.prefix, s.each, func(rev uint64, ok bool) {
+		each := func(e protocol.Entry) {
+			if c.term == t { // an answer may come when the lease has ended meanwhile
+				s.each(e)
+			}
+		}
+		c.list(prioLeadership, s.prefix, each, func(rev uint64, ok bool) {
 			if c.term != t {
 				return
 			}
