--- a/internal/scale/users/change.go
+++ b/internal/scale/users/change.go
@@ -16,11 +16,15 @@
 // What an operator's request may take, microseconds: a wait is kept for a second and a half.
 const configTry = 4 * second
 
+// mostNotes is how many refusals are said with their reasons.
+const mostNotes = 3
+
 // changeLog is what operators have asked for and were told.
 type changeLog struct {
 	mu       sync.Mutex
 	sent     map[string]bool
 	accepted map[string]uint64
+	refused  int
 }
 
 // operate plays the operators: each makes its changes one after the other, in the order
@@ -63,6 +67,13 @@
 	switch c.state {
 	case refused:
 		l.count("config_refused", 1)
+		log.mu.Lock()
+		log.refused++
+		say := log.refused <= mostNotes
+		log.mu.Unlock()
+		if say {
+			l.pipe.Note("%s was refused: %v: %s", c.id, c.set, c.why)
+		}
 		return
 	case waiting:
 	default:
--- a/internal/scale/users/operators.go
+++ b/internal/scale/users/operators.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"hash/crc32"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -134,7 +135,7 @@
 	for t := r.ExpFloat64() / o.Rate; t < float64(p.DurationUS)/second; t += r.ExpFloat64() / o.Rate {
 		i := len(all)
 		key, value := draw()
-		operator := i % o.Operators
+		operator := int(crc32.ChecksumIEEE([]byte(key)) % uint32(o.Operators)) // so that what is set and taken out stays in order
 		all = append(all, &change{id: fmt.Sprintf("c-%06d", i+1), operator: operator, region: p.Regions[operator%len(p.Regions)],
 			due: p.BeginUS + int64(math.Round(t*second)), set: map[string]string{key: value}})
 	}
@@ -164,7 +165,7 @@
 	revision  uint64 // that was made
 	changed   bool   // it made one: false, the document had it so already
 	conflicts int    // times that somebody else was first
-	later     int    // answers 503, or none
+	why       string // it was refused
 }
 
 // begin has an operator take it up.
@@ -198,9 +199,8 @@
 		c.state = reading
 		c.conflicts++
 	case (a.status == 400 || a.status == 422) && c.state == posting:
-		c.state = refused
+		c.state, c.why = refused, fastjson.GetString(a.body, "error")
 	default:
-		c.later++
 		pause = max(leastRetry, min(a.retryAfter, mostRetry))
 		if at+pause > c.since+retryFor {
 			c.state, pause = givenUp, 0
