--- a/internal/scale/users/operators.go
+++ b/internal/scale/users/operators.go
@@ -195,7 +195,7 @@
 		c.revision, c.changed = fastjsonUint(a.body, "revision"), fastjson.GetBool(a.body, "changed")
 	case a.status == 200:
 		c.state = inForce
-	case a.status == 409 && c.state == posting && at < c.since+retryFor:
+	case a.status == 409 && c.state == posting && at < c.since+retryFor && fastjsonUint(a.body, "revision") != c.expected:
 		c.state = reading
 		c.conflicts++
 	case (a.status == 400 || a.status == 422) && c.state == posting:
--- a/internal/scale/users/operators_test.go
+++ b/internal/scale/users/operators_test.go
@@ -110,6 +110,9 @@
 			{answer{status: 409}, 2, reading, 0},
 			{ok(`{"revision":9}`), 3, posting, 0},
 			{ok(`{"revision":8,"changed":true}`), 4, waiting, 0}}},
+		{"nobody was first, the record is damaged", []step{
+			{ok(`{"revision":7}`), 1, posting, 0},
+			{answer{status: 409, body: []byte(`{"revision":7}`)}, 2, posting, second}}},
 		{"refused", []step{
 			{ok(`{"revision":7}`), 1, posting, 0},
 			{answer{status: 422}, 2, refused, 0}}},
@@ -159,7 +162,7 @@
 		for !v.state.over() {
 			at += rapid.Int64Range(1000, configTry).Draw(t, "took")
 			a := answer{status: rapid.SampledFrom([]int{0, 200, 409, 422, 503}).Draw(t, "status"), retryAfter: rapid.Int64Range(0, 3600*second).Draw(t, "retry")}
-			a.body = []byte(`{"revision":3,"changed":true}`)
+			a.body = fmt.Appendf(nil, `{"revision":%d,"changed":true}`, rapid.IntRange(3, 4).Draw(t, "revision"))
 			pause := v.answered(a, at)
 			if pause < 0 || pause > mostRetry || a.status == 503 && !v.state.over() && pause < min(a.retryAfter, mostRetry) {
 				t.Fatalf("a pause of %d after %+v", pause, a)
