--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -358,7 +358,7 @@
 		}
 		for _, file := range []struct{ flag, name, text string }{
 			{"--config", c.name + ".toml", string(text)},
-			{"--operator", c.name + "-operator.toml", fmt.Sprintf("source_address = %q\nidle_return_s = %g\n", c.ip, s.f.Controllers.IdleReturnS)},
+			{"--operator", c.name + "-operator.toml", fmt.Sprintf("source_address = %q\nidle_return_s = %g\ncut_keep_s = %g\n", c.ip, s.f.Controllers.IdleReturnS, s.f.Controllers.CutKeepS)},
 			{"--telemetry", c.name + "-telemetry.toml", fmt.Sprintf("listen = %q\nsnapshot_s = 1.0\n", c.telemetry())},
 		} {
 			path, err := write(file.name, file.text)
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -66,6 +66,7 @@
 	RestartDelayS  float64  `toml:"restart_delay_s"`
 	ClockOffMS     float64  `toml:"clock_off_ms"`
 	IdleReturnS    float64  `toml:"idle_return_s"` // the operators' setting
+	CutKeepS       float64  `toml:"cut_keep_s"`    // the operators' setting
 }
 
 // WorkerTimes are those of the platform's file.
@@ -368,6 +369,7 @@
 	c.number("controllers.restart_delay_s", f.Controllers.RestartDelayS, 0, 3600)
 	c.number("controllers.clock_off_ms", f.Controllers.ClockOffMS, 0, 1e6)
 	c.number("controllers.idle_return_s", f.Controllers.IdleReturnS, 1, 86400)
+	c.number("controllers.cut_keep_s", f.Controllers.CutKeepS, 0, 86400)
 	c.number("workers.report_s", f.Workers.ReportS, 0.1, 3600)
 	c.number("workers.lease_s", f.Workers.LeaseS, 1, 86400)
 	c.number("workers.gang_wait_s", f.Workers.GangWaitS, 0.1, 86400)
