--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -546,11 +546,7 @@
 			c.reply(e.Reply, 0, nil, 0)
 			return
 		}
-		// Only the leader can say.
-		refuse := func(CallDone) { c.unavailable(e.Reply, refusedNoLeader) }
-		if !c.toLeader(e, configWaits+500*protocol.Millisecond, func() {}, refuse) {
-			refuse(CallDone{})
-		}
+		c.leaderOnly(e, configWaits+500*protocol.Millisecond, c.at.Steady)
 		return
 	}
 	switch e.Op {
--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -340,11 +340,7 @@
 			c.reply(e.Reply, 0, nil, 0)
 			return
 		}
-		// Only the leader can serve it.
-		refuse := func(CallDone) { c.unavailable(e.Reply, refusedNoLeader) }
-		if !c.toLeader(e, rolloutWait+500*protocol.Millisecond, func() {}, refuse) {
-			refuse(CallDone{})
-		}
+		c.leaderOnly(e, rolloutWait+500*protocol.Millisecond, c.at.Steady)
 		return
 	}
 	t := c.term
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -172,6 +172,27 @@
 	c.passOnSince(e, spec, came)
 }
 
+// leaderOnly gives a call to the leader that came at a time and that nobody else can serve:
+// operators' calls, about roll-outs and the configuration. It looks for a connection as what
+// is pressing does. Refused at once, changes of the configuration took up to 70 s to be made
+// while submissions had the connections, in a scale run of the coming size.
+func (c *Controller) leaderOnly(e UserCall, timeout, came micros) {
+	if c.mayStart() {
+		c.onUser(e) // this node has come to lead meanwhile
+		return
+	}
+	refuse := func(r CallDone) {
+		if r.Unsent && !r.Refused && c.at.Steady-came < connectionWait {
+			c.after(connectionWait/8, func() { c.leaderOnly(e, timeout, came) })
+			return
+		}
+		c.unavailable(e.Reply, refusedNoLeader)
+	}
+	if !c.toLeader(e, timeout, func() {}, refuse) {
+		refuse(CallDone{})
+	}
+}
+
 // PeerCalls is how many calls to another controller a node makes at once, mostPassed how
 // many of them may be submissions that can wait. What can't looks for a connection for
 // connectionWait: those of users' questions are free again at any moment.
