A revision of the configuration is written with what is pressing

Cause: revisions are written one after the other, and each stood in line with the submissions, for up to a second. Change: the write, and the read after one without an answer, are of the pressing class.

--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -797,7 +797,7 @@
 	}
 	when := []protocol.Condition{{Key: configuration.KeyHead, Stamp: s.stamp}}
 	t.config.writing = true
-	c.lead(prioUser, when, then, func(o txnOutcome, res protocol.TxnResult) {
+	c.lead(prioPressing, when, then, func(o txnOutcome, res protocol.TxnResult) {
 		t.config.writing = false
 		if o == txnApplied {
 			s.head, s.stamp, s.known, s.damaged = w.Head, res.Stamp, true, false
@@ -815,7 +815,7 @@
 		// one of ours was. Its request's id says which.
 		t.config.unsure = c.at.Steady + configUnsure
 		t.config.reread = c.at.Steady + configReread
-		c.readHead(prioUser, func(ok bool) {
+		c.readHead(prioPressing, func(ok bool) {
 			if ok && s.head != nil {
 				if e, here := s.head.Request(r.ID); here {
 					made(e.Revision, true)
