--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -174,8 +174,7 @@
 
 // leaderOnly gives a call to the leader that came at a time and that nobody else can serve:
 // operators' calls, about roll-outs and the configuration. It looks for a connection as what
-// is pressing does. Refused at once, changes of the configuration took up to 70 s to be made
-// while submissions had the connections, in a scale run of the coming size.
+// is pressing does: submissions may have all of them just then.
 func (c *Controller) leaderOnly(e UserCall, timeout, came micros) {
 	if c.mayStart() {
 		c.onUser(e) // this node has come to lead meanwhile
