Reading once more: one name for a call that was not made, a registry that nobody uses

Cause: three places worked out again whether a call was unmade for want of a connection, two of them new; roles of the scale run could be registered, and none was. Change: CallDone.unmade, Register is gone. Behaviour as before.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -111,6 +111,10 @@
 	Refused bool
 }
 
+// unmade reports whether a call was not made for want of a connection of this node's own,
+// or of room in a rate: it says nothing of the other side.
+func (d CallDone) unmade() bool { return d.Unsent && !d.Refused }
+
 // Tick is the passing of time. What is periodic is done with ticks.
 type Tick struct {
 	Backlog int // events that wait
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -197,7 +197,7 @@
 // heard takes the end of a call. A call that this node did not send says nothing.
 func (c *Controller) heard(r *reach, d CallDone) {
 	at := c.at.Steady
-	if d.Unsent && !d.Refused {
+	if d.unmade() {
 		return
 	}
 	why := ""
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -124,7 +124,7 @@
 		}
 	}
 	sent := c.toLeader(e, timeout, over, func(r CallDone) {
-		unmade := r.Unsent && !r.Refused // for want of connections: it says nothing of the leader
+		unmade := r.unmade()
 		if c.leader.Epoch == epoch && r.Status != 200 && !unmade && max(c.asked, c.leaderHeard) < began {
 			c.suspect = c.at.Steady + 2*protocol.Second
 		}
@@ -181,7 +181,7 @@
 		return
 	}
 	refuse := func(r CallDone) {
-		if r.Unsent && !r.Refused && c.at.Steady-came < connectionWait {
+		if r.unmade() && c.at.Steady-came < connectionWait {
 			c.after(connectionWait/8, func() { c.leaderOnly(e, timeout, came) })
 			return
 		}
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -753,7 +753,7 @@
 		}
 		// Only a call that was made and got no answer says something, and only
 		// if this node was awake to hear it.
-		failed = r.Status == 0 && !(r.Unsent && !r.Refused)
+		failed = r.Status == 0 && !r.unmade()
 		over(r)
 	})
 	if h.Proven && c.probeThrough(h, body, over) {
--- a/internal/scale/part/part.go
+++ b/internal/scale/part/part.go
@@ -29,14 +29,6 @@
 	wire.RoleUsers:    users.Run,
 }
 
-// Register adds a role. It is called from init functions, before any Part.
-func Register(role string, run Role) {
-	if roles[role] != nil {
-		panic("role registered twice: " + role)
-	}
-	roles[role] = run
-}
-
 // Part runs the part of a role. An unknown role is an error that names the known ones.
 func Part(role string, in io.Reader, out io.Writer, log *slog.Logger) error {
 	run := roles[role]
