--- a/cmd/mapleslip/config_test.go
+++ b/cmd/mapleslip/config_test.go
@@ -29,7 +29,7 @@
 			}
 			q, err := configuration.ParseRequest(body, r.URL.Path != "/api/config")
 			if err != nil || q.Expected != h.Revision {
-				http.Error(w, string(protocol.ErrorBody(fmt.Sprint("expected: ", err))), 409)
+				http.Error(w, string(protocol.ErrorBody(fmt.Sprint("expected: ", err))), http.StatusConflict)
 				return
 			}
 			changes := q.Changes(h.Document)
@@ -39,7 +39,7 @@
 			}
 			next, err := h.Next(b, configuration.Entry{Who: q.Who, Why: q.Why, ID: q.ID, Changes: changes}, 3)
 			if err != nil {
-				http.Error(w, string(protocol.ErrorBody(err.Error())), 422)
+				http.Error(w, string(protocol.ErrorBody(err.Error())), http.StatusUnprocessableEntity)
 				return
 			}
 			h = next.Head
--- a/internal/coordination/pass_test.go
+++ b/internal/coordination/pass_test.go
@@ -25,12 +25,10 @@
 		Price: 11, SpotPrice: 4.6, Boot: 35 * sec, Zones: zones}
 	p := &protocol.Platform{Node: "n0", Zone: "a", StateRate: 180, StateWriteRate: 40, TxnOps: 12, ValueBytes: 8192, CloudRate: 5,
 		CPUShare: 0.324, ReportEvery: 5 * sec, WorkerLease: 24 * sec, Cancel: 54 * sec, Teams: map[string]protocol.Team{}}
-	for _, o := range []protocol.Objective{
+	p.Objectives = []protocol.Objective{
 		{Kind: "wait", Class: "serve", Within: 12 * sec}, {Kind: "deadline", Class: "rerun"},
 		{Kind: "wait", Class: "small-train", Within: 25 * sec}, {Kind: "finished", Class: "small-train", Within: 250 * sec},
 		{Kind: "wait", Class: "large-train", Within: 50 * sec}, {Kind: "finished", Class: "large-train", Within: 350 * sec},
-	} {
-		p.Objectives = append(p.Objectives, o)
 	}
 	for i := range 16 {
 		p.Teams[fmt.Sprint("team-", i)] = protocol.Team{}
--- a/internal/rehearsal/changes.go
+++ b/internal/rehearsal/changes.go
@@ -28,7 +28,6 @@
 	made     int                                // revisions
 	asked    int                                // requests that were given up or refused, and those that were made
 	newest   uint64                             // revision that an operator's last request made
-	revision uint64                             // that an operator last saw
 	level    map[string]string                  // of the log, by node
 	spoilt   bool                               // somebody else wrote the head: a process that has just begun can't know it
 }
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -35,7 +35,6 @@
 	inFlight        bool
 	next            micros
 	changed         bool
-	notice          micros
 	images          map[string]micros
 	tasks           map[string]*runningTask
 	inOrder         []*runningTask // by key, nil: to be put in order
@@ -53,8 +52,6 @@
 	on            bool
 }
 
-func (t *runningTask) key() string { return fmt.Sprintf("%s/%d#%d", t.job.spec.Ref, t.index, t.try) }
-
 func (m *machine) sorted() []*runningTask {
 	if len(m.inOrder) == len(m.tasks) {
 		return m.inOrder
--- a/internal/scale/hollow/worker_test.go
+++ b/internal/scale/hollow/worker_test.go
@@ -261,7 +261,6 @@
 	if r.time-at < second/2 {
 		t.Errorf("a change after %d us", r.time-at)
 	}
-	at = r.time
 	r.report(2, 200, `{"epoch":6,"orders":[]}`, nil) // its image is there
 	at = r.time
 	r.report(5.1, 200, `{"epoch":6,"orders":[]}`, nil)
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -28,7 +28,6 @@
 	scraped map[string]*scrape // by controller
 	busy    time.Duration      // of the machine, since its start
 	all     time.Duration
-	problem string
 }
 
 // scrape is what a controller's metrics said.
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -46,11 +46,11 @@
 
 // head is what requests and responses have in common.
 type head struct {
-	start         string // the first line
-	length        int    // -1: none given
-	chunked       bool
-	close, http10 bool
-	size          int // bytes up to the body
+	start   string // the first line
+	length  int    // -1: none given
+	chunked bool
+	close   bool
+	size    int // bytes up to the body
 }
 
 func parseHead(buf []byte) (head, error) {
