A leader that gives its lease back answers users from the state service until it knows the outcome

Cause: the yield drops the leader key.

mayStart is now false from the moment the yield is sent; where the state service refused it, it is true again. Users are served as at any node whose lease is in doubt: from the state service.

Stand-ins (handover.go): answers of the state service that come late, links between controllers that are lost, users who cancel at one controller, and a start after a confirmed cancellation taken for a broken rule.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -334,5 +334,10 @@
 	})
 }
 
-// mayStart reports whether the lease certainly holds.
-func (c *Controller) mayStart() bool { return c.role == Leading && c.at.Steady < c.seat.until }
+// mayStart reports whether the leader key is certainly this node's: the lease certainly
+// holds, and no transaction is on its way that gives the key back. That one may have been
+// carried out long before its answer comes, and then another node leads while the lease,
+// without the key, lasts.
+func (c *Controller) mayStart() bool {
+	return c.role == Leading && c.at.Steady < c.seat.until && !c.term.yielding
+}
--- a/internal/coordination/memory.go
+++ b/internal/coordination/memory.go
@@ -214,7 +214,7 @@
 	then := []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(rec)}, {Key: bookkeeping.KeyLeader}}
 	c.lead(prioLeadership, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
 		if o == txnRejected {
-			t.yielding = false // nothing was done: it is looked at again
+			t.yielding, t.dirty = false, true // nothing was done: it is looked at again
 			return
 		}
 		c.log.Info("giving the lease back: workers are heard by other nodes and not by this one", "epoch", t.epoch, "to", to,
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -291,6 +291,7 @@
 	if limit.GPU > 0 && used.GPU > limit.GPU || limit.CPU > 0 && used.CPU > limit.CPU {
 		w.broken("quota: %s with %s", s.Team, name)
 	}
+	w.startsCancelled(t)
 	if t.job.toldCancelled > 0 && w.now > t.job.toldCancelled+w.Platform.Cancel {
 		w.broken("ran_cancelled: %s", name)
 	}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -234,6 +234,12 @@
 		}
 	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
 		return w.actCloseLooks(words)
+	case "late-answers": // see handover.go
+		return w.actLateAnswers(words)
+	case "link", "unlink":
+		return w.actLink(words)
+	case "cancel-at":
+		return w.actCancelAt(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
 		w.sticks = true
 	case "cancel":
@@ -599,6 +605,11 @@
 			return fmt.Errorf("%.1f s", w.unanswered.Seconds())
 		}
 		return nil
+	case "cancelled-within": // cancelled-within SECONDS: each user of cancel-at was answered that soon
+		if most := protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0)); w.cancelLongest > most {
+			return fmt.Errorf("%.1f s", w.cancelLongest.Seconds())
+		}
+		return nil
 	case "health": // health NODE STATUS, as the balancer sees it
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -73,6 +73,9 @@
 	sticks      bool     // users keep to a node for as long as the balancer has it
 	unanswered  micros   // the longest time for which no question about one job was answered
 	looks       closeLooks
+	lateAnswers lateAnswers // of the state service
+	// cancelLongest is the longest that a user of cancel-at waited for the answer.
+	cancelLongest micros
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -114,6 +117,8 @@
 	deaf bool
 	// denied: the state service answers this node alone with 503.
 	denied bool
+	// unlinked: it and the other controllers can't reach each other.
+	unlinked bool
 	// frozen: it does nothing, and what comes waits until it goes on.
 	frozen  bool
 	waiting []coordination.Event
@@ -143,6 +148,7 @@
 	phase         string
 	done, running int
 	asked         bool // to cancel
+	askedAt       micros
 	toldDone      bool
 	toldAt        micros // when it was first told that the job is over
 	toldCancelled micros
@@ -481,9 +487,12 @@
 				return
 			}
 			w.cross(n.zone, "", func() {
+				answeredLater := w.lateAnswers.delay(c.Path, string(c.Body))
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					back := func() { backFrom("")(status, body) }
 					switch {
+					case answeredLater > 0:
+						w.after(answeredLater, back)
 					case n.away: // an open watch, for one
 						n.held = append(n.held, back)
 					case w.stateSlow == 0:
@@ -504,7 +513,7 @@
 			})
 		case coordination.ToPeer:
 			for _, o := range w.nodes {
-				if o.name != c.Addr {
+				if o.name != c.Addr || n.unlinked || o.unlinked {
 					continue
 				}
 				apart(n, o, func() {
