--- a/internal/rehearsal/closelooks.go
+++ b/internal/rehearsal/closelooks.go
@@ -75,9 +75,6 @@
 func (w *World) compare(n *node, what, ref string, sent uint64, status int, phase string) (news bool) {
 	l := &w.looks
 	l.steps++
-	if l.jobs == nil {
-		l.jobs = make(map[string]*told)
-	}
 	t := l.jobs[ref]
 	if t == nil {
 		t = &told{}
@@ -122,7 +119,12 @@
 		return
 	}
 	l := &w.looks
-	if l.jobs[ref].over == 0 {
+	t := l.jobs[ref]
+	if t == nil { // nobody has answered yet
+		t = &told{}
+		l.jobs[ref] = t
+	}
+	if t.accepted > 0 && t.over == 0 {
 		l.accepted++
 		if l.cancelEvery > 0 && l.accepted%l.cancelEvery == 0 && !j.asked {
 			w.after(0, func() { w.cancel(j) })
@@ -137,7 +139,7 @@
 				}
 				w.request(n, "query", ref, nobody)
 				w.request(n, "submit", string(j.body), nobody)
-				if l.jobs[ref].over > 0 && l.jobs[ref].phase == "cancelled" {
+				if t.over > 0 && t.phase == "cancelled" {
 					w.request(n, "cancel", ref, nobody)
 				}
 			})
--- a/internal/rehearsal/handover.go
+++ b/internal/rehearsal/handover.go
@@ -21,13 +21,15 @@
 	left int
 }
 
-// delay is how much later a request is answered than it is carried out.
-func (l *lateAnswers) delay(path, body string) micros {
-	if l.left == 0 || !strings.Contains(path+" "+body, l.with) {
-		return 0
+// answeredLater is how much later a request is answered than it is carried out.
+func (w *World) answeredLater(path string, body []byte) micros {
+	for i := range w.lateAnswers {
+		if l := &w.lateAnswers[i]; l.left > 0 && strings.Contains(path+" "+string(body), l.with) {
+			l.left--
+			return l.by
+		}
 	}
-	l.left--
-	return l.by
+	return 0
 }
 
 // actLateAnswers: late-answers with=TEXT by=SECONDS [most=1]
@@ -36,7 +38,7 @@
 	if o["with"] == "" {
 		return fmt.Errorf("late-answers with=TEXT by=SECONDS [most=1]")
 	}
-	w.lateAnswers = lateAnswers{with: o["with"], by: protocol.FromSeconds(number(o, "by", 1)), left: int(number(o, "most", 1))}
+	w.lateAnswers = append(w.lateAnswers, lateAnswers{with: o["with"], by: protocol.FromSeconds(number(o, "by", 1)), left: int(number(o, "most", 1))})
 	return nil
 }
 
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -234,10 +234,21 @@
 		}
 	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
 		return w.actCloseLooks(words)
+	case "look": // look REF: its user asks all controllers, also before any said that it is accepted
+		if w.jobs[words[1]] == nil {
+			return fmt.Errorf("no such job")
+		}
+		w.lookClosely(words[1])
 	case "late-answers": // see handover.go
 		return w.actLateAnswers(words)
 	case "link", "unlink":
 		return w.actLink(words)
+	case "ask-at": // ask-at NODE REF: one question
+		n := w.nodeNamed(words[1])
+		if n == nil {
+			return fmt.Errorf("no such node")
+		}
+		w.request(n, "query", words[2], func(int, []byte) {})
 	case "cancel-at":
 		return w.actCancelAt(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -73,7 +73,7 @@
 	sticks      bool     // users keep to a node for as long as the balancer has it
 	unanswered  micros   // the longest time for which no question about one job was answered
 	looks       closeLooks
-	lateAnswers lateAnswers // of the state service
+	lateAnswers []lateAnswers // of the state service
 	// cancelLongest is the longest that a user of cancel-at waited for the answer.
 	cancelLongest micros
 
@@ -161,7 +161,7 @@
 	w := &World{Operator: protocol.DefaultOperator(), machines: make(map[string]*machine), jobs: make(map[string]*userJob),
 		claims: make(map[string]string), answers: make(map[uint64]func(int, []byte)),
 		described: make(map[string]*userJob), behaviours: make(map[string]behaviour), rolloutBy: make(map[string][]byte),
-		boots: 1, endsRole: coordination.Loading}
+		looks: closeLooks{jobs: make(map[string]*told)}, boots: 1, endsRole: coordination.Loading}
 	w.Logger = slog.New(alarm{slog.NewTextHandler(io.Discard, nil), w})
 	w.Platform = protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
 		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
@@ -487,7 +487,7 @@
 				return
 			}
 			w.cross(n.zone, "", func() {
-				answeredLater := w.lateAnswers.delay(c.Path, string(c.Body))
+				answeredLater := w.answeredLater(c.Path, c.Body)
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					back := func() { backFrom("")(status, body) }
 					switch {
