--- a/internal/rehearsal/closelooks.go
+++ b/internal/rehearsal/closelooks.go
@@ -112,6 +112,45 @@
 	return news
 }
 
+// actLook: look REF [every=0.005 for=1]: its user asks all controllers, also before any
+// said that it is accepted; or again and again for a while.
+func (w *World) actLook(words []string) error {
+	ref, o := words[1], options(words[2:])
+	if w.jobs[ref] == nil {
+		return fmt.Errorf("no such job")
+	}
+	every, left := protocol.FromSeconds(number(o, "every", 0)), protocol.FromSeconds(number(o, "for", 0))
+	if every == 0 {
+		w.lookClosely(ref)
+		return nil
+	}
+	var again func()
+	again = func() {
+		for _, n := range w.nodes {
+			w.lookAt(n, ref)
+		}
+		if left -= every; left > 0 {
+			w.after(every, again)
+		}
+	}
+	again()
+	return nil
+}
+
+// lookAt asks one controller about a job, and submits it again; what is cancelled is
+// cancelled again.
+func (w *World) lookAt(n *node, ref string) {
+	if !w.reachable(n) {
+		return
+	}
+	nobody := func(int, []byte) {}
+	w.request(n, "query", ref, nobody)
+	w.request(n, "submit", string(w.jobs[ref].body), nobody)
+	if t := w.looks.jobs[ref]; t != nil && t.over > 0 && t.phase == "cancelled" {
+		w.request(n, "cancel", ref, nobody)
+	}
+}
+
 // lookClosely asks every controller about a job, and submits it again, a few times.
 func (w *World) lookClosely(ref string) {
 	j := w.jobs[ref]
@@ -119,30 +158,15 @@
 		return
 	}
 	l := &w.looks
-	t := l.jobs[ref]
-	if t == nil { // nobody has answered yet
-		t = &told{}
-		l.jobs[ref] = t
-	}
-	if t.accepted > 0 && t.over == 0 {
+	if t := l.jobs[ref]; t != nil && t.accepted > 0 && t.over == 0 {
 		l.accepted++
 		if l.cancelEvery > 0 && l.accepted%l.cancelEvery == 0 && !j.asked {
 			w.after(0, func() { w.cancel(j) })
 		}
 	}
-	nobody := func(int, []byte) {}
 	for _, d := range lookAfter {
 		for _, n := range w.nodes {
-			w.after(d, func() {
-				if !w.reachable(n) {
-					return
-				}
-				w.request(n, "query", ref, nobody)
-				w.request(n, "submit", string(j.body), nobody)
-				if t.over > 0 && t.phase == "cancelled" {
-					w.request(n, "cancel", ref, nobody)
-				}
-			})
+			w.after(d, func() { w.lookAt(n, ref) })
 		}
 	}
 }
--- a/internal/rehearsal/handover.go
+++ b/internal/rehearsal/handover.go
@@ -90,3 +90,52 @@
 		w.broken("ran_cancelled: %s/%d starts after that was told", t.job.spec.Ref, t.index)
 	}
 }
+
+// whenChanged is what happens once a key of the state service is changed.
+type whenChanged struct {
+	change string // "set:KEY" or "drop:KEY"
+	after  micros
+	words  []string
+}
+
+// actWhen: when set:KEY|drop:KEY [after=SECONDS] WORDS: once that transaction was carried
+// out, and before its answer is there unless it takes longer than that.
+func (w *World) actWhen(words []string) error {
+	if len(words) < 3 {
+		return fmt.Errorf("when set:KEY|drop:KEY [after=SECONDS] WORDS")
+	}
+	c := whenChanged{change: words[1], words: words[2:]}
+	if o := options(c.words[:1]); o["after"] != "" {
+		c.after, c.words = protocol.FromSeconds(number(o, "after", 0)), c.words[1:]
+	}
+	w.whenChanged = append(w.whenChanged, c)
+	return nil
+}
+
+// carriedOut does what waits for the changes of a transaction.
+func (w *World) carriedOut(then []*fastjson.Value) {
+	if len(w.whenChanged) == 0 {
+		return
+	}
+	changes := make(map[string]bool)
+	for _, c := range then {
+		if key := c.GetStringBytes("drop"); key != nil {
+			changes["drop:"+string(key)] = true
+		} else {
+			changes["set:"+string(c.GetStringBytes("set"))] = true
+		}
+	}
+	var rest []whenChanged
+	for _, c := range w.whenChanged {
+		if !changes[c.change] {
+			rest = append(rest, c)
+			continue
+		}
+		w.after(c.after, func() {
+			if err := w.act(c.words); err != nil {
+				w.broken("the trace: when %s: %v", c.change, err)
+			}
+		})
+	}
+	w.whenChanged = rest
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -234,11 +234,10 @@
 		}
 	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
 		return w.actCloseLooks(words)
-	case "look": // look REF: its user asks all controllers, also before any said that it is accepted
-		if w.jobs[words[1]] == nil {
-			return fmt.Errorf("no such job")
-		}
-		w.lookClosely(words[1])
+	case "look":
+		return w.actLook(words)
+	case "when":
+		return w.actWhen(words)
 	case "late-answers": // see handover.go
 		return w.actLateAnswers(words)
 	case "link", "unlink":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -74,6 +74,7 @@
 	unanswered  micros   // the longest time for which no question about one job was answered
 	looks       closeLooks
 	lateAnswers []lateAnswers // of the state service
+	whenChanged []whenChanged
 	// cancelLongest is the longest that a user of cancel-at waited for the answer.
 	cancelLongest micros
 
