--- a/internal/rehearsal/handover_test.go
+++ b/internal/rehearsal/handover_test.go
@@ -6,59 +6,102 @@
 	"testing"
 )
 
-// Spans of a hand-over that is swept: it begins at handOverAt, and a job is cancelled, and
-// one ends by itself, at every sweepStep from sweepBefore before that to sweepAfter after it.
+// Spans of a hand-over that is swept: a job is cancelled at every sweepStep from sweepBefore
+// before it begins to sweepAfter after that, and some end by themselves. Where a lease is
+// given back, and where the next leader takes the key and lists the records, the steps are
+// shorter.
 const (
-	handOverAt  = 20.0
-	sweepBefore = 1.0
-	sweepAfter  = 5.0
-	sweepStep   = 0.1
+	sweepBefore                   = 1.0
+	sweepAfter                    = 5.0
+	sweepStep                     = 0.1
+	givenBackStep, givenBackSteps = 0.01, 25
+	takenStep, takenSteps         = 0.002, 25
 )
 
-// handOverTrace is a deployment that node-2 leads until something befalls it. At each
-// instant of the sweep a user who is connected to one node cancels a job: of three of them
-// two run, and one waits for room.
-func handOverTrace(befalls, user string) string {
-	var b strings.Builder
-	b.WriteString("nodes 3\nteam red\ntype big cpus=16 gpus=4 mem=64 boot=10 zones=a\nno-capacity\nfleet 14 big a\nat 3 expect leader node-2\n")
-	jobs := int((sweepBefore + sweepAfter) / sweepStep)
-	cancelled := func(i int) string { return fmt.Sprintf("req-%06d", i+1) }
-	ends := func(i int) string { return fmt.Sprintf("req-%06d", 1000+i) }
-	const begin = 6.2 // what is submitted at 4 starts then
-	for i := 0; i < jobs; i += 4 {
-		fmt.Fprintf(&b, "at 4 submit %s array tasks=1 gpus=1 run=%.1f\n", ends(i), handOverAt-sweepBefore+float64(i)*sweepStep-begin)
+// handOver is what befalls node-2, which leads.
+type handOver struct {
+	name    string
+	before  string // lines, from 12 on
+	at      string // what begins it, "": it gives its lease back when it does
+	yielded bool
+}
+
+const handOverScene = `
+nodes 3
+team red
+type big cpus=32 gpus=8 mem=64 boot=10 zones=a
+no-capacity
+fleet 14 big a
+at 3 expect leader node-2
+`
+
+// givesBackAt is when a leader that hears no worker from 12 on gives its lease back.
+func givesBackAt(t *testing.T) float64 {
+	w, err := RunTrace(handOverScene+"at 4 burst 100 req-000001 array tasks=1 gpus=1 run=300\nat 12 when drop:lead count\nat 12 deafen node-2\nat 50 expect role node-2 following", nil)
+	if err != nil {
+		t.Fatal(err)
 	}
-	for i := range jobs {
-		rank := "standard"
-		if i%3 == 2 {
-			rank = "low" // there is no room for these
+	for _, line := range w.Log {
+		var at float64
+		if _, err := fmt.Sscan(line, &at); err == nil && strings.HasSuffix(line, "-- count") {
+			return at
+		}
+	}
+	t.Fatal("it does not")
+	return 0
+}
+
+// trace is a hand-over that begins at an instant. At each instant of the sweep a user who is
+// connected to one node cancels a job: of three of them two run, and one waits for room.
+func (h handOver) trace(begins float64, user string) (text string, cancelled int) {
+	var submits, whens, sweep strings.Builder
+	submit := func(options string) string {
+		cancelled++
+		ref := fmt.Sprintf("req-%06d", cancelled)
+		fmt.Fprintf(&submits, "at 4 submit %s array tasks=1 gpus=1 run=300%s\n", ref, options)
+		return ref
+	}
+	fine := func(change string, step float64, steps int) {
+		for i := range steps {
+			fmt.Fprintf(&whens, "at 12 when %s after=%g cancel-at %s %s\n", change, float64(i)*step, user, submit(""))
 		}
-		fmt.Fprintf(&b, "at 4 submit %s array tasks=1 gpus=1 run=300 rank=%s\n", cancelled(i), rank)
 	}
-	b.WriteString("at 8 close-looks on\n")
-	early, late, _ := strings.Cut(befalls, "|")
-	b.WriteString(early)
-	handed := false
-	for i := range jobs {
-		at := handOverAt - sweepBefore + float64(i)*sweepStep
-		if !handed && at >= handOverAt {
-			handed = true
-			b.WriteString(late)
+	if h.yielded {
+		fine("drop:lead", givenBackStep, givenBackSteps)
+	}
+	fine("set:lead", takenStep, takenSteps)
+	const starts = 6.2 // what is submitted at 4
+	for i := range int((sweepBefore + sweepAfter) / sweepStep) {
+		at := begins - sweepBefore + float64(i)*sweepStep
+		if i == int(sweepBefore/sweepStep) {
+			fmt.Fprintf(&sweep, "at %.2f expect leader node-2\n", begins-0.06)
+			if h.at != "" {
+				fmt.Fprintf(&sweep, "at %.2f %s\n", begins, h.at)
+			}
+		}
+		rank := ""
+		if i%3 == 2 {
+			rank = " rank=low tasks=14" // there is no room for all of these
+		}
+		fmt.Fprintf(&sweep, "at %.2f cancel-at %s %s\n", at, user, submit(rank))
+		if i%4 == 0 {
+			fmt.Fprintf(&submits, "at 4 submit req-%06d array tasks=1 gpus=1 run=%.1f\n", 1000+i, at-starts)
 		}
-		fmt.Fprintf(&b, "at %.2f cancel-at %s %s\n", at, user, cancelled(i))
 	}
-	fmt.Fprintf(&b, `at 40 thaw all
+	return handOverScene + submits.String() + "at 12 close-looks on\nat 12 count\n" + whens.String() + h.before + sweep.String() + fmt.Sprintf(`
+at %.2f expect at-least 1 leaders
+at 40 state-slow 0
+at 40 thaw all
 at 40 admit all
 at 40 back all
 at 40 undeafen all
 at 40 link node-2
 at 40 start all
 at 44 expect leader some
-at 80 expect cancelled-within 60
-at 80 expect all %d cancelled
-at 80 expect nothing-stuck
-`, jobs)
-	return b.String()
+at 90 expect cancelled-within 60
+at 90 expect all %d cancelled
+at 90 expect nothing-stuck
+`, begins+sweepAfter, cancelled), cancelled
 }
 
 // Jobs are cancelled, and end, at every instant around a change of leader, by users who are
@@ -66,24 +109,29 @@
 // within a minute, nothing of what was confirmed starts or is left, and nobody is told
 // anything older.
 func TestCancelledInAHandOver(t *testing.T) {
-	for _, h := range []struct{ name, befalls string }{
-		{"yields", "at 9.1 deafen node-2\n|"},
-		{"yields, the answer lost", "at 9.1 deafen node-2\nat 9.1 late-answers with={\"drop\":\"lead\"} by=1.4\nat 9.1 when drop:lead unlink node-2\n|"},
-		{"ends", "|at 20 kill node-2\n"},
-		{"is back at once", "|at 20 restart node-2 after=0.05\n"},
-		{"is refused", "|at 20 deny node-2\n"},
-		{"is cut off", "|at 20 away node-2\n"},
-		{"is frozen", "at 20 freeze node-2\nat 20 when set:lead after=0.2 thaw node-2\n|"},
-		{"slow answers", "at 19 state-slow 0.15\n|at 20 kill node-2\nat 40 state-slow 0\n"},
+	back := givesBackAt(t)
+	for _, h := range []handOver{
+		{name: "yields", before: "at 12 deafen node-2\n", yielded: true},
+		{name: "yields, the answer lost", before: "at 12 deafen node-2\nat 12 late-answers with={\"drop\":\"lead\"} by=1.4\nat 12 when drop:lead unlink node-2\n", yielded: true},
+		{name: "ends", at: "kill node-2"},
+		{name: "is back at once", at: "restart node-2 after=0.05"},
+		{name: "is refused", at: "deny node-2"},
+		{name: "is cut off", at: "away node-2"},
+		{name: "is frozen", before: "at 12 when set:lead after=0.2 thaw node-2\n", at: "freeze node-2"},
+		{name: "ends, slow answers", before: "at 18 state-slow 0.15\n", at: "kill node-2"},
 	} {
 		for _, user := range []string{"node-0", "node-1", "node-2"} {
 			t.Run(h.name+"/"+user, func(t *testing.T) {
-				text := handOverTrace(h.befalls, user)
+				begins := 20.0
+				if h.yielded {
+					begins = back
+				}
+				text, cancelled := h.trace(begins, user)
 				w, err := RunTrace(text, nil)
 				if err != nil {
 					t.Fatalf("%v\nthe trace:\n%s\nwhat happened:\n%s", err, text, strings.Join(w.Log, "\n"))
 				}
-				t.Logf("the longest wait for a cancellation: %.1f s", w.cancelLongest.Seconds())
+				t.Logf("begins at %.2f s; %d cancelled, the last one answered after %.1f s", begins, cancelled, w.cancelLongest.Seconds())
 			})
 		}
 	}
