--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -571,6 +571,13 @@
 			got = w.started
 		case "looks": // answers of close looks that were compared, in all
 			got = w.looks.answers
+		case "cancelled": // jobs
+			got = 0
+			for _, j := range w.jobs {
+				if j.toldCancelled > 0 {
+					got++
+				}
+			}
 		case "in-vain": // questions of storms that got no answer
 			got = w.inVain
 		case "tries": // at-most N tries REF
