A repeated submission whose record would not fit now is answered for what it is

Cause: create answered 400 'description too long' before it looked whether the job is known.

It is looked up first now, as before a 422.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -374,15 +374,15 @@
 				c.unavailable(to, refusedState)
 				return
 			}
-			c.refuseUnknown(to, spec, why)
+			c.refuseUnknown(to, spec, 422, why)
 		})
 		return
 	}
-	c.refuseUnknown(to, spec, why)
+	c.refuseUnknown(to, spec, 422, why)
 }
 
-// refuseUnknown answers 422 unless there is such a job.
-func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, why string) {
+// refuseUnknown refuses a job with a status unless it was accepted before.
+func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, status int, why string) {
 	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
@@ -390,7 +390,7 @@
 		case found:
 			c.answerKnown(to, spec.Ref, j, f)
 		default:
-			c.reply(to, 422, protocol.ErrorBody(why), 0)
+			c.reply(to, status, protocol.ErrorBody(why), 0)
 		}
 	})
 }
@@ -414,7 +414,8 @@
 	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
 		refused()
-		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
+		// The record that it was accepted with may have been shorter: it names an epoch.
+		c.refuseUnknown(to, j.Spec, 400, "description too long")
 		return
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
