--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -274,8 +274,11 @@
 	})
 }
 
-// find looks for a job in the state service.
+// find looks for a job in the state service. What it finds live a leader takes into its
+// book, if it was read in this term: an answer that was on its way while another node led
+// says nothing of what that one ended. What this node ended itself learnJob knows.
 func (c *Controller) find(prio uint8, ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
+	t := c.term
 	c.get(prio, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 		if !ok {
 			done(nil, final{}, false, false)
@@ -289,7 +292,7 @@
 				return
 			}
 			j.Stamp = e.Stamp
-			if c.mayStart() {
+			if c.mayStart() && c.term == t {
 				if known := c.learnJob(e); known != nil {
 					j = known
 				}
@@ -371,15 +374,15 @@
 				c.unavailable(to, refusedState)
 				return
 			}
-			c.refuseUnknown(to, spec, why)
+			c.refuseUnknown(to, spec, 422, why)
 		})
 		return
 	}
-	c.refuseUnknown(to, spec, why)
+	c.refuseUnknown(to, spec, 422, why)
 }
 
-// refuseUnknown answers 422 unless there is such a job.
-func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, why string) {
+// refuseUnknown refuses a job with a status unless it was accepted before.
+func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, status int, why string) {
 	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
@@ -387,7 +390,7 @@
 		case found:
 			c.answerKnown(to, spec.Ref, j, f)
 		default:
-			c.reply(to, 422, protocol.ErrorBody(why), 0)
+			c.reply(to, status, protocol.ErrorBody(why), 0)
 		}
 	})
 }
@@ -402,13 +405,17 @@
 
 type writer func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult))
 
-// create records a job if it is not there yet, and answers once it is durable.
+// create records a job if it is not there yet, and answers once it is durable. A leader
+// takes it into its book only if it was written in this term, and is not over already: it
+// may have noticed the job long before the answer comes, or another leader may have, and
+// ended it. One that it does not take here it notices as those that other nodes write.
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
-	ref := j.Spec.Ref
+	ref, t := j.Spec.Ref, c.term
 	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
 		refused()
-		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
+		// The record that it was accepted with may have been shorter: it names an epoch.
+		c.refuseUnknown(to, j.Spec, 400, "description too long")
 		return
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
@@ -416,8 +423,12 @@
 	write(when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
+			if f, over := c.finals[ref]; over {
+				c.replyFinal(to, ref, f)
+				return
+			}
 			j.Stamp = r.Stamp
-			if c.mayStart() && c.term.book.Job(ref) == nil {
+			if c.mayStart() && c.term == t && t.book.Job(ref) == nil {
 				c.enter(j)
 			}
 			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -232,6 +232,24 @@
 		} else {
 			w.lateReports = l
 		}
+	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
+		return w.actCloseLooks(words)
+	case "look":
+		return w.actLook(words)
+	case "when":
+		return w.actWhen(words)
+	case "late-answers": // see handover.go
+		return w.actLateAnswers(words)
+	case "link", "unlink":
+		return w.actLink(words)
+	case "ask-at": // ask-at NODE REF: one question
+		n := w.nodeNamed(words[1])
+		if n == nil {
+			return fmt.Errorf("no such node")
+		}
+		w.request(n, "query", words[2], func(int, []byte) {})
+	case "cancel-at":
+		return w.actCancelAt(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
 		w.sticks = true
 	case "cancel":
@@ -551,6 +569,15 @@
 			got = w.rented
 		case "starts": // in all
 			got = w.started
+		case "looks": // answers of close looks that were compared, in all
+			got = w.looks.answers
+		case "cancelled": // jobs
+			got = 0
+			for _, j := range w.jobs {
+				if j.toldCancelled > 0 {
+					got++
+				}
+			}
 		case "in-vain": // questions of storms that got no answer
 			got = w.inVain
 		case "tries": // at-most N tries REF
@@ -595,6 +622,11 @@
 			return fmt.Errorf("%.1f s", w.unanswered.Seconds())
 		}
 		return nil
+	case "cancelled-within": // cancelled-within SECONDS: each user of cancel-at was answered that soon
+		if most := protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0)); w.cancelLongest > most {
+			return fmt.Errorf("%.1f s", w.cancelLongest.Seconds())
+		}
+		return nil
 	case "health": // health NODE STATUS, as the balancer sees it
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -72,6 +72,11 @@
 	lateReports lateness // copies of workers' reports that arrive again
 	sticks      bool     // users keep to a node for as long as the balancer has it
 	unanswered  micros   // the longest time for which no question about one job was answered
+	looks       closeLooks
+	lateAnswers []lateAnswers // of the state service
+	whenChanged []whenChanged
+	// cancelLongest is the longest that a user of cancel-at waited for the answer.
+	cancelLongest micros
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -113,6 +118,8 @@
 	deaf bool
 	// denied: the state service answers this node alone with 503.
 	denied bool
+	// unlinked: it and the other controllers can't reach each other.
+	unlinked bool
 	// frozen: it does nothing, and what comes waits until it goes on.
 	frozen  bool
 	waiting []coordination.Event
@@ -142,6 +149,7 @@
 	phase         string
 	done, running int
 	asked         bool // to cancel
+	askedAt       micros
 	toldDone      bool
 	toldAt        micros // when it was first told that the job is over
 	toldCancelled micros
@@ -154,7 +162,7 @@
 	w := &World{Operator: protocol.DefaultOperator(), machines: make(map[string]*machine), jobs: make(map[string]*userJob),
 		claims: make(map[string]string), answers: make(map[uint64]func(int, []byte)),
 		described: make(map[string]*userJob), behaviours: make(map[string]behaviour), rolloutBy: make(map[string][]byte),
-		boots: 1, endsRole: coordination.Loading}
+		looks: closeLooks{jobs: make(map[string]*told)}, boots: 1, endsRole: coordination.Loading}
 	w.Logger = slog.New(alarm{slog.NewTextHandler(io.Discard, nil), w})
 	w.Platform = protocol.Platform{Zones: []string{"a", "b", "c"}, Teams: map[string]protocol.Team{},
 		ReportEvery: 3 * protocol.Second, WorkerLease: 20 * protocol.Second, GangWait: 40 * protocol.Second, GangPeer: 6 * protocol.Second,
@@ -354,6 +362,7 @@
 
 // request hands a request to a controller. Status 0: no answer came in time.
 func (w *World) request(n *node, what, body string, answer func(int, []byte)) {
+	answer = w.compared(n, what, body, answer)
 	w.nextConn++
 	conn := w.nextConn
 	w.answers[conn] = answer
@@ -479,9 +488,12 @@
 				return
 			}
 			w.cross(n.zone, "", func() {
+				answeredLater := w.answeredLater(c.Path, c.Body)
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					back := func() { backFrom("")(status, body) }
 					switch {
+					case answeredLater > 0:
+						w.after(answeredLater, back)
 					case n.away: // an open watch, for one
 						n.held = append(n.held, back)
 					case w.stateSlow == 0:
@@ -502,7 +514,7 @@
 			})
 		case coordination.ToPeer:
 			for _, o := range w.nodes {
-				if o.name != c.Addr {
+				if o.name != c.Addr || n.unlinked || o.unlinked {
 					continue
 				}
 				apart(n, o, func() {
