Stop the tasks of cancelled jobs also on machines that are being released

Cause: a machine that hung was to be released as silent while the cloud was down; it went on within its lease, reported, and was told nothing, because commands go only to hosts that are ready. The tasks of cancelled jobs ran on there, held their team's limit and had their users wait until the cloud was back.

Change: such a host's reports are answered with stops for what nobody has any use for, and with nothing else.

--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -416,6 +416,12 @@
 // commands is what a report is answered with.
 func (c *Controller) commands(h *bookkeeping.Host) []protocol.Command {
 	t := c.term
+	if h.Proven && h.State == bookkeeping.HostReleasing {
+		// It was silent, and the cloud has not answered its release: it may report again
+		// for as long as the cloud is down. Without a stop the tasks of cancelled jobs went
+		// on, held their team's limit and had their users wait until the cloud was back.
+		return c.endings(h)
+	}
 	if !h.Proven || h.State != bookkeeping.HostReady {
 		return nil
 	}
@@ -477,7 +483,8 @@
 	return a.Job != nil && (a.Job.State == bookkeeping.JobCancelling || a.Job.State == bookkeeping.JobCancelled)
 }
 
-// endings is what a leader may say whose lease could have ended.
+// endings is what a leader may say whose lease could have ended, and all that is said to a
+// host that is being released.
 func (c *Controller) endings(h *bookkeeping.Host) []protocol.Command {
 	var cmds []protocol.Command
 	for _, a := range h.Attempts() {
--- a/internal/rehearsal/overlap_test.go
+++ b/internal/rehearsal/overlap_test.go
@@ -37,6 +37,12 @@
 	h.lines = append(h.lines, timedLine{at, fmt.Sprintf(format, args...)})
 }
 
+// sorted lists what happens in its order.
+func (h *history) sorted() []timedLine {
+	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
+	return h.lines
+}
+
 const (
 	troublesFrom = 18.0
 	troublesTo   = 110.0
@@ -191,8 +197,7 @@
 	}
 	h.at(over, "expect nothing-stuck")
 	h.at(over, "expect unanswered 75")
-	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
-	for _, l := range h.lines {
+	for _, l := range h.sorted() {
 		scene += fmt.Sprintf("at %g %s\n", l.at, l.text)
 	}
 	return scene
