A lease is counted from this leader's answers once its epoch was seen

Cause: after a change of leader the answers that the one before may still give were counted for every recorded host for as long as its record allows (three minutes), also for hosts whose worker had reported under the new epoch, unless all other controllers had answered before that. If such a host then fell silent while the cloud could not release it, its tasks were not proven gone by time, and their team's room stayed taken.

Change: a message made under this epoch bounds that by the instant at which it is heard: the worker drops what carries a lower epoch.

--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -115,6 +115,12 @@
 		// before it had begun, and was started elsewhere too.
 		h.Answered = max(h.Answered, at)
 	}
+	if current {
+		// It drops what an earlier leader may go on answering. Counted until that one has
+		// certainly stopped, a host that fell silent after a change of leader held the room
+		// of what was on it for three minutes while the cloud could not release it.
+		h.Answered = min(h.Answered, at)
+	}
 	h.Session, h.Tick, h.Heard, h.ProbeFailed = r.Session, r.Tick, at, false
 	h.Addr = r.Addr
 	if h.Type == nil {
