--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -115,6 +115,12 @@
 		// before it had begun, and was started elsewhere too.
 		h.Answered = max(h.Answered, at)
 	}
+	if current {
+		// It drops what an earlier leader may go on answering. Counted until that one has
+		// certainly stopped, a host that fell silent after a change of leader held the room
+		// of what was on it for three minutes while the cloud could not release it.
+		h.Answered = min(h.Answered, at)
+	}
 	h.Session, h.Tick, h.Heard, h.ProbeFailed = r.Session, r.Tick, at, false
 	h.Addr = r.Addr
 	if h.Type == nil {
@@ -416,6 +422,12 @@
 // commands is what a report is answered with.
 func (c *Controller) commands(h *bookkeeping.Host) []protocol.Command {
 	t := c.term
+	if h.Proven && h.State == bookkeeping.HostReleasing {
+		// It was silent, and the cloud has not answered its release: it may report again
+		// for as long as the cloud is down. Without a stop the tasks of cancelled jobs went
+		// on, held their team's limit and had their users wait until the cloud was back.
+		return c.endings(h)
+	}
 	if !h.Proven || h.State != bookkeeping.HostReady {
 		return nil
 	}
@@ -477,7 +489,8 @@
 	return a.Job != nil && (a.Job.State == bookkeeping.JobCancelling || a.Job.State == bookkeeping.JobCancelled)
 }
 
-// endings is what a leader may say whose lease could have ended.
+// endings is what a leader may say whose lease could have ended, and all that is said to a
+// host that is being released.
 func (c *Controller) endings(h *bookkeeping.Host) []protocol.Command {
 	var cmds []protocol.Command
 	for _, a := range h.Attempts() {
