Mute machines get no new tasks: direct commands renew no lease

A machine whose worker opens no connection to any controller answers each question, so it was neither silent nor deaf, and it has room: tasks were launched there once a lease, for as long as that lasted, beside machines that were free. In the trace of a mute zone with a change of leader the array's four tasks were launched four times over on the same machines until the trace's machines were heard again. Now a machine of which no report came for a lease under this leader gets nothing new; stops still go out as direct commands.

The stand-ins know mute machines (mute, unmute), how long jobs wait beside room (expect waits-beside-room), and users who ask and repeat the submission at all controllers at once (ask-everywhere).

--- a/internal/bookkeeping/host.go
+++ b/internal/bookkeeping/host.go
@@ -52,6 +52,7 @@
 	Stray        bool   // known by a report of another epoch alone, which may be a late copy
 	Rented       bool   // by this leader, which knows since when
 	Replied      micros // when this leader last answered a report
+	Reported     micros // when a report last came under this leader, other than the answer to a direct command
 	Unheeded     int    // answers and calls in a row that showed no effect, see deaf
 	Proven       bool   // has reported under this epoch, or its tasks are gone
 	Session      uint64
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -306,7 +306,7 @@
 // usable reports whether tasks may be put on a host.
 func (c *Controller) usable(h *bookkeeping.Host) bool {
 	at := c.at.Steady
-	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed && !deaf(h) && c.drained(h) == configuration.NotDrained &&
+	return h.State == bookkeeping.HostReady && h.Proven && h.Type != nil && !h.Noticed && !deaf(h) && !c.mute(h) && c.drained(h) == configuration.NotDrained &&
 		at >= h.FaultUntil && at >= h.FullUntil && at-h.Heard < 2*c.platform.ReportEvery+protocol.Second
 }
 
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -105,7 +105,7 @@
 	}
 	if direct {
 		h.Unheeded = 0
-	} else if r.Epoch < t.epoch && h.Replied > 0 {
+	} else if h.Reported = at; r.Epoch < t.epoch && h.Replied > 0 {
 		h.Unheeded++ // it was answered under this epoch, and has not seen it
 	}
 	if r.Session > h.Session {
@@ -563,7 +563,7 @@
 			continue
 		}
 		h.CallQueued = false
-		if at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed || h.State != bookkeeping.HostReady || !h.Proven {
+		if at < h.NoCalls || h.Addr == "" || !c.usable(h) && !h.Noticed && !c.mute(h) || h.State != bookkeeping.HostReady || !h.Proven {
 			continue // they go with the answer to its next report
 		}
 		var cmds []protocol.Command
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -22,6 +22,7 @@
 	answered        bool   // somebody that no test sees renews its lease
 	hung            bool
 	deaf            bool            // its reports arrive; answers to them and direct commands are lost
+	mute            bool            // it reaches no controller; direct commands reach it
 	spoilt          bool            // every task on it fails
 	apart           map[string]bool // controllers that it can't reach, nor they it
 	held            bool            // reports are held back on the way
@@ -339,6 +340,10 @@
 		w.after(4*protocol.Second, fail)
 		return
 	}
+	if m.mute {
+		w.tryInVain(m)
+		return
+	}
 	node := w.nodes[m.node%len(w.nodes)]
 	deliver := func() {
 		if node.deaf || m.apart[node.name] {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -307,6 +307,7 @@
 	case "count": // from here on: changes written, workers asked, users without an answer
 		w.written, w.asked, w.led = w.store.written, w.questions, w.leaders
 		w.unanswered = 0
+		w.countWaiting()
 		for _, j := range w.jobs {
 			j.answeredAt = w.now
 		}
@@ -402,6 +403,10 @@
 			return fmt.Errorf("no such machine")
 		}
 		w.actMachine(words[0], m)
+	case "ask-everywhere":
+		return w.askEverywhere(words[1])
+	case "mute", "unmute":
+		return w.actMute(words)
 	case "expect":
 		return w.expect(words[1:])
 	default:
@@ -595,6 +600,8 @@
 			return fmt.Errorf("%.1f s", w.unanswered.Seconds())
 		}
 		return nil
+	case "waits-beside-room": // waits-beside-room SECONDS: no job has, since the count began, for longer
+		return w.expectWaits(protocol.FromSeconds(number(options([]string{"x=" + words[1]}), "x", 0)))
 	case "health": // health NODE STATUS, as the balancer sees it
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -147,6 +147,7 @@
 	toldCancelled micros
 	via           *node  // where its user's connection is, see sticks
 	answeredAt    micros // when a question about it was last answered
+	waiting       waitBeside
 }
 
 // NewWorld makes a deployment of n controllers.
@@ -209,6 +210,7 @@
 	poll = func() {
 		w.balance()
 		w.poll()
+		w.watchWaiting()
 		w.after(protocol.Second, poll)
 	}
 	poll()
