--- a/internal/rehearsal/askers.go
+++ b/internal/rehearsal/askers.go
@@ -32,3 +32,18 @@
 	}
 	return nil
 }
+
+// cancelOnce is a user who asks to cancel and gives up at once: cancel-once REF.
+func (w *World) cancelOnce(ref string) error {
+	j, n := w.jobs[ref], w.upNode()
+	if j == nil || n == nil {
+		return fmt.Errorf("no such job, or no node")
+	}
+	j.asked = true
+	w.request(n, "cancel", ref, func(status int, body []byte) {
+		if status == 200 {
+			w.heard(j, fastjson.GetString(body, "phase"))
+		}
+	})
+	return nil
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -403,6 +403,8 @@
 			return fmt.Errorf("no such machine")
 		}
 		w.actMachine(words[0], m)
+	case "cancel-once":
+		return w.cancelOnce(words[1])
 	case "ask-everywhere":
 		return w.askEverywhere(words[1])
 	case "mute", "unmute":
