Only the answer lost: each kind of call to the state service, by test; a roll-out waits to hear of its instances

Need: a call to the state service is carried out at once and only its answer is lost; the writer stays, ends and is back after 0.05 s or 3 s, ends for good, or can't be reached by the others, while users ask all controllers and repeat their submissions (TestLostAnswers, 22 kinds of call, five ends each).

Found: a roll-out whose record was just written, its leader ending before it knew: the new leader had not heard of the machines yet, took all old instances for down and paused for somebody to look. It now waits until their machines have been heard of (Instance.Unheard).

Measured: TestLostAnswers/roll-out failed in the three ways in which the leader ends, and passes; the others passed as the code was.

--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -69,7 +69,9 @@
 	}
 	for k := range j.Tasks {
 		i := rollout.Instance{Index: k}
-		if a := j.Tasks[k].Current; a != nil && a.State == bookkeeping.AttemptRunning && !a.Stop {
+		a := j.Tasks[k].Current
+		i.Unheard = a != nil && a.Adopted && a.State == bookkeeping.AttemptLaunched && !a.Host.Proven
+		if a != nil && a.State == bookkeeping.AttemptRunning && !a.Stop {
 			i.Running, i.Attempt = true, a.Name.Number
 			i.IP, _, _ = net.SplitHostPort(a.Host.Addr)
 		}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -232,6 +232,8 @@
 		} else {
 			w.lateReports = l
 		}
+	case "lose-answers-of":
+		return w.loseAnswersOf(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
 		w.sticks = true
 	case "cancel":
@@ -599,6 +601,8 @@
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
 		return differs(strconv.Itoa(got), words[2])
+	case "lost-answers", "written-again":
+		return w.expectLost(words)
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
 	case "kept": // kept KEY yes|no
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -70,8 +70,9 @@
 
 	lateWrites  lateness // transactions that get no answer and are carried out later
 	lateReports lateness // copies of workers' reports that arrive again
-	sticks      bool     // users keep to a node for as long as the balancer has it
-	unanswered  micros   // the longest time for which no question about one job was answered
+	lost        lostAnswers
+	sticks      bool   // users keep to a node for as long as the balancer has it
+	unanswered  micros // the longest time for which no question about one job was answered
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -481,6 +482,9 @@
 			w.cross(n.zone, "", func() {
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					back := func() { backFrom("")(status, body) }
+					if w.losesAnswer(n, c, status, back) {
+						return
+					}
 					switch {
 					case n.away: // an open watch, for one
 						n.held = append(n.held, back)
--- a/internal/rollout/instance.go
+++ b/internal/rollout/instance.go
@@ -30,6 +30,7 @@
 type Instance struct {
 	Index   int
 	Running bool
+	Unheard bool // an earlier leader launched it, and its machine has not been heard of since
 	Attempt uint64
 	IP      string // of its machine
 }
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -43,6 +43,7 @@
 	live    int // asked for
 	present int // asked for, or still on a machine
 	running int
+	unheard int // not known to run or not: see Instance
 	healthy int
 	sure    int // healthy, and no check failed that others are asked about now
 	failing int // running, and their last check failed
@@ -165,6 +166,9 @@
 				i.restart(now, in)
 			}
 			i.seen = m.looks
+			if in.Unheard {
+				t.unheard++
+			}
 			if !in.Running {
 				return
 			}
@@ -462,6 +466,12 @@
 // plan waits for the first checks of what is there.
 func (m *machine) plan() *Record {
 	r, o := m.rec, m.oldTally
+	if o.unheard > 0 {
+		// A new leader that had not heard of the machines yet took all instances for down,
+		// and paused for somebody to look.
+		m.blocked = fmt.Sprintf("%d of %d old instances are not heard of yet", o.unheard, o.live)
+		return nil
+	}
 	if o.checked < o.running {
 		m.blocked = fmt.Sprintf("%d of %d old instances are checked", o.checked, o.running)
 		return nil
