A leader whose renewals get no answer lets another one lead

Need: renewals are carried out and only their answers are lost.

Change: in Doubtful a leader reads the leader key before it renews, and after five renewals in a row without an answer while reads are answered it ends its lease.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -16,6 +16,7 @@
 	until       micros // the lease certainly lasts until then
 	renewing    bool
 	nextRenew   micros
+	unanswered  int    // renewals in a row that were made and got no answer
 	predAnswers micros // until then a predecessor may answer workers
 	unlisted    bool   // launches of earlier epochs may be in no record
 	yields      []protocol.Yield
@@ -278,10 +279,40 @@
 	}
 }
 
+// renew extends the lease. A leader whose lease could have ended asks first who leads: a
+// renewal that is carried out, and of which only the answer is lost, keeps everybody else
+// from leading, for as long as this node goes on with it.
 func (c *Controller) renew() {
 	c.seat.renewing = true
+	if c.role != Doubtful {
+		c.extend(c.operator.LeaderLease / 3)
+		return
+	}
+	lease := c.seat.lease
+	c.get(prioLeadership, bookkeeping.KeyLeader, func(e protocol.Entry, found, ok bool) {
+		switch {
+		case !leads(c.role) || c.seat.lease != lease:
+		case !ok:
+			c.seat.renewing, c.seat.nextRenew = false, c.at.Steady+renewAgain
+		case !found || e.Stamp != c.seat.stamp:
+			c.deposed("the leader key is another's")
+		default:
+			// Whoever can read within stateTimeout has its answer within this.
+			c.extend(c.operator.LeaderLease * 9 / 10)
+		}
+	})
+}
+
+const (
+	renewAgain = 150 * protocol.Millisecond
+	// mostUnanswered is how many renewals in a row may get no answer, while reads do,
+	// before a leader that is in doubt lets another one lead.
+	mostUnanswered = 5
+)
+
+// extend makes one renewal.
+func (c *Controller) extend(timeout micros) {
 	sent, lease := c.at.Steady, c.seat.lease
-	timeout := c.operator.LeaderLease / 3
 	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, timeout, 0, func(r CallDone) {
 		if !leads(c.role) || c.seat.lease != lease {
 			return
@@ -289,6 +320,7 @@
 		c.seat.renewing = false
 		switch r.Status {
 		case 200:
+			c.seat.unanswered = 0
 			c.seat.until = max(c.seat.until, sent+c.operator.LeaderLease-drift(c.operator.LeaderLease))
 			c.seat.nextRenew = sent + c.operator.LeaderLease/4
 			if c.role == Doubtful && c.at.Steady < c.seat.until {
@@ -300,11 +332,27 @@
 			c.log.Info("stepping down: the lease has ended", "epoch", c.seat.epoch)
 			c.follow()
 		default:
-			c.seat.nextRenew = c.at.Steady + 150*protocol.Millisecond
+			c.seat.nextRenew = c.at.Steady + renewAgain
+			c.renewalLost(r)
 		}
 	})
 }
 
+// renewalLost notes a renewal without an answer. When that goes on while reads are
+// answered, another controller should lead.
+func (c *Controller) renewalLost(r CallDone) {
+	if r.Status != 0 || r.unmade() {
+		return
+	}
+	c.seat.unanswered++
+	if c.role == Doubtful && c.seat.unanswered >= mostUnanswered {
+		c.log.Info("stepping down: renewals get no answers, and reads do", "epoch", c.seat.epoch)
+		c.shy = c.at.Steady + shyFor
+		c.endLease(c.seat.lease)
+		c.follow()
+	}
+}
+
 // deposed is called when a newer epoch shows, or a condition on the leader
 // key fails.
 func (c *Controller) deposed(why string) {
