A worker that was sent to the leader before is not out of the next one's reach

Cause: a controller noted that it had sent a worker to the leader and not to which. Workers that had been sent to one that had ended, and came back when another one led, counted as unable to reach that one; where the claim had taken a second longer, its answer being lost, most of them did, and the new leader gave its lease back after 4.7 s.

Change: what a controller knows of a worker's way to the leader holds for the epoch in which it was sent there.

--- a/internal/coordination/relay.go
+++ b/internal/coordination/relay.go
@@ -15,7 +15,8 @@
 // caller is a worker that came here while another node led.
 type caller struct {
 	last   micros // when it last came
-	sent   micros // when it was last sent to the leader
+	sent   micros // when it was last sent to the leader, of epoch to
+	to     uint64
 	relays micros // until then its reports are passed on without asking it to try
 	astray micros // when it last showed that it can't reach the leader of epoch
 	epoch  uint64
@@ -40,6 +41,9 @@
 	at := c.at.Steady
 	k, known := c.callers[r.Host]
 	switch {
+	case k.to > 0 && k.to != c.leader.Epoch:
+		// It was sent to another leader, and not to this one yet. Workers that had been sent to one that
+		// had ended counted as out of reach of the next, which gave its lease back for that.
 	case k.sent > 0 && at-k.sent < returnsIn && r.Epoch <= c.leader.Epoch:
 		returned = true
 		k.relays = at + 2*c.platform.WorkerLease
@@ -88,7 +92,7 @@
 // sendAway sends a worker to whoever leads.
 func (c *Controller) sendAway(e WorkerReport, host string) {
 	k := c.callers[host]
-	k.last, k.sent = c.at.Steady, c.at.Steady
+	k.last, k.sent, k.to = c.at.Steady, c.at.Steady, c.leader.Epoch
 	c.callers[host] = k
 	c.tellLeader(e)
 }
