An answer that comes late brings no job back that is over

Cause: the answer to an accepted submission came after the job had been learnt of otherwise, cancelled, confirmed and let go of: create entered it once more, and its tasks started. The same in a term that began since (create, find), until that leader had read which jobs are over.

Change: what is created or found enters the book only in the term in which that began (enterCreated, find), and not if the job is known to be over; the user is told how it ended.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -276,6 +276,7 @@
 
 // find looks for a job in the state service.
 func (c *Controller) find(prio uint8, ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
+	t := c.term
 	c.get(prio, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 		if !ok {
 			done(nil, final{}, false, false)
@@ -289,7 +290,7 @@
 				return
 			}
 			j.Stamp = e.Stamp
-			if c.mayStart() {
+			if c.term == t && c.mayStart() { // otherwise it may have ended before this term
 				if known := c.learnJob(e); known != nil {
 					j = known
 				}
@@ -413,13 +414,16 @@
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
 	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: value}}
+	t := c.term
 	write(when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
-			j.Stamp = r.Stamp
-			if c.mayStart() && c.term.book.Job(ref) == nil {
-				c.enter(j)
+			if f, over := c.finals[ref]; over {
+				c.replyFinal(to, ref, f) // the answer was so late that the job has ended
+				return
 			}
+			j.Stamp = r.Stamp
+			c.enterCreated(t, j)
 			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
 		case txnRefused:
 			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
@@ -435,6 +439,16 @@
 	})
 }
 
+// enterCreated takes a job whose record was made into the book of the term in which that
+// began. The answer may be a second late. A job that has been cancelled since and let go of,
+// or under another leader, would come back and start; one that was made before this term
+// is among the records that were read, or is told by their watch.
+func (c *Controller) enterCreated(t *term, j *bookkeeping.Job) {
+	if t != nil && c.term == t && c.mayStart() && t.book.Job(j.Spec.Ref) == nil {
+		c.enter(j)
+	}
+}
+
 // impossible says why a job can never run, or nothing.
 func (c *Controller) impossible(s *protocol.JobSpec) string {
 	team, ok := c.team(s.Team)
--- a/internal/rehearsal/lostanswers.go
+++ b/internal/rehearsal/lostanswers.go
@@ -183,15 +183,23 @@
 }
 
 // expectLost checks what became of the calls whose answers were lost: lost-answers N, so
-// many at least were; written-again, each record has been written again or dropped since,
+// many at least were; conflicts N, at most so many transactions were refused for their
+// conditions; written-again, each record has been written again or dropped since,
 // or is there and final.
 func (w *World) expectLost(words []string) error {
-	if words[0] == "lost-answers" {
+	switch words[0] {
+	case "lost-answers":
 		least, err := strconv.Atoi(words[1])
 		if err == nil && w.lost.count < least {
 			err = fmt.Errorf("%d were lost", w.lost.count)
 		}
 		return err
+	case "conflicts":
+		most, err := strconv.Atoi(words[1])
+		if err == nil && w.store.conflict > most {
+			err = fmt.Errorf("%d", w.store.conflict)
+		}
+		return err
 	}
 	for key, stamp := range w.lost.keys {
 		e := w.store.keys[key]
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -37,6 +37,7 @@
 	forgot   uint64   // the last change that is not among them any more
 	written  int      // puts and deletes
 	refused  int      // transactions beyond the rate
+	conflict int      // transactions of which a condition did not hold
 	writes   allowance
 	requests allowance
 }
@@ -312,6 +313,7 @@
 		}
 	}
 	if len(failed) > 0 {
+		s.conflict++
 		answer(409, fmt.Sprintf(`{"failed":[%s],"generation":%d}`, strings.Join(failed, ","), s.revision))
 		return
 	}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -601,7 +601,7 @@
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
 		return differs(strconv.Itoa(got), words[2])
-	case "lost-answers", "written-again":
+	case "lost-answers", "conflicts", "written-again":
 		return w.expectLost(words)
 	case "starts":
 		return differs(strconv.Itoa(w.started), words[1])
