Machines up within two seconds: nothing leaves for one that is in no record

Need: machines that are up in 1.5 s get work at once while the state service is slow by 0.3, 1 and 3 s, carries out transactions late, or the rental's answer does not come, and the leader ends at 22 instants of their first 4 s (TestFreshMachines; -fresh-steps for more).

Change: the stand-ins check, in every trace, that a launch which leaves is in a record with its attempt, and its machine too (recorded.go). No fault found.

--- a/internal/rehearsal/changes.go
+++ b/internal/rehearsal/changes.go
@@ -72,6 +72,7 @@
 
 // committed looks at what a transaction wrote.
 func (w *World) committed(then []*fastjson.Value) {
+	w.recorded.took(then)
 	g := w.changes
 	if g == nil {
 		return
@@ -159,6 +160,7 @@
 // sends looks at commands that leave for a machine. What is launched is allowed by a
 // revision at least as new as the one that an operator was told is in force.
 func (w *World) sends(m *machine, body []byte) {
+	w.checkRecorded(m, body)
 	g := w.changes
 	if g == nil || g.reported == 0 || !strings.Contains(string(body), `"launch"`) {
 		return
--- /dev/null
+++ b/internal/rehearsal/freshmachine_test.go
@@ -0,0 +1,88 @@
+package rehearsal
+
+import (
+	"flag"
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/protocol"
+)
+
+// freshMachines is a trace in which machines that are up within two seconds get work at
+// once, while the state service answers late or carries out transactions late, and the
+// leader ends in the first four seconds of such a machine. The team's limit is all of the
+// work, so a launch that a new leader doesn't count breaks it.
+const freshMachines = `nodes 3 a b c
+team red max=8
+type big cpus=8 gpus=2 mem=64 boot=1.5 zones=a,b
+at 1 list-lag 5
+at 3 expect leader some
+%s
+at 4 submit req-000001 array tasks=4 gpus=1 run=20
+at 4.3 submit req-000002 gang tasks=2 gpus=2 run=15
+at 4.6 submit req-000003 array tasks=6 gpus=1 run=10
+at %g restart leader after=%g
+%s
+at 20 start all
+at 80 expect leader some
+at 80 expect nothing-stuck
+at 80 expect starts 12
+at 80 expect at-least 1 rented
+at 120 expect machines 0 # none is held by a leader that does not know of it
+`
+
+var freshSteps = flag.Int("fresh-steps", 22, "instants at which the leader ends in TestFreshMachines")
+
+// inOrder puts the lines of a trace in the order of their instants.
+func inOrder(text string) string {
+	at := func(line string) float64 {
+		when := 0.0
+		fmt.Sscanf(line, "at %g", &when)
+		return when
+	}
+	lines := strings.Split(strings.TrimSpace(text), "\n")
+	sort.SliceStable(lines, func(a, b int) bool { return at(lines[a]) < at(lines[b]) })
+	return strings.Join(lines, "\n") + "\n"
+}
+
+// Whatever leaves for a machine is recorded before, the machine too; what a new leader finds
+// on one that no record names runs once, counts, and goes back when it is idle.
+func TestFreshMachines(t *testing.T) {
+	troubles := []struct {
+		name, begins, ends string
+		lease              float64 // of the leader, 0: the usual one
+	}{
+		{"no other trouble", "", "", 0},
+		{"state slow by 0.3 s", "at 3.9 state-slow 0.3", "at 12 state-slow 0", 0},
+		{"state slow by 1 s", "at 5.3 state-slow 1", "at 14 state-slow 0", 0},
+		{"state slow by 1 s, long lease", "at 3.9 state-slow 1", "at 20 state-slow 0", 8},
+		{"state slow by 3 s", "at 5.3 state-slow 3", "at 14 state-slow 0", 0},
+		{"machines recorded late", "at 3.9 late-writes every=1 by=3 with=hp/", "at 14 late-writes every=0", 0},
+		{"launches recorded late", "at 3.9 late-writes every=1 by=3 with=lp/", "at 14 late-writes every=0", 0},
+		{"every other write late", "at 3.9 late-writes every=2 by=2", "at 14 late-writes every=0", 0},
+		{"answers of launches lost", "at 3.9 lose-answers-of with=lp/ most=20", "at 14 lose-answers-of nothing", 0},
+		{"rental not answered", "at 3.9 cloud-slow 4", "at 14 cloud-slow 0", 0},
+		{"cloud gone after the rental", "at 3.9 cloud-slow 4\nat 4.9 cloud down", "at 16 cloud up\nat 16 cloud-slow 0", 0},
+	}
+	for _, trouble := range troubles {
+		t.Run(trouble.name, func(t *testing.T) {
+			t.Parallel()
+			backs := []float64{0.05, 3} // in turn
+			for i := range *freshSteps {
+				ends := 5.4 + 4.4*float64(i)/float64(*freshSteps)
+				text := inOrder(fmt.Sprintf(freshMachines, trouble.begins, ends, backs[i%2], trouble.ends))
+				w, err := RunTrace(text, func(w *World) {
+					w.Operator.IdleReturn = 15 * protocol.Second
+					if trouble.lease > 0 {
+						w.Operator.LeaderLease = protocol.FromSeconds(trouble.lease)
+					}
+				})
+				if err != nil {
+					t.Fatalf("%v\nthe trace:\n%s\nwhat happened:\n%s", err, text, strings.Join(w.Log, "\n"))
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/rehearsal/recorded.go
@@ -0,0 +1,91 @@
+package rehearsal
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// Whatever may be on a machine is in a record before it leaves: the machine, and the launch
+// with its attempt. A successor that did not know of them could start the same task again,
+// or more than a team's limit.
+
+// recordedPages is what the pages of the state service name, by their keys.
+type recordedPages struct {
+	hosts    map[string]map[string]bool
+	launches map[string]map[protocol.AttemptName]string
+}
+
+func (p *recordedPages) init() {
+	p.hosts = make(map[string]map[string]bool)
+	p.launches = make(map[string]map[protocol.AttemptName]string)
+}
+
+// took notes what a transaction wrote.
+func (p *recordedPages) took(then []*fastjson.Value) {
+	for _, change := range then {
+		key := string(change.GetStringBytes("set"))
+		switch {
+		case strings.HasPrefix(key, bookkeeping.HostPages):
+			p.hosts[key] = make(map[string]bool)
+			hosts, _ := bookkeeping.DecodeHosts(0, change.Get("data").MarshalTo(nil))
+			for _, h := range hosts {
+				p.hosts[key][h.Name] = true
+			}
+		case strings.HasPrefix(key, bookkeeping.LaunchPages):
+			p.launches[key] = make(map[protocol.AttemptName]string)
+			launches, _ := bookkeeping.DecodeLaunches(change.Get("data").MarshalTo(nil))
+			for _, l := range launches {
+				p.launches[key][l.Name] = l.Host
+			}
+		}
+	}
+}
+
+func (p *recordedPages) namesHost(name string) bool {
+	for _, page := range p.hosts {
+		if page[name] {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *recordedPages) namesLaunch(name protocol.AttemptName, host string) bool {
+	for _, page := range p.launches {
+		if page[name] == host {
+			return true
+		}
+	}
+	return false
+}
+
+// checkRecorded looks at commands that leave for a machine.
+func (w *World) checkRecorded(m *machine, body []byte) {
+	if !strings.Contains(string(body), `"launch"`) {
+		return
+	}
+	v, err := fastjson.ParseBytes(body)
+	if err != nil {
+		return
+	}
+	for _, order := range v.GetArray("orders") {
+		if string(order.GetStringBytes("verb")) != "launch" {
+			continue
+		}
+		ref, index, _ := strings.Cut(string(order.GetStringBytes("shard")), "/")
+		task := protocol.TaskName{Job: ref}
+		task.Index, _ = strconv.Atoi(index)
+		name := protocol.AttemptName{TaskName: task, Number: order.GetUint64("try")}
+		if !w.recorded.namesHost(m.name) && w.store.keys[bookkeeping.OldHostPrefix+m.name] == nil {
+			w.broken("not recorded: %s, on which %s is launched", m.name, task)
+		}
+		if !w.recorded.namesLaunch(name, m.name) {
+			w.broken("not recorded: launch of %s on %s", task, m.name)
+		}
+	}
+}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -71,6 +71,7 @@
 	lateWrites  lateness // transactions that get no answer and are carried out later
 	lateReports lateness // copies of workers' reports that arrive again
 	lost        lostAnswers
+	recorded    recordedPages
 	sticks      bool   // users keep to a node for as long as the balancer has it
 	unanswered  micros // the longest time for which no question about one job was answered
 
@@ -163,6 +164,7 @@
 		ListLag: 3 * protocol.Second, CPUShare: 1, MemoryBytes: 1 << 28, MaxConnections: 1000}
 	w.Operator.IdleReturn = 60 * protocol.Second
 	w.store = newStore(w)
+	w.recorded.init()
 	w.nodes = make([]*node, 0, n)
 	for i := 0; i < n; i++ {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), seed: uint64(i + 1)})
@@ -406,7 +408,7 @@
 
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
-	if w.changes != nil && c.Target == coordination.ToWorker {
+	if c.Target == coordination.ToWorker {
 		if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
 			w.sends(m, c.Body)
 		}
