--- a/internal/rehearsal/freshmachine_test.go
+++ b/internal/rehearsal/freshmachine_test.go
@@ -28,11 +28,22 @@
 at 20 start all
 at 80 expect leader some
 at 80 expect nothing-stuck
-at 80 expect starts 12
+at 80 expect %s
 at 80 expect at-least 1 rented
 at 120 expect machines 0 # none is held by a leader that does not know of it
 `
 
+// held holds what is sent to a machine, from when it is up, and what it sends, from when the
+// leader ends. The command of the leader that has ended comes first.
+func held(machine string) string {
+	return fmt.Sprintf("at 5.2 if-here %[1]s hold-calls\nat ENDS if-here %[1]s hold-reports\nat ENDS+4 if-here %[1]s deliver-calls\nat ENDS+5 if-here %[1]s deliver-reports\n", machine)
+}
+
+// heldCommands does so with commands only; answers are lost.
+func heldCommands(machine string) string {
+	return fmt.Sprintf("at 5.2 if-here %[1]s hold-calls\nat ENDS if-here %[1]s lose-answers\nat ENDS+4 if-here %[1]s deliver-calls\nat ENDS+5 if-here %[1]s pass-answers\n", machine)
+}
+
 var freshSteps = flag.Int("fresh-steps", 22, "instants at which the leader ends in TestFreshMachines")
 
 // inOrder puts the lines of a trace in the order of their instants.
@@ -64,15 +75,22 @@
 		{"every other write late", "at 3.9 late-writes every=2 by=2", "at 14 late-writes every=0", 0},
 		{"answers of launches lost", "at 3.9 lose-answers-of with=lp/ most=20", "at 14 lose-answers-of nothing", 0},
 		{"rental not answered", "at 3.9 cloud-slow 4", "at 14 cloud-slow 0", 0},
+		{"commands and reports held", held("n-500000") + held("n-500001") + held("n-500002") + held("n-500003"), "", 0},
+		{"commands held, answers lost", heldCommands("n-500000") + heldCommands("n-500001") + heldCommands("n-500002") + heldCommands("n-500003"), "", 0},
 		{"cloud gone after the rental", "at 3.9 cloud-slow 4\nat 4.9 cloud down", "at 16 cloud up\nat 16 cloud-slow 0", 0},
 	}
 	for _, trouble := range troubles {
 		t.Run(trouble.name, func(t *testing.T) {
 			t.Parallel()
 			backs := []float64{0.05, 3} // in turn
+			starts := "starts 12"
+			if strings.Contains(trouble.begins, "hold-calls") {
+				starts = "at-least 12 starts" // a machine that is silent for too long is released
+			}
 			for i := range *freshSteps {
 				ends := 5.4 + 4.4*float64(i)/float64(*freshSteps)
-				text := inOrder(fmt.Sprintf(freshMachines, trouble.begins, ends, backs[i%2], trouble.ends))
+				since := strings.NewReplacer("ENDS+5", fmt.Sprintf("%g", ends+5), "ENDS+4", fmt.Sprintf("%g", ends+4), "ENDS", fmt.Sprintf("%g", ends))
+				text := inOrder(fmt.Sprintf(freshMachines, since.Replace(trouble.begins), ends, backs[i%2], trouble.ends, starts))
 				w, err := RunTrace(text, func(w *World) {
 					w.Operator.IdleReturn = 15 * protocol.Second
 					if trouble.lease > 0 {
