--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -77,6 +77,8 @@
 	whenChanged []whenChanged
 	// cancelLongest is the longest that a user of cancel-at waited for the answer.
 	cancelLongest micros
+	lost          lostAnswers
+	recorded      recordedPages
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -171,6 +173,7 @@
 		ListLag: 3 * protocol.Second, CPUShare: 1, MemoryBytes: 1 << 28, MaxConnections: 1000}
 	w.Operator.IdleReturn = 60 * protocol.Second
 	w.store = newStore(w)
+	w.recorded.init()
 	w.nodes = make([]*node, 0, n)
 	for i := 0; i < n; i++ {
 		w.nodes = append(w.nodes, &node{name: fmt.Sprintf("node-%d", i), seed: uint64(i + 1)})
@@ -416,7 +419,7 @@
 
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
-	if w.changes != nil && c.Target == coordination.ToWorker {
+	if c.Target == coordination.ToWorker {
 		if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
 			w.sends(m, c.Body)
 		}
@@ -493,6 +496,9 @@
 				answeredLater := w.answeredLater(c.Path, c.Body)
 				w.store.serve(c.Method, c.Path, c.Body, func(status int, body string) {
 					back := func() { backFrom("")(status, body) }
+					if w.losesAnswer(n, c, status, back) {
+						return
+					}
 					switch {
 					case answeredLater > 0:
 						w.after(answeredLater, back)
