--- /dev/null
+++ b/internal/rehearsal/history_test.go
@@ -0,0 +1,331 @@
+package rehearsal
+
+import (
+	"fmt"
+	"sort"
+
+	"pgregory.net/rapid"
+)
+
+// history is a trace that is drawn: troubles that overlap between troublesFrom and
+// troublesTo, some of which stand still then until standsTo, while what leads must
+// settle; after that everything is well again.
+type history struct {
+	lines []timedLine
+}
+
+type timedLine struct {
+	at   float64
+	text string
+}
+
+func (h *history) at(at float64, format string, args ...any) {
+	h.lines = append(h.lines, timedLine{at, fmt.Sprintf(format, args...)})
+}
+
+// text puts the lines in order of time, after the scene.
+func (h *history) text(scene string) string {
+	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
+	for _, l := range h.lines {
+		scene += fmt.Sprintf("at %.6g %s\n", l.at, l.text)
+	}
+	return scene
+}
+
+const (
+	troublesFrom = 18.0
+	troublesTo   = 110.0
+	settled      = 135.0 // a few lease times and reports after the last change
+	standsTo     = 215.0
+	over         = 340.0
+)
+
+// drawing draws a history.
+type drawing struct {
+	*rapid.T
+	history
+	zones    []string
+	nodes    int
+	machines int
+	limit    int // of GPUs of the team red, 0: none
+}
+
+// drawHistory makes the text of a trace.
+func drawHistory(t *rapid.T) string {
+	d := &drawing{T: t, zones: []string{"a", "b", "c", "d"}}
+	scene := d.scene()
+	d.jobs()
+	d.smallJobs()
+	d.outages()
+	d.leaders()
+	d.controllers()
+	d.machinesInTrouble()
+	d.lateMessages()
+	d.users()
+	d.at(1, "balance")
+	d.at(settled, "count")
+	d.at(standsTo-0.1, "expect leader some")
+	d.at(standsTo-0.1, "expect at-most 2 leaders")
+	d.at(standsTo+12, "cancel-asked") // users who gave up ask once more
+	d.at(over, "expect nothing-stuck")
+	d.at(over, "expect unanswered 75")
+	return d.text(scene)
+}
+
+func (d *drawing) number(name string, from, to int) int {
+	return rapid.IntRange(from, to).Draw(d.T, name)
+}
+
+// oneIn says yes once in n times.
+func (d *drawing) oneIn(n int, name string) bool { return d.number(name, 1, n) == 1 }
+
+func pick[V any](d *drawing, name string, of ...V) V { return rapid.SampledFrom(of).Draw(d.T, name) }
+
+func (d *drawing) span(name string, most int) (from, to float64) {
+	from = troublesFrom + float64(d.number(name+" from", 0, 600))/10
+	return from, min(troublesTo, from+float64(d.number(name+" for", 1, most)))
+}
+
+func (d *drawing) node() string { return fmt.Sprintf("node-%d", d.number("node", 0, d.nodes-1)) }
+
+func (d *drawing) machine() string { return fmt.Sprintf("n-%06d", d.number("machine", 1, d.machines)) }
+
+// ends is when a trouble ends: some stand still.
+func (d *drawing) ends(name string, to float64) float64 {
+	if d.oneIn(3, name+" stands") {
+		return standsTo
+	}
+	return to
+}
+
+func (d *drawing) scene() string {
+	d.nodes = pick(d, "nodes", 3, 5, 7)
+	boot, most := 10.0, 9
+	if d.oneIn(3, "machines up at once") { // within two seconds, and few to begin with
+		boot, most = pick(d, "boot", 0.5, 1.0, 1.9), 3
+	}
+	d.limit = pick(d, "limit", 0, 0, 3, 5, 8)
+	scene := fmt.Sprintf("nodes %d a b c a b c a\nteam red max=%d\nteam blue\ntype big cpus=8 gpus=2 mem=64 boot=%g zones=a,b,c,d\n", d.nodes, d.limit, boot)
+	for _, z := range d.zones {
+		n := d.number("machines in "+z, 1, most)
+		d.machines += n
+		scene += fmt.Sprintf("fleet %d big %s\n", n, z)
+	}
+	return scene
+}
+
+func (d *drawing) jobs() {
+	for i := range d.number("jobs", 2, 8) {
+		ref := fmt.Sprintf("req-%06d", i+1)
+		kind := pick(d, "kind", "array", "array", "gang", "service")
+		team := pick(d, "team", "red", "red", "blue")
+		run := pick(d, "run", 1, 8, 25)
+		if team == "blue" || d.limit == 0 {
+			run = pick(d, "longer run", 8, 60)
+		}
+		line := fmt.Sprintf("submit %s %s tasks=%d gpus=1 team=%s run=%d", ref, kind, d.number("tasks", 1, 5), team, run)
+		switch z := d.number("zone", 0, 8); {
+		case z < 3:
+			line += " zone=" + d.zones[z]
+		case z == 3:
+			line += " one-zone"
+		case z == 4:
+			line += " spread"
+		}
+		if d.oneIn(3, "deadline") {
+			line += " deadline=90"
+		}
+		d.at(4+float64(d.number("submitted", 0, 600))/10, "%s", line)
+		if kind == "service" || d.oneIn(2, "cancelled") {
+			d.at(66+float64(d.number("cancel", 0, 400))/10, "cancel %s", ref)
+		}
+	}
+}
+
+// smallJobs are four jobs of one task a second, a quarter of them cancelled.
+func (d *drawing) smallJobs() {
+	if !d.oneIn(4, "small jobs") {
+		return
+	}
+	from, _ := d.span("small jobs", 1)
+	run := pick(d, "small run", 0.5, 2.0)
+	for i := range 4 * d.number("seconds of small jobs", 2, 12) {
+		at := from + float64(i)/4
+		ref := fmt.Sprintf("req-%06d", 101+i)
+		d.at(at, "submit %s array tasks=1 gpus=1 team=%s run=%g", ref, pick(d, "small team", "red", "blue"), run)
+		if d.oneIn(4, "small cancelled") {
+			d.at(at+float64(d.number("small cancel", 0, 30))/10, "cancel %s", ref)
+		}
+	}
+}
+
+func (d *drawing) outages() {
+	if d.number("cut", 0, 3) > 0 {
+		from, to := d.span("cut", 90)
+		d.at(from, "cut-zone %s", pick(d, "zone cut", d.zones...))
+		d.at(d.ends("cut", to), "heal-zone")
+	}
+	if d.oneIn(2, "outage") {
+		from, to := d.span("outage", 45)
+		d.at(from, "state down")
+		d.at(to, "state up")
+	}
+	if d.oneIn(2, "cloud") {
+		from, to := d.span("cloud", 70)
+		d.at(from, "cloud down")
+		d.at(to, "cloud up")
+	}
+	if d.oneIn(3, "state slow") {
+		from, to := d.span("state slow", 60)
+		d.at(from, "state-slow %g", pick(d, "slow by", 0.1, 0.4, 1, 2.5))
+		d.at(to, "state-slow 0")
+	}
+	if d.oneIn(3, "refused, then an outage") {
+		from, _ := d.span("refused", 1)
+		out := from + float64(d.number("refused for", 1, 20))
+		d.at(from, "if-leads deny")
+		d.cancelNear(from)
+		d.at(out, "state down")
+		d.at(out+float64(d.number("down for", 5, 60)), "state up")
+		d.at(troublesTo+20, "state up")
+		d.at(troublesTo+20, "admit all")
+	}
+}
+
+// cancelNear has users cancel some jobs that run about then.
+func (d *drawing) cancelNear(at float64) {
+	if d.oneIn(2, "cancelled then") {
+		hang := ""
+		if d.oneIn(2, "hang") {
+			hang = fmt.Sprintf(" hang=%d", pick(d, "hang for", 3, 12, 25))
+		}
+		d.at(at+float64(d.number("cancelled after", -5, 60))/10, "cancel-now %d%s", d.number("how many cancelled", 1, 5), hang)
+	}
+}
+
+// leaders are changes of the leader: by processes that are back within a fraction of a
+// second, some again and again, some in the middle of an election; and in quick order.
+func (d *drawing) leaders() {
+	if d.oneIn(2, "all end") {
+		from, _ := d.span("end", 1)
+		d.at(from, "kill all")
+		d.at(from+pick(d, "back after", 0.05, 0.4, 3, 25), "start all")
+	}
+	for range d.number("restarts", 0, 3) {
+		from, _ := d.span("restart", 1)
+		who := pick(d, "who", "leader", "leader", "all", d.node())
+		back := pick(d, "back", 0.05, 0.2, 0.5)
+		every := pick(d, "every", 0.3, 2.2, 5)
+		for i := range d.number("times", 1, 8) {
+			d.at(min(troublesTo, from+float64(i)*every), "restart %s after=%g", who, back)
+		}
+		d.cancelNear(from)
+	}
+	if d.oneIn(2, "ends in an election") {
+		from, _ := d.span("ends in", 1)
+		d.at(from, "ends-in %s %d after=%g back=%g", pick(d, "role", "leasing", "claiming", "loading", "leading", "doubtful"),
+			d.number("how many", 1, 6), pick(d, "ends after", 0, 0.02, 1), pick(d, "ends back", 0.05, 0.4))
+		d.at(from+0.1, "restart leader")
+		d.at(troublesTo, "ends-in leading 0")
+	}
+	if d.oneIn(4, "ten leaders") {
+		how := pick(d, "how they change", [2]string{"freeze", "thaw"}, [2]string{"deny", "admit"}, [2]string{"cut", "join"}, [2]string{"away", "back"}, [2]string{"kill", "start"})
+		for i := range 10 {
+			at := troublesFrom + 9*float64(i)
+			d.at(at, "if-leads %s", how[0])
+			d.at(at+8.5, "%s all", how[1])
+		}
+	}
+	if d.oneIn(2, "copies") {
+		d.at(1, "copies %g", pick(d, "copies after", 0.1, 4, 45))
+		d.at(troublesTo, "copies 0")
+	}
+}
+
+func (d *drawing) controllers() {
+	for range d.number("nodes in trouble", 0, 3) {
+		n := d.node()
+		from, to := d.span("node", 40)
+		what := pick(d, "trouble", [2]string{"kill", "start"}, [2]string{"freeze", "thaw"}, [2]string{"deny", "admit"}, [2]string{"deafen", "undeafen"}, [2]string{"cut", "join"})
+		if what[0] == "deafen" {
+			to = d.ends("deaf", to)
+		}
+		d.at(from, "%s %s", what[0], n)
+		d.at(to, "%s %s", what[1], n)
+	}
+	if d.oneIn(3, "away") { // from the state service and the other controllers
+		n := pick(d, "who is away", "leader", d.node())
+		from, to := d.span("away", 80)
+		if n == "leader" {
+			d.at(from, "if-leads away")
+		} else {
+			d.at(from, "away %s", n)
+		}
+		d.cancelNear(from + 6) // through the next leader
+		d.at(to, "back all")
+	}
+}
+
+func (d *drawing) machinesInTrouble() {
+	for range d.number("machines in trouble", 0, 3) {
+		from, to := d.span("machine", 40)
+		m := d.machine()
+		if d.oneIn(2, "hangs") {
+			d.at(from, "if-here %s hang", m)
+			d.at(to, "if-here %s wake", m)
+		} else {
+			d.at(from, "if-here %s die", m)
+		}
+	}
+	for range d.number("deaf machines, or held commands", 0, 2) * d.machines / 8 {
+		from, to := d.span("deaf", 60)
+		m := d.machine()
+		what := pick(d, "what", [2]string{"deaf", "hears"}, [2]string{"hold-calls", "deliver-calls"}, [2]string{"lose-answers", "pass-answers"})
+		d.at(from, "if-here %s %s", m, what[0])
+		d.at(to, "if-here %s %s", m, what[1])
+	}
+	if d.oneIn(4, "zone deaf") {
+		from, to := d.span("zone deaf", 60)
+		z := pick(d, "which zone", d.zones...)
+		d.at(from, "in-zone %s deaf", z)
+		d.at(to, "in-zone %s hears", z)
+	}
+	if d.oneIn(4, "mute") {
+		from, to := d.span("mute", 60)
+		who := pick(d, "who is mute", "all", d.machine(), d.machine(), "zone=a", "zone=b", "zone=d")
+		d.at(from, "mute %s", who)
+		d.at(to, "unmute all")
+	}
+}
+
+// lateMessages are messages that come late, see actLate.
+func (d *drawing) lateMessages() {
+	late := func(what string, by []int, with string) {
+		if d.oneIn(3, what) {
+			from, to := d.span(what, 60)
+			d.at(from, "%s every=%d by=%d%s", what, d.number(what+" every", 1, 6), pick(d, what+" by", by...), with)
+			d.at(to, "%s every=0", what)
+		}
+	}
+	late("late-writes", []int{2, 6, 10, 30}, pick(d, "carried out", "", " at=once"))
+	late("late-reports", []int{2, 6, 10, 30}, pick(d, "copies to", "", " to=leader", " to=next on=loading", " to=next on=leading", " to=next on=both"))
+	late("late-commands", []int{2, 5, 11}, "")
+}
+
+// users cancel many jobs at once, or each at its end, and send odd requests.
+func (d *drawing) users() {
+	if d.oneIn(3, "cancel now") {
+		from, _ := d.span("cancel now", 1)
+		d.cancelNear(from)
+	}
+	if d.oneIn(3, "cancel at end") {
+		from, to := d.span("cancel at end", 60)
+		d.at(from, "cancel-at-end %d", d.number("of so many", 1, 4))
+		d.at(to, "cancel-at-end 0")
+	}
+	if d.oneIn(2, "odd requests") {
+		from, to := d.span("odd requests", 90)
+		d.at(from, "odd-requests on")
+		d.at(d.ends("odd requests", to), "odd-requests off")
+	}
+}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -22,6 +22,7 @@
 	answered        bool   // somebody that no test sees renews its lease
 	hung            bool
 	deaf            bool            // its reports arrive; answers to them and direct commands are lost
+	mute            bool            // it reaches no controller; direct commands reach it
 	spoilt          bool            // every task on it fails
 	apart           map[string]bool // controllers that it can't reach, nor they it
 	held            bool            // reports are held back on the way
@@ -291,9 +292,7 @@
 	if limit.GPU > 0 && used.GPU > limit.GPU || limit.CPU > 0 && used.CPU > limit.CPU {
 		w.broken("quota: %s with %s", s.Team, name)
 	}
-	if t.job.toldCancelled > 0 && w.now > t.job.toldCancelled+w.Platform.Cancel {
-		w.broken("ran_cancelled: %s", name)
-	}
+	w.checkStart("starts", m, t)
 }
 
 func (w *World) leave(m *machine, t *runningTask) {
@@ -308,6 +307,9 @@
 
 func (w *World) exit(m *machine, t *runningTask, why string) {
 	w.leave(m, t)
+	if why == "done" {
+		w.jobEnded(t.job)
+	}
 	t.state, t.reason = "exited", why
 	m.changed = true
 }
@@ -339,6 +341,10 @@
 		w.after(4*protocol.Second, fail)
 		return
 	}
+	if m.mute {
+		w.tryInVain(m)
+		return
+	}
 	node := w.nodes[m.node%len(w.nodes)]
 	deliver := func() {
 		if node.deaf || m.apart[node.name] {
@@ -368,7 +374,9 @@
 		})
 	}
 	reach := func() { w.cross(m.zone, node.zone, deliver) }
-	if late, by := w.lateReports.next(true, body); late {
+	if late, by := w.lateReports.next(true, body); late && w.lateReports.forNext {
+		w.keepReport(body)
+	} else if late {
 		anywhere := w.lateReports.anywhere
 		w.after(by, func() { w.copyReport(node, anywhere, body) })
 	}
@@ -484,6 +492,7 @@
 
 func (w *World) launch(m *machine, j *userJob, index int, try uint64, key string) {
 	t := &runningTask{job: j, index: index, try: try, state: "fetching"}
+	w.checkStart("is launched", m, t)
 	j.tries++
 	m.tasks[key], m.inOrder = t, nil
 	m.changed = true
--- a/internal/rehearsal/meetings.go
+++ b/internal/rehearsal/meetings.go
@@ -17,7 +17,10 @@
 	every, most int
 	by          micros
 	with        string
-	anywhere    bool // copies of reports come to whoever leads then
+	anywhere    bool   // copies of reports come to whoever leads then
+	atOnce      bool   // transactions are carried out at once, only the answer is lost
+	forNext     bool   // copies of reports are kept for the next leader
+	on          string // the role at which it gets them, see actLate
 	seen, late  int
 }
 
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -35,13 +35,11 @@
 	if prepare != nil {
 		prepare(w)
 	}
-	if err := w.play(text); err != nil {
-		return w, err
-	}
+	err := w.play(text)
 	if len(w.Broken) > 0 {
 		return w, fmt.Errorf("rules broken: %s", strings.Join(w.Broken, "; "))
 	}
-	return w, nil
+	return w, err
 }
 
 // mostNodes is how many controllers a trace may have.
@@ -224,14 +222,10 @@
 		}
 		defer func() { w.sticky = nil }()
 		return w.actSubmit(words[1:])
-	case "late-writes", "late-reports": // late-writes every=3 by=6 [with=TEXT] [most=1]: see lateness; every=0: no more
-		o := options(words[1:])
-		l := lateness{every: int(number(o, "every", 1)), by: protocol.FromSeconds(number(o, "by", 6)), with: o["with"], most: int(number(o, "most", 1e9)), anywhere: o["to"] == "leader"}
-		if words[0] == "late-writes" {
-			w.lateWrites = l
-		} else {
-			w.lateReports = l
-		}
+	case "late-writes", "late-reports", "late-commands":
+		return w.actLate(words)
+	case "in-zone", "cancel-now", "cancel-at-end", "cancel-asked", "odd-requests":
+		return w.actTrouble(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
 		w.sticks = true
 	case "cancel":
@@ -402,6 +396,8 @@
 			return fmt.Errorf("no such machine")
 		}
 		w.actMachine(words[0], m)
+	case "mute", "unmute":
+		return w.actMute(words)
 	case "expect":
 		return w.expect(words[1:])
 	default:
@@ -585,7 +581,7 @@
 		return nil
 	case "nothing-stuck": // whatever was accepted runs or is over
 		for ref, j := range w.jobs {
-			if j.accepted && !j.toldDone && j.toldCancelled == 0 && (j.phase != "running" || j.spec.Kind != protocol.Service) {
+			if j.accepted && !j.toldDone && j.toldCancelled == 0 && (j.phase != "running" || j.spec.Kind != protocol.Service || j.asked) {
 				return fmt.Errorf("%s is %q, done %d, running %d", ref, j.phase, j.done, j.running)
 			}
 		}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -68,6 +68,7 @@
 	nextConn       uint64
 	answers        map[uint64]func(int, []byte)
 
+	troubles
 	lateWrites  lateness // transactions that get no answer and are carried out later
 	lateReports lateness // copies of workers' reports that arrive again
 	sticks      bool     // users keep to a node for as long as the balancer has it
@@ -138,7 +139,8 @@
 	tries         int // launches of its tasks that a machine took
 	results       []bool
 	accepted      bool
-	status        int // of the last submission
+	acceptedAt    micros // when its user was first told
+	status        int    // of the last submission
 	phase         string
 	done, running int
 	asked         bool // to cancel
@@ -209,6 +211,7 @@
 	poll = func() {
 		w.balance()
 		w.poll()
+		w.beOdd()
 		w.after(protocol.Second, poll)
 	}
 	poll()
@@ -285,6 +288,9 @@
 	was := n.ctl.Role()
 	defer func() {
 		w.decides(n)
+		if was != n.ctl.Role() {
+			w.roleChanged(n.ctl.Role())
+		}
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
 			w.note("%s leads", n.name)
@@ -474,8 +480,13 @@
 				return
 			}
 			if late, by := w.lateWrites.next(c.Path == "/commit", string(c.Body)); late {
+				if w.lateWrites.atOnce {
+					by = 0
+				}
 				w.note("a transaction of %s is held up", n.name)
-				w.after(by, func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				w.after(by, func() {
+					w.cross(n.zone, "", func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				})
 				return
 			}
 			w.cross(n.zone, "", func() {
@@ -516,7 +527,7 @@
 		case coordination.ToInstance:
 			w.checkInstance(n, c, backFrom)
 		case coordination.ToWorker:
-			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.deaf && !m.apart[n.name] {
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.deaf && !m.apart[n.name] && !w.holdCommand(n, m, c) {
 				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
 			}
 		}
@@ -616,7 +627,7 @@
 
 // insist sends a request as a user would, to one node after another until
 // taken says that the answer is final.
-func (w *World) insist(what, body string, taken func(status int, body []byte) bool) {
+func (w *World) insist(what, body string, taken func(asked micros, status int, body []byte) bool) {
 	var try func(left int)
 	try = func(left int) {
 		again := func() {
@@ -629,8 +640,9 @@
 			again()
 			return
 		}
+		asked := w.now
 		w.request(n, what, body, func(status int, answer []byte) {
-			if !taken(status, answer) {
+			if !taken(asked, status, answer) {
 				again()
 			}
 		})
@@ -640,14 +652,19 @@
 
 func (w *World) submit(j *userJob) {
 	w.jobs[j.spec.Ref] = j
-	w.insist("submit", string(j.body), func(status int, _ []byte) bool {
+	w.insist("submit", string(j.body), func(asked micros, status int, body []byte) bool {
 		j.status = status
 		switch status {
 		case 200, 201:
 			if w.copies > 0 && !j.accepted {
 				w.after(w.copies, func() { w.submit(j) }) // the request comes once more
 			}
-			j.accepted = true
+			w.checkAccepted(j)
+			if !j.accepted {
+				j.accepted, j.acceptedAt = true, w.now
+			} else {
+				w.answeredAgain(j, "submission", asked, status, body)
+			}
 		case 400, 422:
 			if j.accepted {
 				w.broken("forgotten: %s got %d", j.spec.Ref, status)
@@ -661,8 +678,11 @@
 
 func (w *World) cancel(j *userJob) {
 	j.asked = true
-	w.insist("cancel", j.spec.Ref, func(status int, body []byte) bool {
+	w.insist("cancel", j.spec.Ref, func(asked micros, status int, body []byte) bool {
 		if status != 200 {
+			if j.accepted && j.acceptedAt <= asked {
+				w.answeredAgain(j, "cancellation", asked, status, body)
+			}
 			return false
 		}
 		w.heard(j, fastjson.GetString(body, "phase"))
