Rehearsal: users who look closely, and a comparison of all answers across controllers

Users of the traces asked one controller a second, so an answer older than another controller's before it was found by luck only. Now each answer to a question, a submission or a cancellation is compared with what any controller told before the request was sent (went_back, forgotten, invented), in every trace. With 'close-looks on [cancel=N]' all controllers are asked, and the submission is repeated, 0 to 400 ms after each answer that was news; one of N jobs is cancelled as soon as it is accepted.

--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -226,6 +226,8 @@
 		return w.actLate(words)
 	case "in-zone", "cancel-now", "cancel-at-end", "cancel-asked", "odd-requests":
 		return w.actTrouble(words)
+	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
+		return w.actCloseLooks(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
 		w.sticks = true
 	case "cancel":
@@ -547,6 +549,8 @@
 			got = w.rented
 		case "starts": // in all
 			got = w.started
+		case "looks": // answers of close looks that were compared, in all
+			got = w.looks.answers
 		case "in-vain": // questions of storms that got no answer
 			got = w.inVain
 		case "tries": // at-most N tries REF
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -73,6 +73,7 @@
 	lateReports lateness // copies of workers' reports that arrive again
 	sticks      bool     // users keep to a node for as long as the balancer has it
 	unanswered  micros   // the longest time for which no question about one job was answered
+	looks       closeLooks
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -360,6 +361,7 @@
 
 // request hands a request to a controller. Status 0: no answer came in time.
 func (w *World) request(n *node, what, body string, answer func(int, []byte)) {
+	answer = w.compared(n, what, body, answer)
 	w.nextConn++
 	conn := w.nextConn
 	w.answers[conn] = answer
