--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -323,6 +323,11 @@
 		d.at(from, "cancel-at-end %d", d.number("of so many", 1, 4))
 		d.at(to, "cancel-at-end 0")
 	}
+	if d.oneIn(2, "close looks") {
+		from, to := d.span("close looks", 60)
+		d.at(pick(d, "looks from", 1, from), "close-looks on cancel=%d", pick(d, "looks cancel", 0, 0, 3, 6))
+		d.at(to, "close-looks off")
+	}
 	if d.oneIn(2, "odd requests") {
 		from, to := d.span("odd requests", 90)
 		d.at(from, "odd-requests on")
--- a/internal/rehearsal/services.go
+++ b/internal/rehearsal/services.go
@@ -144,7 +144,7 @@
 		}
 		body = string(protocol.AppendRollout(nil, s))
 	}
-	w.insist(what, body, func(_ micros, status int, answer []byte) bool {
+	w.insist(what, body, func(status int, answer []byte) bool {
 		if status == 503 || status == 0 {
 			return false
 		}
