--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -47,12 +47,16 @@
 	zones    []string
 	nodes    int
 	machines int
-	limit    int // of GPUs of the team red, 0: none
+	limit    int       // of GPUs of the team red, 0: none
+	meetings []float64 // about when troubles begin
 }
 
 // drawHistory makes the text of a trace.
 func drawHistory(t *rapid.T) string {
 	d := &drawing{T: t, zones: []string{"a", "b", "c", "d"}}
+	for range 2 {
+		d.meetings = append(d.meetings, troublesFrom+2+float64(d.number("meeting", 0, 560))/10)
+	}
 	scene := d.scene()
 	d.jobs()
 	d.smallJobs()
@@ -81,8 +85,12 @@
 
 func pick[V any](d *drawing, name string, of ...V) V { return rapid.SampledFrom(of).Draw(d.T, name) }
 
+// span is when a trouble begins, mostly about when others do, and ends.
 func (d *drawing) span(name string, most int) (from, to float64) {
 	from = troublesFrom + float64(d.number(name+" from", 0, 600))/10
+	if !d.oneIn(3, name+" by itself") {
+		from = pick(d, name+" with others", d.meetings...) + float64(d.number(name+" after others", -20, 60))/10
+	}
 	return from, min(troublesTo, from+float64(d.number(name+" for", 1, most)))
 }
 
@@ -115,7 +123,7 @@
 }
 
 func (d *drawing) jobs() {
-	for i := range d.number("jobs", 2, 8) {
+	for i := range d.number("jobs", 2, 14) {
 		ref := fmt.Sprintf("req-%06d", i+1)
 		kind := pick(d, "kind", "array", "array", "gang", "service")
 		team := pick(d, "team", "red", "red", "blue")
@@ -135,9 +143,14 @@
 		if d.oneIn(3, "deadline") {
 			line += " deadline=90"
 		}
-		d.at(4+float64(d.number("submitted", 0, 600))/10, "%s", line)
+		submitted := 4 + float64(d.number("submitted", 0, 800))/10
+		if !d.oneIn(3, "submitted by itself") {
+			submitted = pick(d, "submitted with troubles", d.meetings...) + float64(d.number("submitted before", -120, 60))/10
+		}
+		d.at(submitted, "%s", line)
 		if kind == "service" || d.oneIn(2, "cancelled") {
-			d.at(66+float64(d.number("cancel", 0, 400))/10, "cancel %s", ref)
+			at := max(submitted, pick(d, "cancelled with troubles", d.meetings...)+float64(d.number("cancelled after", -30, 300))/10)
+			d.at(at+0.1, "cancel %s", ref)
 		}
 	}
 }
--- a/internal/rehearsal/overlap_test.go
+++ b/internal/rehearsal/overlap_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -40,6 +41,7 @@
 		checks *= historiesPerCheck
 	}
 	drawn := rapid.Custom(drawHistory)
+	var shrunk atomic.Bool // one of those that fail is made smaller, which takes many plays
 	for i := range checks {
 		t.Run(strconv.Itoa(seed+i), func(t *testing.T) {
 			t.Parallel()
@@ -49,6 +51,9 @@
 				return
 			}
 			t.Errorf("seed %d: %v\nthe trace:\n%s\nwhat happened:\n%s", seed+i, err, text, strings.Join(w.Log, "\n"))
+			if shrunk.Swap(true) {
+				return
+			}
 			small := shrinkTrace(text, kindOf(err))
 			w, err = RunTrace(small, nil)
 			t.Errorf("seed %d, shrunk: %v\nthe trace:\n%s\nwhat happened:\n%s", seed+i, err, small, strings.Join(w.Log, "\n"))
--- a/internal/rehearsal/shrink_test.go
+++ b/internal/rehearsal/shrink_test.go
@@ -23,14 +23,22 @@
 	return text
 }
 
-// shrinkTrace leaves out lines of a trace for as long as it still fails in the same way:
-// first many at a time, then single ones.
+// shrinkTrace leaves out what happens in a trace for as long as it still fails in the same
+// way: first many lines at a time, then single ones. The scene stays.
 func shrinkTrace(text, kind string) string {
-	lines := strings.Split(strings.TrimSpace(text), "\n")
+	var scene, lines []string
+	for line := range strings.Lines(text) {
+		if strings.HasPrefix(line, "at ") {
+			lines = append(lines, line)
+		} else {
+			scene = append(scene, line)
+		}
+	}
 	trials := 0
+	whole := func(lines []string) string { return strings.Join(slices.Concat(scene, lines), "") }
 	fails := func(lines []string) bool {
 		trials++
-		_, err := RunTrace(strings.Join(lines, "\n"), nil)
+		_, err := RunTrace(whole(lines), nil)
 		return err != nil && kindOf(err) == kind
 	}
 	for size := len(lines) / 2; size > 0 && trials < mostTrials; {
@@ -47,7 +55,7 @@
 			size /= 2
 		}
 	}
-	return strings.Join(lines, "\n") + "\n"
+	return whole(lines)
 }
 
 // What does not matter goes, what does stays.
