A job that was cancelled before its acceptance was answered is not entered again

The record of a new job is durable before the state service's answer is there, and the answer may take hundreds of milliseconds. A cancellation at another controller meanwhile found the record, ended the job and told its user; when the answer came the leader took the job for a new one and launched its tasks (started after a confirmed cancellation). Now it looks whether the job is over, and enters it only in the term in which it wrote the record; the watch on new records tells of the others. While the job's final record is on its way the submission is answered from the state service.

--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -404,6 +404,7 @@
 
 // create records a job if it is not there yet, and answers once it is durable.
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
+	t := c.term
 	ref := j.Spec.Ref
 	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
@@ -417,10 +418,7 @@
 		switch o {
 		case txnApplied:
 			j.Stamp = r.Stamp
-			if c.mayStart() && c.term.book.Job(ref) == nil {
-				c.enter(j)
-			}
-			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+			c.created(to, j, t)
 		case txnRefused:
 			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 				if !ok || !found {
@@ -435,6 +433,29 @@
 	})
 }
 
+// created handles the answer that a job's record is durable. The answer may be slow, and
+// the record was there for others to read meanwhile: a user may have cancelled the job, and
+// have been told so. Taken for a new one it was launched after that. Under another leader
+// it may be over without this node's knowing; the watch on new records tells of it.
+func (c *Controller) created(to Address, j *bookkeeping.Job, t *term) {
+	ref := j.Spec.Ref
+	if f, over := c.finals[ref]; over {
+		c.replyFinal(to, ref, f)
+		return
+	}
+	if t != nil && c.term == t && c.mayStart() {
+		known := t.book.Job(ref)
+		if known != nil && ending(known) {
+			c.lookUp(to, ref, func() {})
+			return
+		}
+		if known == nil {
+			c.enter(j)
+		}
+	}
+	c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+}
+
 // impossible says why a job can never run, or nothing.
 func (c *Controller) impossible(s *protocol.JobSpec) string {
 	team, ok := c.team(s.Team)
