--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -66,6 +66,9 @@
 	d.machinesInTrouble()
 	d.lateMessages()
 	d.users()
+	for i, at := range d.meetings {
+		d.meet(i, at)
+	}
 	d.at(1, "balance")
 	d.at(settled, "count")
 	d.at(standsTo-0.1, "expect leader some")
@@ -347,3 +350,56 @@
 		d.at(d.ends("odd requests", to), "odd-requests off")
 	}
 }
+
+// meet has several troubles begin within seconds of each other, just as a job starts: what
+// is on its way when the leader ends, and what the next one can't see.
+func (d *drawing) meet(number int, at float64) {
+	about := func(name string) float64 { return at + float64(d.number(name+" at", -20, 40))/20 }
+	lasts := func(name string) float64 { return pick(d, name+" lasts", 2.0, 6, 14, 24, 45) }
+	between := func(name, begin, end string) {
+		from := about(name)
+		d.at(from, "%s", begin)
+		d.at(min(troublesTo, from+lasts(name)), "%s", end)
+	}
+	if !d.oneIn(4, "no new job") {
+		d.at(about("new job"), "submit req-%06d %s tasks=%d gpus=%d team=%s run=%d", 50+number, pick(d, "new kind", "array", "array", "gang"),
+			d.number("new tasks", 1, 3), d.number("new gpus", 1, 2), pick(d, "new team", "red", "blue"), pick(d, "new run", 2, 20, 50))
+	}
+	if !d.oneIn(4, "the leader stays") {
+		switch d.number("how the leader goes", 0, 4) {
+		case 0:
+			d.at(about("leader ends")+0.5, "restart leader after=%g", pick(d, "leader back", 0.05, 0.4, 3))
+		case 1:
+			d.at(about("leader ends")+0.5, "if-leads kill")
+			d.at(troublesTo, "start all")
+		case 2:
+			between("leader frozen", "if-leads freeze", "thaw all")
+		case 3:
+			between("leader away", "if-leads away", "back all")
+		case 4:
+			between("leader refused", "if-leads deny", "admit all")
+		}
+	}
+	if d.oneIn(2, "writes late there") {
+		between("writes late", fmt.Sprintf("late-writes every=%d by=%d%s", d.number("writes late every", 1, 3), pick(d, "writes late by", 2, 6, 20), pick(d, "writes carried out", "", " at=once")), "late-writes every=0")
+	}
+	if d.oneIn(2, "commands late there") {
+		between("commands late", fmt.Sprintf("late-commands every=%d by=%d", d.number("commands late every", 1, 2), pick(d, "commands late by", 2, 5, 11)), "late-commands every=0")
+	}
+	if d.oneIn(3, "reports late there") {
+		between("reports late", fmt.Sprintf("late-reports every=%d by=%d%s", d.number("reports late every", 1, 3), pick(d, "reports late by", 2, 10, 26), pick(d, "reports go to", "", " to=leader", " to=next on=both")), "late-reports every=0")
+	}
+	for i := range d.number("what machines miss", 0, 2) {
+		name := fmt.Sprintf("missing %d", i)
+		what := pick(d, name, [2]string{"deaf", "hears"}, [2]string{"lose-answers", "pass-answers"}, [2]string{"hold-calls", "deliver-calls"}, [2]string{"hold-reports", "deliver-reports"},
+			[2]string{"cut-off", "reach"}, [2]string{"hang", "wake"})
+		zone := pick(d, name+" where", append([]string{"all", "all"}, d.zones...)...)
+		between(name, "in-zone "+zone+" "+what[0], "in-zone "+zone+" "+what[1])
+	}
+	if d.oneIn(4, "out there") {
+		between("out", "state down", "state up")
+	}
+	if d.oneIn(3, "cancelled there") {
+		d.cancelNear(at + float64(d.number("cancelled from there", 0, 80))/10)
+	}
+}
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -58,9 +58,9 @@
 // actTrouble does what a line says about the troubles of this file.
 func (w *World) actTrouble(words []string) error {
 	switch words[0] {
-	case "in-zone": // in-zone ZONE WORD: what if-here does, to all machines there
+	case "in-zone": // in-zone ZONE|all WORD: what if-here does, to all machines there
 		for _, m := range w.sortedMachines() {
-			if m.zone == words[1] {
+			if m.zone == words[1] || words[1] == "all" {
 				w.actMachine(words[2], m)
 			}
 		}
