--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -601,7 +601,7 @@
 			}
 			done(o, r)
 			for _, a := range others {
-				if j := t.book.Job(ref); j != nil && c.term == t {
+				if j := t.book.Job(ref); j != nil && !ending(j) && c.term == t {
 					c.reply(a, 200, c.jobAnswer(j), 0)
 				} else {
 					c.unavailable(a, refusedState)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -543,6 +543,8 @@
 			got = w.questions - w.asked
 		case "leaders":
 			got = w.leaders - w.led
+		case "refusals": // of odd requests, in all
+			got = w.refusals
 		case "refused": // transactions, in all
 			got = w.store.refused
 		case "rented": // machines, in all
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -23,6 +23,7 @@
 	odd          bool
 	oddSent      int
 	refused      []string // jobs that must not be accepted
+	refusals     int      // answers that say so
 }
 
 // keptReport is a copy of a worker's report that the next leader gets as it begins.
@@ -235,7 +236,10 @@
 		w.refused = append(w.refused, s.ref)
 	}
 	w.request(n, "submit", s.body, func(status int, _ []byte) {
-		if status == 200 || status == 201 {
+		switch status {
+		case 400, 422:
+			w.refusals++
+		case 200, 201:
 			w.broken("accepted_invalid: %s (%s) got %d", s.ref, s.why, status)
 		}
 	})
