--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -274,8 +274,11 @@
 	})
 }
 
-// find looks for a job in the state service.
+// find looks for a job in the state service. What it finds live a leader takes into its
+// book, if it was read in this term: an answer that was on its way while another node led
+// says nothing of what that one ended. What this node ended itself learnJob knows.
 func (c *Controller) find(prio uint8, ref string, done func(j *bookkeeping.Job, f final, found, ok bool)) {
+	t := c.term
 	c.get(prio, bookkeeping.JobPrefix+ref, func(e protocol.Entry, found, ok bool) {
 		if !ok {
 			done(nil, final{}, false, false)
@@ -289,7 +292,7 @@
 				return
 			}
 			j.Stamp = e.Stamp
-			if c.mayStart() {
+			if c.mayStart() && c.term == t {
 				if known := c.learnJob(e); known != nil {
 					j = known
 				}
@@ -402,10 +405,12 @@
 
 type writer func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult))
 
-// create records a job if it is not there yet, and answers once it is durable.
+// create records a job if it is not there yet, and answers once it is durable. A leader
+// takes it into its book only if it was written in this term, and is not over already: it
+// may have noticed the job long before the answer comes, or another leader may have, and
+// ended it. One that it does not take here it notices as those that other nodes write.
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
-	t := c.term
-	ref := j.Spec.Ref
+	ref, t := j.Spec.Ref, c.term
 	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
 		refused()
@@ -417,8 +422,15 @@
 	write(when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
+			if f, over := c.finals[ref]; over {
+				c.replyFinal(to, ref, f)
+				return
+			}
 			j.Stamp = r.Stamp
-			c.created(to, j, t)
+			if c.mayStart() && c.term == t && t.book.Job(ref) == nil {
+				c.enter(j)
+			}
+			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
 		case txnRefused:
 			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 				if !ok || !found {
@@ -433,29 +445,6 @@
 	})
 }
 
-// created handles the answer that a job's record is durable. The answer may be slow, and
-// the record was there for others to read meanwhile: a user may have cancelled the job, and
-// have been told so. Taken for a new one it was launched after that. Under another leader
-// it may be over without this node's knowing; the watch on new records tells of it.
-func (c *Controller) created(to Address, j *bookkeeping.Job, t *term) {
-	ref := j.Spec.Ref
-	if f, over := c.finals[ref]; over {
-		c.replyFinal(to, ref, f)
-		return
-	}
-	if t != nil && c.term == t && c.mayStart() {
-		known := t.book.Job(ref)
-		if known != nil && ending(known) {
-			c.lookUp(to, ref, func() {})
-			return
-		}
-		if known == nil {
-			c.enter(j)
-		}
-	}
-	c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
-}
-
 // impossible says why a job can never run, or nothing.
 func (c *Controller) impossible(s *protocol.JobSpec) string {
 	team, ok := c.team(s.Team)
