--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -366,7 +366,15 @@
 			d.number("new tasks", 1, 3), d.number("new gpus", 1, 2), pick(d, "new team", "red", "blue"), pick(d, "new run", 2, 20, 50))
 	}
 	if !d.oneIn(4, "the leader stays") {
-		switch d.number("how the leader goes", 0, 4) {
+		switch d.number("how the leader goes", 0, 8) {
+		default:
+			misses := ""
+			if !d.oneIn(4, "misses nothing") {
+				misses = fmt.Sprintf(" misses=%s lasts=%d", pick(d, "misses", "hang", "deaf", "hold-calls", "hold-reports", "hold-reports", "lose-answers", "cut-off"), pick(d, "misses for", 6, 14, 18, 24, 45))
+			}
+			d.at(about("ends on")-0.9, "ends-on %s after=%g back=%g%s", pick(d, "said", `"launch"`, `"launch"`, `"launch"`, `"stop"`, `"forget"`, `"j/req`, `"f/req`, `"lp/`, `"dp/`, `"hp/`),
+				pick(d, "ends so long after", 0, 0.004, 0.02, 0.5, 2.1), pick(d, "ends and is back", 0.05, 0.4, 3), misses)
+			d.at(troublesTo, "ends-on nothing")
 		case 0:
 			d.at(about("leader ends")+0.5, "restart leader after=%g", pick(d, "leader back", 0.05, 0.4, 3))
 		case 1:
@@ -381,7 +389,8 @@
 		}
 	}
 	if d.oneIn(2, "writes late there") {
-		between("writes late", fmt.Sprintf("late-writes every=%d by=%d%s", d.number("writes late every", 1, 3), pick(d, "writes late by", 2, 6, 20), pick(d, "writes carried out", "", " at=once")), "late-writes every=0")
+		with := pick(d, "writes late with", "", "", " with=hp/", " with=lp/", " with=lp/", " with=dp/", " with=j/", " with=f/", " with=epoch")
+		between("writes late", fmt.Sprintf("late-writes every=%d by=%d%s%s", d.number("writes late every", 1, 3), pick(d, "writes late by", 2, 6, 20), with, pick(d, "writes carried out", "", " at=once")), "late-writes every=0")
 	}
 	if d.oneIn(2, "commands late there") {
 		between("commands late", fmt.Sprintf("late-commands every=%d by=%d", d.number("commands late every", 1, 2), pick(d, "commands late by", 2, 5, 11)), "late-commands every=0")
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -224,6 +224,8 @@
 		return w.actSubmit(words[1:])
 	case "late-writes", "late-reports", "late-commands":
 		return w.actLate(words)
+	case "ends-on":
+		return w.actEndsOn(words)
 	case "in-zone", "cancel-now", "cancel-at-end", "cancel-asked", "odd-requests":
 		return w.actTrouble(words)
 	case "close-looks": // close-looks on|off [cancel=N]: see closelooks.go
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -69,6 +69,7 @@
 	answers        map[uint64]func(int, []byte)
 
 	troubles
+	endsOn      endsOn
 	lateWrites  lateness // transactions that get no answer and are carried out later
 	lateReports lateness // copies of workers' reports that arrive again
 	sticks      bool     // users keep to a node for as long as the balancer has it
@@ -423,6 +424,7 @@
 	if c.Target == coordination.ToWorker && strings.Contains(string(c.Body), `"orders":[]`) {
 		w.questions++
 	}
+	w.said(n, c)
 	life, answered := n.life, false
 	finish := func(d coordination.CallDone) {
 		if !answered && n.alive && n.life == life {
