--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -48,12 +48,13 @@
 	nodes    int
 	machines int
 	limit    int       // of GPUs of the team red, 0: none
+	largest  int       // number of tasks of a job that starts with troubles
 	meetings []float64 // about when troubles begin
 }
 
 // drawHistory makes the text of a trace.
 func drawHistory(t *rapid.T) string {
-	d := &drawing{T: t, zones: []string{"a", "b", "c", "d"}}
+	d := &drawing{T: t, zones: []string{"a", "b", "c", "d"}, largest: 3}
 	for range 2 {
 		d.meetings = append(d.meetings, troublesFrom+2+float64(d.number("meeting", 0, 560))/10)
 	}
@@ -113,7 +114,8 @@
 	d.nodes = pick(d, "nodes", 3, 5, 7)
 	boot, most := 10.0, 9
 	if d.oneIn(3, "machines up at once") { // within two seconds, and few to begin with
-		boot, most = pick(d, "boot", 0.5, 1.0, 1.9), 3
+		boot, most = pick(d, "boot", 0.5, 1.0, 1.9), 2
+		d.largest = 8
 	}
 	d.limit = pick(d, "limit", 0, 0, 3, 5, 8)
 	scene := fmt.Sprintf("nodes %d a b c a b c a\nteam red max=%d\nteam blue\ntype big cpus=8 gpus=2 mem=64 boot=%g zones=a,b,c,d\n", d.nodes, d.limit, boot)
@@ -186,6 +188,9 @@
 		d.at(from, "state down")
 		d.at(to, "state up")
 	}
+	if d.oneIn(3, "list lags") {
+		d.at(1, "list-lag %d", pick(d, "list lags by", 3, 20))
+	}
 	if d.oneIn(2, "cloud") {
 		from, to := d.span("cloud", 70)
 		d.at(from, "cloud down")
@@ -363,14 +368,14 @@
 	}
 	if !d.oneIn(4, "no new job") {
 		d.at(about("new job"), "submit req-%06d %s tasks=%d gpus=%d team=%s run=%d", 50+number, pick(d, "new kind", "array", "array", "gang"),
-			d.number("new tasks", 1, 3), d.number("new gpus", 1, 2), pick(d, "new team", "red", "blue"), pick(d, "new run", 2, 20, 50))
+			d.number("new tasks", 1, d.largest), d.number("new gpus", 1, 2), pick(d, "new team", "red", "blue"), pick(d, "new run", 2, 20, 50))
 	}
 	if !d.oneIn(4, "the leader stays") {
 		switch d.number("how the leader goes", 0, 8) {
 		default:
 			misses := ""
 			if !d.oneIn(4, "misses nothing") {
-				misses = fmt.Sprintf(" misses=%s lasts=%d", pick(d, "misses", "hang", "deaf", "hold-calls", "hold-reports", "hold-reports", "lose-answers", "cut-off"), pick(d, "misses for", 6, 14, 18, 24, 45))
+				misses = fmt.Sprintf(" misses=%s lasts=%d", pick(d, "misses", "hang", "deaf", "hold-calls", "hold-reports", "hold-reports", "lose-answers", "cut-off", "die"), pick(d, "misses for", 6, 14, 18, 24, 45))
 			}
 			d.at(about("ends on")-0.9, "ends-on %s after=%g back=%g%s", pick(d, "said", `"launch"`, `"launch"`, `"launch"`, `"stop"`, `"forget"`, `"j/req`, `"f/req`, `"lp/`, `"dp/`, `"hp/`),
 				pick(d, "ends so long after", 0, 0.004, 0.02, 0.5, 2.1), pick(d, "ends and is back", 0.05, 0.4, 3), misses)
@@ -389,14 +394,16 @@
 		}
 	}
 	if d.oneIn(2, "writes late there") {
-		with := pick(d, "writes late with", "", "", " with=hp/", " with=lp/", " with=lp/", " with=dp/", " with=j/", " with=f/", " with=epoch")
+		with := pick(d, "writes late with", "", "", " with=hp/", " with=hp/", " with=lp/", " with=lp/", " with=dp/", " with=j/", " with=f/", " with=epoch")
 		between("writes late", fmt.Sprintf("late-writes every=%d by=%d%s%s", d.number("writes late every", 1, 3), pick(d, "writes late by", 2, 6, 20), with, pick(d, "writes carried out", "", " at=once")), "late-writes every=0")
 	}
 	if d.oneIn(2, "commands late there") {
 		between("commands late", fmt.Sprintf("late-commands every=%d by=%d", d.number("commands late every", 1, 2), pick(d, "commands late by", 2, 5, 11)), "late-commands every=0")
 	}
-	if d.oneIn(3, "reports late there") {
-		between("reports late", fmt.Sprintf("late-reports every=%d by=%d%s", d.number("reports late every", 1, 3), pick(d, "reports late by", 2, 10, 26), pick(d, "reports go to", "", " to=leader", " to=next on=both")), "late-reports every=0")
+	if d.oneIn(2, "reports late there") {
+		d.at(at-8, "late-reports every=%d by=%d%s", d.number("reports late every", 1, 3), pick(d, "reports late by", 2, 10, 26),
+			pick(d, "reports go to", "", " to=leader", " to=next on=leading", " to=next on=both"))
+		d.at(min(troublesTo, at+lasts("reports late")), "late-reports every=0")
 	}
 	for i := range d.number("what machines miss", 0, 2) {
 		name := fmt.Sprintf("missing %d", i)
@@ -405,6 +412,9 @@
 		zone := pick(d, name+" where", append([]string{"all", "all"}, d.zones...)...)
 		between(name, "in-zone "+zone+" "+what[0], "in-zone "+zone+" "+what[1])
 	}
+	if d.oneIn(3, "one dies there") {
+		d.at(about("dies"), "if-here %s die", d.machine())
+	}
 	if d.oneIn(4, "out there") {
 		between("out", "state down", "state up")
 	}
