--- a/internal/rehearsal/closelooks.go
+++ b/internal/rehearsal/closelooks.go
@@ -75,6 +75,9 @@
 func (w *World) compare(n *node, what, ref string, sent uint64, status int, phase string) (news bool) {
 	l := &w.looks
 	l.steps++
+	if l.jobs == nil {
+		l.jobs = make(map[string]*told)
+	}
 	t := l.jobs[ref]
 	if t == nil {
 		t = &told{}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -293,6 +293,7 @@
 	if t.job.toldCancelled > 0 && w.now > t.job.toldCancelled+w.Platform.Cancel {
 		w.broken("ran_cancelled: %s", name)
 	}
+	w.checkStart("starts", m, t)
 }
 
 func (w *World) leave(m *machine, t *runningTask) {
@@ -307,6 +308,9 @@
 
 func (w *World) exit(m *machine, t *runningTask, why string) {
 	w.leave(m, t)
+	if why == "done" {
+		w.jobEnded(t.job)
+	}
 	t.state, t.reason = "exited", why
 	m.changed = true
 }
@@ -371,7 +375,9 @@
 		})
 	}
 	reach := func() { w.cross(m.zone, node.zone, deliver) }
-	if late, by := w.lateReports.next(true, body); late {
+	if late, by := w.lateReports.next(true, body); late && w.lateReports.forNext {
+		w.keepReport(body)
+	} else if late {
 		anywhere := w.lateReports.anywhere
 		w.after(by, func() { w.copyReport(node, anywhere, body) })
 	}
@@ -487,6 +493,7 @@
 
 func (w *World) launch(m *machine, j *userJob, index int, try uint64, key string) {
 	t := &runningTask{job: j, index: index, try: try, state: "fetching"}
+	w.checkStart("is launched", m, t)
 	j.tries++
 	m.tasks[key], m.inOrder = t, nil
 	m.changed = true
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -68,6 +68,8 @@
 	nextConn       uint64
 	answers        map[uint64]func(int, []byte)
 
+	troubles
+	endsOn      endsOn
 	lateWrites  lateness // transactions that get no answer and are carried out later
 	lateReports lateness // copies of workers' reports that arrive again
 	sticks      bool     // users keep to a node for as long as the balancer has it
@@ -222,6 +224,7 @@
 		w.balance()
 		w.poll()
 		w.watchWaiting()
+		w.beOdd()
 		w.after(protocol.Second, poll)
 	}
 	poll()
@@ -298,6 +301,9 @@
 	was := n.ctl.Role()
 	defer func() {
 		w.decides(n)
+		if was != n.ctl.Role() {
+			w.roleChanged(n.ctl.Role())
+		}
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
 			w.note("%s leads", n.name)
@@ -430,6 +436,7 @@
 	if c.Target == coordination.ToWorker && strings.Contains(string(c.Body), `"orders":[]`) {
 		w.questions++
 	}
+	w.said(n, c)
 	life, answered := n.life, false
 	finish := func(d coordination.CallDone) {
 		if !answered && n.alive && n.life == life {
@@ -488,8 +495,13 @@
 				return
 			}
 			if late, by := w.lateWrites.next(c.Path == "/commit", string(c.Body)); late {
+				if w.lateWrites.atOnce {
+					by = 0
+				}
 				w.note("a transaction of %s is held up", n.name)
-				w.after(by, func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				w.after(by, func() {
+					w.cross(n.zone, "", func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+				})
 				return
 			}
 			w.cross(n.zone, "", func() {
@@ -536,7 +548,7 @@
 		case coordination.ToInstance:
 			w.checkInstance(n, c, backFrom)
 		case coordination.ToWorker:
-			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.deaf && !m.apart[n.name] {
+			if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil && !n.deaf && !m.deaf && !m.apart[n.name] && !w.holdCommand(n, m, c) {
 				w.cross(n.zone, m.zone, func() { w.callWorker(m, c, backFrom(m.zone)) })
 			}
 		}
@@ -667,6 +679,7 @@
 			if w.copies > 0 && !j.accepted {
 				w.after(w.copies, func() { w.submit(j) }) // the request comes once more
 			}
+			w.checkAccepted(j)
 			j.accepted = true
 		case 400, 422:
 			if j.accepted {
