--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -424,6 +424,9 @@
 		return
 	}
 	serve := func() {
+		if m.phase != "running" {
+			return // it was released while the call was held
+		}
 		if c.Path == "/status" {
 			back(200, w.report(m))
 			return
