--- a/internal/rehearsal/trace_test.go
+++ b/internal/rehearsal/trace_test.go
@@ -17,6 +17,7 @@
 	}
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".trace"), func(t *testing.T) {
+			t.Parallel()
 			text, err := os.ReadFile(f)
 			if err != nil {
 				t.Fatal(err)
