--- a/internal/rehearsal/closelooks_test.go
+++ b/internal/rehearsal/closelooks_test.go
@@ -30,6 +30,10 @@
 at 20.3 close-looks on cancel=1
 at 20.3 submit-at node-1 req-000004 array tasks=1 gpus=1 run=300
 at 20.3 look req-000004 every=0.05 for=4
+at 26.9 look req-000001 every=0.05 for=0.6
+at 26.9 look req-000002 every=0.05 for=0.6
+at 26.9 look req-000003 every=0.05 for=0.6
+at 26.9 look req-000004 every=0.05 for=0.6
 at 27 state up
 at 27 state-slow 0
 at 27 admit all
