The jobs that ended last stay remembered, however many are over

Cause: of more than 50,000 jobs that were over any tenth was forgotten, also one that had ended a moment before. News of its live record that was on its way then put it into the leader's book once more (found by reading; it takes 50,000 jobs and a watch that lags behind by the life of a job).

Two generations of half as many: the older one goes as a whole. A new leader reads 25,000 of those that are over in place of 50,000, the others are looked up. TestLatestFinalsAreRemembered, TestReadingFinalsForgetsNoLatest.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -239,7 +239,7 @@
 	passing       int               // users' calls on their way to the leader, of those that can wait
 	directSubmits int               // users' submissions that are being served from the state service
 	looking       int               // questions to the leader that the state service is asked for
-	finals        map[string]final
+	finals        finals
 	types         []*protocol.MachineType
 	typeByName    map[string]*protocol.MachineType
 
@@ -266,12 +266,6 @@
 	done   func(CallDone)
 }
 
-// final is the last phase of a job that is over.
-type final struct {
-	phase protocol.Phase
-	tasks int
-}
-
 type timer struct {
 	at  micros
 	seq uint64
@@ -281,7 +275,7 @@
 // New makes a controller.
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
-		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
+		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: newFinals(),
 		typeByName: make(map[string]*protocol.MachineType),
 		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
 }
--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -162,7 +162,7 @@
 
 // submitOwn submits a roll-out's job. One that is over is known by its last phase.
 func (c *Controller) submitOwn(to Address, spec *protocol.JobSpec) {
-	if f, over := c.finals[spec.Ref]; over {
+	if f, over := c.finals.find(spec.Ref); over {
 		c.replyFinal(to, spec.Ref, f)
 		return
 	}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -443,8 +443,8 @@
 // lookup each: many users still ask when a leader is new.
 func (c *Controller) readFinals(t *term) {
 	c.list(prioNormal, bookkeeping.FinalPrefix, func(e protocol.Entry) {
-		if p, n, err := bookkeeping.DecodeFinal(e.Value); err == nil && len(c.finals) < mostFinals {
-			c.remember(strings.TrimPrefix(e.Key, bookkeeping.FinalPrefix), final{p, n})
+		if p, n, err := bookkeeping.DecodeFinal(e.Value); err == nil && !c.finals.full() {
+			c.finals.keep(strings.TrimPrefix(e.Key, bookkeeping.FinalPrefix), final{p, n})
 		}
 	}, func(_ uint64, ok bool) {
 		if !ok && c.term == t {
@@ -514,7 +514,7 @@
 	if j := t.book.Job(ref); j != nil {
 		return j
 	}
-	if _, over := c.finals[ref]; over {
+	if _, over := c.finals.find(ref); over {
 		return nil
 	}
 	j, err := bookkeeping.DecodeJob(e.Value)
@@ -900,7 +900,7 @@
 // over notes that a job's final record is durable.
 func (c *Controller) over(j *bookkeeping.Job, p protocol.Phase) {
 	t := c.term
-	c.remember(j.Spec.Ref, final{p, len(j.Tasks)})
+	c.finals.keep(j.Spec.Ref, final{p, len(j.Tasks)})
 	if p == protocol.Done {
 		if j.State == bookkeeping.JobFinishing {
 			j.To(bookkeeping.JobDone)
@@ -919,22 +919,6 @@
 	t.dirty = true
 }
 
-// mostFinals is how many jobs that are over are remembered.
-const mostFinals = 50_000
-
-// remember keeps the last phase of a job that is over.
-func (c *Controller) remember(ref string, f final) {
-	if len(c.finals) > mostFinals {
-		for k := range c.finals { // any of them: the state service has them all
-			delete(c.finals, k)
-			if len(c.finals) < mostFinals*9/10 {
-				break
-			}
-		}
-	}
-	c.finals[ref] = f
-}
-
 // closeJobs lets go of jobs that are over and of which no attempt is left.
 func (c *Controller) closeJobs() {
 	t := c.term
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -63,7 +63,7 @@
 		c.reply(e.Reply, 404, protocol.ErrorBody("no such job"), 0)
 		return
 	}
-	if f, ok := c.finals[e.Ref]; ok {
+	if f, ok := c.finals.find(e.Ref); ok {
 		c.replyFinal(e.Reply, e.Ref, f)
 		return
 	}
@@ -312,7 +312,7 @@
 				return
 			}
 			f := final{p, n}
-			c.remember(ref, f)
+			c.finals.keep(ref, f)
 			done(nil, f, true, true)
 		})
 	})
@@ -423,7 +423,7 @@
 	write(when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
-			if f, over := c.finals[ref]; over {
+			if f, over := c.finals.find(ref); over {
 				c.replyFinal(to, ref, f)
 				return
 			}
