A renewal's answer counts for as long as it proves the lease

The answer to a renewal was given up after a third of the lease (0.67 s), and the lease was not renewed while the claim was under way. With a state service that answers after 0.7 s or more the leader doubted its lease all the time and nobody else could come to lead: in the trace nothing was confirmed or begun for as long as the service was slow (80 s). Now an answer counts for a whole lease from when the renewal left, another renewal leaves after a third of the lease as before, and the claim renews too. With answers after 0.9 s jobs are cancelled, begun and done, and a leader that ends is followed within 7 s.

--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -14,7 +14,8 @@
 	epoch       uint64
 	stamp       uint64 // of the leader key: every write of a leader depends on it
 	until       micros // the lease certainly lasts until then
-	renewing    bool
+	renewing    bool   // a renewal was sent and may still be answered soon
+	renewals    uint64 // sent so far
 	nextRenew   micros
 	predAnswers micros // until then a predecessor may answer workers
 	unlisted    bool   // launches of earlier epochs may be in no record
@@ -172,6 +173,7 @@
 		}
 		c.seat.lease = id
 		c.seat.until = sent + c.operator.LeaderLease - drift(c.operator.LeaderLease)
+		c.seat.nextRenew = sent + c.operator.LeaderLease/4
 		c.claim()
 	})
 }
@@ -258,9 +260,13 @@
 	})
 }
 
+// holdsLease reports whether a node in this role has a lease to renew. The claim takes two
+// round trips more, and the lease has to outlast them where the state service is slow.
+func holdsLease(r Role) bool { return leads(r) || r == Claiming }
+
 // watchLease renews the lease and notices when it could have ended.
 func (c *Controller) watchLease() {
-	if !leads(c.role) {
+	if !holdsLease(c.role) {
 		return
 	}
 	t := c.at.Steady
@@ -278,19 +284,35 @@
 	}
 }
 
+// renewAgain is when a renewal without an answer is followed by another one, as a part of
+// the lease.
+const renewAgain = 3
+
+// renew asks for another lease time. An answer counts for as long as it proves anything,
+// which is a whole lease from when the question left; one that is not answered soon is
+// followed by the next meanwhile. When it was given up after a third of the lease, a state
+// service that answered later than that left the deployment without a leader.
 func (c *Controller) renew() {
 	c.seat.renewing = true
-	sent, lease := c.at.Steady, c.seat.lease
-	timeout := c.operator.LeaderLease / 3
-	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, timeout, 0, func(r CallDone) {
-		if !leads(c.role) || c.seat.lease != lease {
+	c.seat.renewals++
+	sent, lease, number := c.at.Steady, c.seat.lease, c.seat.renewals
+	current := func() bool { return holdsLease(c.role) && c.seat.lease == lease }
+	c.after(c.operator.LeaderLease/renewAgain, func() {
+		if current() && c.seat.renewals == number {
+			c.seat.renewing = false
+		}
+	})
+	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, c.operator.LeaderLease, 0, func(r CallDone) {
+		if !current() {
 			return
 		}
-		c.seat.renewing = false
+		if c.seat.renewals == number {
+			c.seat.renewing = false
+		}
 		switch r.Status {
 		case 200:
 			c.seat.until = max(c.seat.until, sent+c.operator.LeaderLease-drift(c.operator.LeaderLease))
-			c.seat.nextRenew = sent + c.operator.LeaderLease/4
+			c.seat.nextRenew = max(c.seat.nextRenew, sent+c.operator.LeaderLease/4)
 			if c.role == Doubtful && c.at.Steady < c.seat.until {
 				// The key hangs on the lease, so nobody else has led meanwhile.
 				c.become(Leading)
@@ -300,7 +322,9 @@
 			c.log.Info("stepping down: the lease has ended", "epoch", c.seat.epoch)
 			c.follow()
 		default:
-			c.seat.nextRenew = c.at.Steady + 150*protocol.Millisecond
+			if c.seat.renewals == number {
+				c.seat.nextRenew = c.at.Steady + 150*protocol.Millisecond
+			}
 		}
 	})
 }
