--- a/internal/rehearsal/live.go
+++ b/internal/rehearsal/live.go
@@ -154,14 +154,7 @@
 			continue
 		}
 		up[addr] = true
-		if l.servers[addr] == nil {
-			err := l.listen(addr, l.handler(func(method, target string, body []byte, answer func(int, string)) {
-				l.w.callWorker(m, coordination.Call{Path: target, Body: body}, answer)
-			}))
-			if err != nil && l.failed == nil {
-				l.failed = fmt.Errorf("stand-in of worker %s: %w", m.name, err)
-			}
-		}
+		l.openWorker(m)
 	}
 	for addr := range l.servers {
 		if strings.HasPrefix(addr, l.network) && strings.HasSuffix(addr, ":9000") && !up[addr] {
@@ -170,6 +163,21 @@
 	}
 }
 
+// openWorker opens a worker's address. It is open before the first report leaves, since
+// whoever reads that may call it at once.
+func (l *Live) openWorker(m *machine) {
+	addr := l.w.workerAddr(m)
+	if l.servers[addr] != nil {
+		return
+	}
+	err := l.listen(addr, l.handler(func(method, target string, body []byte, answer func(int, string)) {
+		l.w.callWorker(m, coordination.Call{Path: target, Body: body}, answer)
+	}))
+	if err != nil && l.failed == nil {
+		l.failed = fmt.Errorf("stand-in of worker %s: %w", m.name, err)
+	}
+}
+
 // hello carries a worker's report to a controller.
 func (l *Live) hello(node int, body string, answer func(int, []byte)) {
 	addr := l.clients[node%len(l.clients)]
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -329,6 +329,7 @@
 		}
 	}
 	if w.live != nil { // controllers are processes
+		w.live.openWorker(m)
 		w.live.hello(m.node, body, func(status int, resp []byte) {
 			if m.slow || m.hung || answered || m.phase != "running" {
 				return
