--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -14,7 +14,8 @@
 	epoch       uint64
 	stamp       uint64 // of the leader key: every write of a leader depends on it
 	until       micros // the lease certainly lasts until then
-	renewing    bool
+	renewing    bool   // a renewal was sent and may still be answered soon
+	renewals    uint64 // sent so far
 	nextRenew   micros
 	unanswered  int    // renewals in a row that were made and got no answer
 	predAnswers micros // until then a predecessor may answer workers
@@ -173,6 +174,7 @@
 		}
 		c.seat.lease = id
 		c.seat.until = sent + c.operator.LeaderLease - drift(c.operator.LeaderLease)
+		c.seat.nextRenew = sent + c.operator.LeaderLease/4
 		c.claim()
 	})
 }
@@ -259,9 +261,13 @@
 	})
 }
 
+// holdsLease reports whether a node in this role has a lease to renew. The claim takes two
+// round trips more, and the lease has to outlast them where the state service is slow.
+func holdsLease(r Role) bool { return leads(r) || r == Claiming }
+
 // watchLease renews the lease and notices when it could have ended.
 func (c *Controller) watchLease() {
-	if !leads(c.role) {
+	if !holdsLease(c.role) {
 		return
 	}
 	t := c.at.Steady
@@ -279,50 +285,64 @@
 	}
 }
 
+const (
+	// resendsPerLease bounds how long a renewal is waited for before another one is sent:
+	// a lease divided by it.
+	resendsPerLease = 3
+	renewalPause    = 150 * protocol.Millisecond
+	// mostUnanswered is how many renewals in a row may get no answer, while reads do,
+	// before a leader that is in doubt lets another one lead.
+	mostUnanswered = 5
+)
+
 // renew extends the lease. A leader whose lease could have ended asks first who leads: a
 // renewal that is carried out, and of which only the answer is lost, keeps everybody else
 // from leading, for as long as this node goes on with it.
 func (c *Controller) renew() {
 	c.seat.renewing = true
 	if c.role != Doubtful {
-		c.extend(c.operator.LeaderLease / 3)
+		c.extend()
 		return
 	}
 	lease := c.seat.lease
 	c.get(prioLeadership, bookkeeping.KeyLeader, func(e protocol.Entry, found, ok bool) {
 		switch {
-		case !leads(c.role) || c.seat.lease != lease:
+		case !holdsLease(c.role) || c.seat.lease != lease:
 		case !ok:
-			c.seat.renewing, c.seat.nextRenew = false, c.at.Steady+renewAgain
+			c.seat.renewing, c.seat.nextRenew = false, c.at.Steady+renewalPause
 		case !found || e.Stamp != c.seat.stamp:
 			c.deposed("the leader key is another's")
 		default:
-			// Whoever can read within stateTimeout has its answer within this.
-			c.extend(c.operator.LeaderLease * 9 / 10)
+			c.extend()
 		}
 	})
 }
 
-const (
-	renewAgain = 150 * protocol.Millisecond
-	// mostUnanswered is how many renewals in a row may get no answer, while reads do,
-	// before a leader that is in doubt lets another one lead.
-	mostUnanswered = 5
-)
-
-// extend makes one renewal.
-func (c *Controller) extend(timeout micros) {
-	sent, lease := c.at.Steady, c.seat.lease
-	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, timeout, 0, func(r CallDone) {
-		if !leads(c.role) || c.seat.lease != lease {
+// extend asks for another lease time. An answer counts for as long as it proves anything,
+// which is a whole lease from when the question left; one that is not answered soon is
+// followed by the next meanwhile. When it was given up after a third of the lease, a state
+// service that answered later than that left the deployment without a leader.
+func (c *Controller) extend() {
+	c.seat.renewals++
+	sent, lease, number := c.at.Steady, c.seat.lease, c.seat.renewals
+	current := func() bool { return holdsLease(c.role) && c.seat.lease == lease }
+	c.after(c.operator.LeaderLease/resendsPerLease, func() {
+		if current() && c.seat.renewals == number {
+			c.seat.renewing = false
+		}
+	})
+	c.call(ToState, prioLeadership, "POST", "/leases/"+strconv.FormatUint(lease, 10)+"/extend", nil, c.operator.LeaderLease, 0, func(r CallDone) {
+		if !current() {
 			return
 		}
-		c.seat.renewing = false
+		if c.seat.renewals == number {
+			c.seat.renewing = false
+		}
 		switch r.Status {
 		case 200:
 			c.seat.unanswered = 0
 			c.seat.until = max(c.seat.until, sent+c.operator.LeaderLease-drift(c.operator.LeaderLease))
-			c.seat.nextRenew = sent + c.operator.LeaderLease/4
+			c.seat.nextRenew = max(c.seat.nextRenew, sent+c.operator.LeaderLease/4)
 			if c.role == Doubtful && c.at.Steady < c.seat.until {
 				// The key hangs on the lease, so nobody else has led meanwhile.
 				c.become(Leading)
@@ -332,7 +352,9 @@
 			c.log.Info("stepping down: the lease has ended", "epoch", c.seat.epoch)
 			c.follow()
 		default:
-			c.seat.nextRenew = c.at.Steady + renewAgain
+			if c.seat.renewals == number {
+				c.seat.nextRenew = c.at.Steady + renewalPause
+			}
 			c.renewalLost(r)
 		}
 	})
