Jobs of one task leave others their part of the state service's changes

Cause: records of jobs that are over waited in one line with those of launches. Where small jobs come four a second they are most of what is written: near the rate's limit the records of launches came seconds later, or expired and began again at the end of the line, and so did the final records, in any order. And each such job had a record of launches written for itself.

Change: final records have a lane of their own within the class, which both share equally; what one has no use for the other has. Few of them are on their way at a time, in the order in which the jobs ended. While they wait, launches of classes without an aim on starting share records, for as long as that wait lasts and a second at most. No record and no condition of a write has changed.

TestFairShares and TestFairWait count per class as before.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -176,6 +176,7 @@
 	prioUser             // somebody waits for the answer
 	prioUrgent           // work waits
 	prioNormal
+	prioEnding // a job is over; beside what work waits for
 )
 
 // Role is the state of the election.
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -193,6 +193,7 @@
 	p.busy[how] = true
 	if p == c.term.launchPages {
 		when = c.underRevision(when)
+		c.term.launchesSent = at
 	}
 	c.lead(prio, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		p.busy[how] = false
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -648,7 +648,7 @@
 	j.Rooms = slices.DeleteFunc(j.Rooms, func(m bookkeeping.Room) bool { return m.Host == h })
 	t.book.Move(c.at.Steady, a, bookkeeping.AttemptAssigned)
 	c.touchIdle(h)
-	c.recordLaunch(a, c.at.Steady)
+	c.recordLaunch(a, c.launchDue(j.Spec))
 	c.log.Debug("assigned", "task", name.TaskName.String(), "try", number, "host", h.Name, "ready_in_ms", int64((p.Ready-c.at.Steady)/protocol.Millisecond))
 }
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -49,6 +49,8 @@
 	donePages    *pages
 	launchPages  *pages
 	launches     map[string]*bookkeeping.Attempt // by task, those that a record names or will
+	launchesSent micros                          // when a record of launches was last sent
+	finals       finalWriter
 	memory       remembering
 	yields       []protocol.Yield   // leases that were given back lately
 	yielding     bool               // this one is being given back
@@ -357,6 +359,63 @@
 	t.launchPages.put(name, launchBytes(a), c.room(), due, due < protocol.Forever)
 }
 
+const (
+	// mostLaunchWait is how long a launch waits for others to share its record.
+	mostLaunchWait = protocol.Second
+	// endingsLately is how long what the last final record took says anything.
+	endingsLately = 3 * protocol.Second
+)
+
+// finalWriter has the final records written in the order in which the jobs ended. Few are
+// on their way at a time: of more some would not get their turn before they expire, and
+// begin again behind those of jobs that ended later.
+type finalWriter struct {
+	line    []waitingFinal
+	writing int
+	took    micros // what the last one took, which is mostly its wait in line
+	at      micros // when that was
+}
+
+type waitingFinal struct {
+	job   *bookkeeping.Job
+	since micros
+}
+
+// mostFinalsWritten is how many final records are on their way at a time: what the leader
+// may write in half a second, and as many as keep a small rate in use.
+func (c *Controller) mostFinalsWritten() int { return max(4, int(c.writeRate()/4)) }
+
+// wrote counts a final record that is not on its way any more.
+func (w *finalWriter) wrote(at, since micros) {
+	w.writing--
+	w.took, w.at = at-since, at
+}
+
+// writeFinals writes the final records whose turn it is.
+func (c *Controller) writeFinals() {
+	w := &c.term.finals
+	for c.role == Leading && len(w.line) > 0 && w.writing < c.mostFinalsWritten() {
+		next := w.line[0]
+		w.line[0] = waitingFinal{}
+		w.line = w.line[1:]
+		w.writing++
+		c.writeFinal(next.job, next.since)
+	}
+}
+
+// launchDue is when the record of a launch has to be written: at once, unless final records
+// wait in line. Then one of launches does not follow the last one sooner than that takes, up
+// to a second. Jobs of one task that come several a second had one written for each, a
+// quarter of all changes, while others' launches and their own ends had to wait. A class
+// with an aim on starting does not wait.
+func (c *Controller) launchDue(s *protocol.JobSpec) micros {
+	t, at := c.term, c.at.Steady
+	if c.startWithin(s.Class) > 0 || at-t.finals.at > endingsLately {
+		return at
+	}
+	return max(at, t.launchesSent+min(t.finals.took, mostLaunchWait))
+}
+
 // launchRecord makes the record that some launches share. What is over falls
 // out of it.
 func (c *Controller) launchRecord(names []string) ([]byte, func()) {
@@ -576,6 +635,7 @@
 	c.writePages(t.launchPages)
 	c.writePages(t.donePages)
 	c.writeChunks()
+	c.writeFinals() // of jobs that ended while the lease was in doubt
 	c.writePages(t.bookingPages)
 	since := c.at.Steady - t.lastRound
 	if t.pass != nil || since >= c.operator.RoundEvery || (t.dirty && since >= c.operator.RoundGap) {
@@ -839,6 +899,13 @@
 		c.after(400*protocol.Millisecond, func() { c.finishAgain(t, j) })
 		return
 	}
+	t.finals.line = append(t.finals.line, waitingFinal{j, c.at.Steady})
+	c.writeFinals()
+}
+
+// writeFinal writes a job's final record, in its turn.
+func (c *Controller) writeFinal(j *bookkeeping.Job, since micros) {
+	t := c.term
 	ref := j.Spec.Ref
 	phase := protocol.Done
 	if j.State == bookkeeping.JobCancelled || j.State == bookkeeping.JobCancelling {
@@ -858,7 +925,9 @@
 		}
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
-	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+	c.lead(prioEnding, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		t.finals.wrote(c.at.Steady, since)
+		c.writeFinals()
 		switch o {
 		case txnApplied:
 			c.over(j, phase)
--- a/internal/rehearsal/size_test.go
+++ b/internal/rehearsal/size_test.go
@@ -21,7 +21,10 @@
 	return grownIn(tb, NewWorld(nodes))
 }
 
-func grownIn(tb testing.TB, w *World) *World {
+func grownIn(tb testing.TB, w *World) *World { return grownTo(tb, w, fleetSize) }
+
+// grownTo is the same with so many machines.
+func grownTo(tb testing.TB, w *World, machines int) *World {
 	tb.Helper()
 	w.quiet = true
 	w.Platform.ReportEvery = 5 * protocol.Second
@@ -29,7 +32,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "team red\nteam guests\nno-capacity\naim wait pick within=12\n")
 	fmt.Fprintf(&b, "type small cpus=12 gpus=2 mem=48 boot=25 fetch=0.4 zones=a,b\ntype large cpus=32 gpus=4 mem=128 boot=35 fetch=0.4 zones=a,b,c\n")
-	for i := range fleetSize {
+	for i := range machines {
 		fmt.Fprintf(&b, "machine n-%06d %s %s\n", i+1, []string{"small", "large"}[i%2], []string{"a", "b", "c"}[i%3/(2-i%2)])
 	}
 	ref := 0
--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -37,6 +37,7 @@
 	forgot   uint64   // the last change that is not among them any more
 	written  int      // puts and deletes
 	refused  int      // transactions beyond the rate
+	served   int      // requests
 	writes   allowance
 	requests allowance
 }
@@ -204,6 +205,7 @@
 
 // serve answers one request.
 func (s *store) serve(method, target string, body []byte, answer func(int, string)) {
+	s.served++
 	if s.down {
 		answer(503, `{"error":"outage"}`)
 		return
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -13,6 +13,7 @@
 	User                // a user waits
 	Urgent              // work waits
 	Normal
+	Ending // a job is over: Urgent's second lane, see flow
 	priorities
 )
 
@@ -42,34 +43,70 @@
 	waiting int
 }
 
-// flow is what waits of a class, in order.
+// lanes is how many lines the calls of one class wait in.
+const lanes = 2
+
+// flow is what waits of a class. Its lanes have equal parts of what the class has, and one
+// that is empty leaves its part to the other. Only Urgent has a second one. Where thousands
+// of jobs of one task end, their records are most of what is written: in one line with them
+// the records of launches came seconds later, expired, and began again at its end.
 type flow struct {
-	calls  []Metered
+	lanes  [lanes]lane
 	finish float64 // tag of the class's last call that was taken, or where it begins
 }
 
+// lane is one line of calls, in order.
+type lane struct {
+	calls  []Metered
+	served float64 // what its calls took, counted from the other lane's when it begins
+}
+
+// laneOf is where calls of a priority wait.
+func laneOf(p Priority) (class Priority, lane int) {
+	if p == Ending {
+		return Urgent, 1
+	}
+	return p, 0
+}
+
+func (f *flow) empty() bool { return len(f.lanes[0].calls) == 0 && len(f.lanes[1].calls) == 0 }
+
+// head is the lane whose turn it is. The flow is not empty.
+func (f *flow) head() *lane {
+	first, second := &f.lanes[0], &f.lanes[1]
+	if len(first.calls) == 0 || len(second.calls) > 0 && second.served < first.served {
+		return second
+	}
+	return first
+}
+
 func (q *fairQueue) add(c Metered) {
-	f := &q.flows[c.Priority]
-	if len(f.calls) == 0 {
+	class, n := laneOf(c.Priority)
+	f := &q.flows[class]
+	if f.empty() {
 		f.finish = max(f.finish, q.virtual)
 	}
-	f.calls = append(f.calls, c)
+	l, other := &f.lanes[n], &f.lanes[lanes-1-n]
+	if len(l.calls) == 0 {
+		l.served = max(l.served, other.served)
+	}
+	l.calls = append(l.calls, c)
 	q.waiting++
 }
 
 // cost is what a call takes of the service; one that only reads counts as one.
 func cost(c *Metered) float64 { return max(1, float64(c.Changes)) }
 
-func (f *flow) tag(p Priority) float64 { return f.finish + cost(&f.calls[0])/weights[p] }
+func (f *flow) tag(p Priority) float64 { return f.finish + cost(&f.head().calls[0])/weights[p] }
 
 // next is the class whose turn it is.
 func (q *fairQueue) next() (Priority, bool) {
-	if len(q.flows[Leadership].calls) > 0 {
+	if !q.flows[Leadership].empty() {
 		return Leadership, true
 	}
 	best, found, tag := Leadership, false, 0.0
-	for p := Leadership + 1; p < priorities; p++ {
-		if f := &q.flows[p]; len(f.calls) > 0 {
+	for p := Leadership + 1; p < Ending; p++ {
+		if f := &q.flows[p]; !f.empty() {
 			if t := f.tag(p); !found || t < tag {
 				best, found, tag = p, true, t
 			}
@@ -81,18 +118,21 @@
 // take takes a class's first call.
 func (q *fairQueue) take(p Priority) Metered {
 	f := &q.flows[p]
-	c := f.calls[0]
 	if p != Leadership {
 		f.finish = f.tag(p)
 		q.virtual = f.finish
 	}
-	f.calls[0] = Metered{}
-	f.calls = f.calls[1:]
+	l := f.head()
+	c := l.calls[0]
+	l.served += cost(&c)
+	l.calls[0] = Metered{}
+	l.calls = l.calls[1:]
 	if q.waiting--; q.waiting == 0 {
 		// Whoever comes next begins anew, as the tags say anyway: they stay small.
 		q.virtual = 0
 		for p := range q.flows {
-			q.flows[p].finish = 0
+			f := &q.flows[p]
+			f.finish, f.lanes[0].served, f.lanes[1].served = 0, 0, 0
 		}
 	}
 	return c
@@ -101,19 +141,28 @@
 // expired takes out what has waited for too long.
 func (q *fairQueue) expired(now protocol.Micros, to []Metered) []Metered {
 	for p := range q.flows {
-		f := &q.flows[p]
-		rest := f.calls[:0]
-		for _, c := range f.calls {
-			if now >= c.Expires {
-				to = append(to, c)
-			} else {
-				rest = append(rest, c)
-			}
+		for n := range q.flows[p].lanes {
+			l := &q.flows[p].lanes[n]
+			waiting := len(l.calls)
+			to = l.expired(now, to)
+			q.waiting -= waiting - len(l.calls)
+		}
+	}
+	return to
+}
+
+// expired takes out what has waited for too long.
+func (l *lane) expired(now protocol.Micros, to []Metered) []Metered {
+	rest := l.calls[:0]
+	for _, c := range l.calls {
+		if now >= c.Expires {
+			to = append(to, c)
+		} else {
+			rest = append(rest, c)
 		}
-		q.waiting -= len(f.calls) - len(rest)
-		clear(f.calls[len(rest):])
-		f.calls = rest
 	}
+	clear(l.calls[len(rest):])
+	l.calls = rest
 	return to
 }
 
@@ -198,7 +247,7 @@
 func (m *Meter) next() (*fairQueue, Priority, bool) {
 	r, read := m.reads.next()
 	e, edit := m.edits.next()
-	edit = edit && m.changes.level >= float64(m.edits.flows[e].calls[0].Changes)
+	edit = edit && m.changes.level >= float64(m.edits.flows[e].head().calls[0].Changes)
 	switch {
 	case read && edit:
 		if r != Leadership && (e == Leadership || m.editNext) {
--- a/internal/transport/fair_test.go
+++ b/internal/transport/fair_test.go
@@ -25,13 +25,19 @@
 	m       *Meter
 	rate    float64
 	largest int
-	sent    [priorities]float64 // changes
+	sent    [priorities]float64 // changes, by priority
 }
 
 func (d *drawn) add(p Priority, changes int) {
 	d.m.Add(Metered{Priority: p, Changes: changes, Expires: protocol.Forever, Send: func() { d.sent[p] += float64(changes) }, Expire: func() {}})
 }
 
+// waiting is how many calls of a priority wait.
+func (d *drawn) waiting(p Priority) int {
+	class, n := laneOf(p)
+	return len(d.m.edits.flows[class].lanes[n].calls)
+}
+
 func drawMeter(t *rapid.T) *drawn {
 	d := &drawn{rate: float64(rapid.IntRange(10, 100).Draw(t, "rate")), largest: rapid.IntRange(2, 5).Draw(t, "largest")}
 	d.m = NewMeter(1e6, d.rate, 1, d.largest)
@@ -46,7 +52,7 @@
 		d := drawMeter(t)
 		sizes := map[Priority]int{}
 		total := 0.0
-		for p := Pressing; p < priorities; p++ {
+		for p := Pressing; p < Ending; p++ {
 			if rapid.Bool().Draw(t, "waits") {
 				sizes[p] = rapid.IntRange(1, d.largest).Draw(t, "changes")
 				total += weights[p]
@@ -54,8 +60,8 @@
 		}
 		seconds := rapid.IntRange(5, 40).Draw(t, "seconds")
 		for i := range seconds * 20 {
-			for p := Pressing; p < priorities; p++ {
-				for n := len(d.m.edits.flows[p].calls); sizes[p] > 0 && n < 200; n++ {
+			for p := Pressing; p < Ending; p++ {
+				for n := d.waiting(p); sizes[p] > 0 && n < 200; n++ {
 					d.add(p, sizes[p])
 				}
 			}
@@ -77,6 +83,67 @@
 	})
 }
 
+// Records of launches and of jobs that are over share the part of one class: together they
+// have what the class has, beside the others, and while both have more to send than they may,
+// each has half of that, but for a call or two. If one of them has nothing to send the other
+// has it all.
+func TestFairLanes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := drawMeter(t)
+		sizes := map[Priority]int{}
+		for _, p := range []Priority{User, Urgent, Ending} {
+			if p == Urgent || rapid.IntRange(0, 3).Draw(t, "waits") > 0 {
+				sizes[p] = rapid.IntRange(1, d.largest).Draw(t, "changes")
+			}
+		}
+		seconds := rapid.IntRange(5, 40).Draw(t, "seconds")
+		for i := range seconds * 20 {
+			for _, p := range []Priority{User, Urgent, Ending} {
+				for n := d.waiting(p); sizes[p] > 0 && n < 200; n++ {
+					d.add(p, sizes[p])
+				}
+			}
+			d.m.Run(protocol.Micros(i) * protocol.Second / 20)
+		}
+		class := d.sent[Urgent] + d.sent[Ending]
+		part := class + d.sent[User]
+		if sizes[User] > 0 {
+			part *= weights[Urgent] / (weights[Urgent] + weights[User])
+		}
+		if slack := float64(2 * d.largest); class < part-slack || class > part+slack {
+			t.Errorf("the class sent %g changes, its part is %g", class, part)
+		}
+		if apart := d.sent[Urgent] - d.sent[Ending]; sizes[Ending] > 0 && (apart > float64(2*d.largest) || apart < float64(-2*d.largest)) {
+			t.Errorf("%g changes of launches and %g of jobs that are over", d.sent[Urgent], d.sent[Ending])
+		}
+	})
+}
+
+// However many records of jobs that are over wait, one of launches that comes now and then
+// waits for one call of theirs at most, and they for one of it.
+func TestFairLaneWait(t *testing.T) {
+	for light, heavy := range map[Priority]Priority{Urgent: Ending, Ending: Urgent} {
+		m := NewMeter(1e6, 15, 1, 12)
+		var order []Priority
+		add := func(p Priority) {
+			m.Add(Metered{Priority: p, Changes: 2, Expires: protocol.Forever, Send: func() { order = append(order, p) }, Expire: func() {}})
+		}
+		for range 200 {
+			add(heavy)
+		}
+		m.Run(0)
+		for at := protocol.Second; at < 10*protocol.Second; at += protocol.Second {
+			m.Run(at - protocol.Second/20)
+			order = nil
+			add(light)
+			m.Run(at + protocol.Second/2)
+			if len(order) < 2 || order[0] != light && order[1] != light {
+				t.Errorf("one of %d waits behind %d: %v", light, heavy, order)
+			}
+		}
+	}
+}
+
 // However much the others have waiting, a class that asks for less than its part waits no
 // longer than that part and the largest calls of the others take.
 func TestFairWait(t *testing.T) {
@@ -84,25 +151,25 @@
 		d := drawMeter(t)
 		light := Priority(rapid.IntRange(int(Pressing), int(Normal)).Draw(t, "light"))
 		total := 0.0
-		for p := Pressing; p < priorities; p++ {
+		for p := Pressing; p < Ending; p++ {
 			total += weights[p]
 			for range 2000 {
 				if p != light {
 					d.add(p, rapid.IntRange(1, d.largest).Draw(t, "changes"))
 				}
-				if len(d.m.edits.flows[p].calls) > 40 {
+				if d.waiting(p) > 40 {
 					break
 				}
 			}
 		}
 		d.m.Run(0) // the burst is used up
 		part := d.rate * weights[light] / total
-		bound := protocol.FromSeconds(1/part+float64(int(priorities)*d.largest)/d.rate) + protocol.Second/10
+		bound := protocol.FromSeconds(1/part+float64(int(Ending)*d.largest)/d.rate) + protocol.Second/10
 		at := protocol.Second
 		for range 5 {
 			at += protocol.FromSeconds(2 / part)
-			for p := Pressing; p < priorities; p++ {
-				for n := len(d.m.edits.flows[p].calls); p != light && n < 400; n++ {
+			for p := Pressing; p < Ending; p++ {
+				for n := d.waiting(p); p != light && n < 400; n++ {
 					d.add(p, d.largest)
 				}
 			}
@@ -139,7 +206,7 @@
 				sent[i]++
 				if p == Leadership {
 					*waiting--
-				} else if *waiting >= 0 && len(d.m.reads.flows[Leadership].calls) > 0 {
+				} else if *waiting >= 0 && !d.m.reads.flows[Leadership].empty() {
 					t.Errorf("a call of class %d passed one of leadership", p)
 				}
 			}
