--- a/internal/rehearsal/store.go
+++ b/internal/rehearsal/store.go
@@ -38,6 +38,7 @@
 	written  int      // puts and deletes
 	refused  int      // transactions beyond the rate
 	conflict int      // transactions of which a condition did not hold
+	served   int      // requests
 	writes   allowance
 	requests allowance
 }
@@ -205,6 +206,7 @@
 
 // serve answers one request.
 func (s *store) serve(method, target string, body []byte, answer func(int, string)) {
+	s.served++
 	if s.down {
 		answer(503, `{"error":"outage"}`)
 		return
