--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -317,6 +317,7 @@
 	sent := w.now
 	m.next = w.now + w.Platform.ReportEvery
 	body := w.report(m)
+	w.keepReport(body)
 	session := m.session
 	answered := false
 	fail := func() {
--- /dev/null
+++ b/internal/rehearsal/oldreports_test.go
@@ -0,0 +1,105 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/leadership"
+)
+
+// oldReportsTrace is a trace with reports of an earlier session (n-000005), of attempts that
+// ended since (of n-000002, which is gone, of jobs that are over, and of one that failed) and
+// of earlier terms, which come when leaders change.
+const oldReportsTrace = `nodes 3
+team red max=12
+type big cpus=8 gpus=2 mem=64 boot=10 zones=a,b
+no-capacity
+fleet 4 big a
+fleet 3 big b
+at 3 expect leader node-2
+at 4 submit req-000001 gang tasks=2 gpus=2 run=400 zone=a
+at 4 submit req-000002 array tasks=2 gpus=1 run=9 zone=b
+at 4 submit req-000003 array tasks=2 gpus=1 run=600
+at 4 submit req-000004 array tasks=1 gpus=1 run=3 fails
+at 5 old-reports keep
+at 8 lose-answers n-000005
+at 16 old-reports stop
+at 16 if-here %s die
+at 20 cancel req-000003
+at 30 if-here n-000005 pass-answers
+at 31 submit req-000005 array tasks=4 gpus=1 run=30
+at 32 cancel req-000004
+at 36 old-reports deliver on=%s after=%g order=%s
+at 37 count
+at 38 state-slow %g
+at 38 %s
+at 50 %s
+at 54 old-reports deliver on=none
+at 56 state-slow 0
+at 56 start all
+at 120 expect req-000001 running running=2
+at 120 expect req-000002 done
+at 120 expect req-000003 cancelled
+at 120 expect req-000004 cancelled
+at 120 expect req-000005 done
+at 120 expect unanswered 30
+`
+
+// Copies of old reports reach every controller just as a new leader begins: before it has
+// read the records, after that, or both. Nothing starts that would not without them, and no
+// leader gives its lease back for them; but for this: a controller that has just begun itself
+// can't tell a copy and the worker's own report half a second later from a worker that was
+// sent to the leader and came back, and as often as leaders yield (leadership.MostYields) one
+// may for that.
+func TestOldReportsAtTakeOver(t *testing.T) {
+	type outcome struct{ started, leaders int }
+	ways := map[string][2]string{
+		"it ends":               {"kill leader", "if-leads kill"},
+		"it ends, back at once": {"restart leader after=0.05", "restart leader after=0.05"},
+	}
+	for name, way := range ways {
+		for _, slow := range []float64{0, 0.15} {
+			for _, dies := range []string{"n-000001", "n-000002"} {
+				t.Run(fmt.Sprintf("%s, state slow by %g, %s dies", name, slow, dies), func(t *testing.T) {
+					t.Parallel()
+					came := make(map[string]int)
+					play := func(on string, after float64, order string) outcome {
+						text := fmt.Sprintf(oldReportsTrace, dies, on, after, order, slow, way[0], way[1])
+						w, err := RunTrace(text, nil)
+						if err != nil {
+							t.Fatalf("%v\nthe trace:\n%s\nwhat happened:\n%s", err, text, strings.Join(w.Log, "\n"))
+						}
+						if on == "none" {
+							return outcome{w.started, w.leaders}
+						}
+						got := w.oldReports.delivered
+						for role, n := range got {
+							came[role] += n
+						}
+						return outcome{w.started, w.leaders}
+					}
+					usual := play("none", 0, "oldest")
+					for _, on := range []string{"claiming", "loading", "leading", "loading,leading"} {
+						for _, after := range []float64{0, 0.1, 1.5} {
+							for _, order := range []string{"oldest", "newest"} {
+								got := play(on, after, order)
+								if strings.Contains(name, "back") && got.leaders <= usual.leaders+leadership.MostYields {
+									got.leaders = usual.leaders
+								}
+								if got != usual {
+									t.Errorf("on %s after %g, %s first: %+v, without copies %+v", on, after, order, got, usual)
+								}
+							}
+						}
+					}
+					for _, role := range []string{"following", "claiming", "loading", "leading"} {
+						if came[role] == 0 && !(role == "loading" && slow == 0) {
+							t.Errorf("no copy came to a controller that was %s", role)
+						}
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -232,6 +232,8 @@
 		} else {
 			w.lateReports = l
 		}
+	case "old-reports":
+		return w.actOldReports(words)
 	case "lose-answers-of":
 		return w.loseAnswersOf(words)
 	case "balance": // users keep to the node that they came to, as long as the balancer has it
@@ -601,6 +603,8 @@
 		got := 0
 		w.request(w.nodeNamed(words[1]), "health", "", func(status int, _ []byte) { got = status })
 		return differs(strconv.Itoa(got), words[2])
+	case "old-reports":
+		return w.expectOldReports(words)
 	case "lost-answers", "conflicts", "written-again":
 		return w.expectLost(words)
 	case "starts":
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -72,6 +72,7 @@
 	lateReports lateness // copies of workers' reports that arrive again
 	lost        lostAnswers
 	recorded    recordedPages
+	oldReports  oldReports
 	sticks      bool   // users keep to a node for as long as the balancer has it
 	unanswered  micros // the longest time for which no question about one job was answered
 
@@ -288,6 +289,9 @@
 	was := n.ctl.Role()
 	defer func() {
 		w.decides(n)
+		if role := n.ctl.Role(); role != was && n.alive {
+			w.roleBegins(role.String())
+		}
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
 			w.note("%s leads", n.name)
