--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -320,6 +320,7 @@
 	sent := w.now
 	m.next = w.now + w.Platform.ReportEvery
 	body := w.report(m)
+	w.keepReport(body)
 	session := m.session
 	answered := false
 	fail := func() {
@@ -377,7 +378,7 @@
 	}
 	reach := func() { w.cross(m.zone, node.zone, deliver) }
 	if late, by := w.lateReports.next(true, body); late && w.lateReports.forNext {
-		w.keepReport(body)
+		w.keepForNext(body)
 	} else if late {
 		anywhere := w.lateReports.anywhere
 		w.after(by, func() { w.copyReport(node, anywhere, body) })
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -149,8 +149,8 @@
 	}
 }
 
-// keepReport keeps a copy of a report for the next leader.
-func (w *World) keepReport(body string) {
+// keepForNext keeps a copy of a report for the next leader.
+func (w *World) keepForNext(body string) {
 	if len(w.keptReports) < mostKept {
 		w.keptReports = append(w.keptReports, keptReport{body})
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -81,6 +81,7 @@
 	cancelLongest micros
 	lost          lostAnswers
 	recorded      recordedPages
+	oldReports    oldReports
 
 	described  map[string]*userJob        // jobs that no user of the trace submitted, by the state service
 	behaviours map[string]behaviour       // of services, by image
@@ -301,8 +302,11 @@
 	was := n.ctl.Role()
 	defer func() {
 		w.decides(n)
-		if was != n.ctl.Role() {
-			w.roleChanged(n.ctl.Role())
+		if role := n.ctl.Role(); role != was {
+			w.roleChanged(role)
+			if n.alive {
+				w.roleBegins(role.String())
+			}
 		}
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
