--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -253,6 +253,8 @@
 
 	config *configState // nil: the configuration does not change while this runs
 
+	levels *levelState // nil: this controller behaves as one that knows of no feature levels
+
 	stats                  Stats
 	observed               bool // spans are emitted
 	stateReach, cloudReach reach
@@ -282,7 +284,7 @@
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
 		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
-		typeByName: make(map[string]*protocol.MachineType),
+		typeByName: make(map[string]*protocol.MachineType), levels: &levelState{},
 		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
 }
 
