Feature levels: roster, active level, activation in one transaction

Versions that serve side by side need an agreed moment from which on stored state and behaviour may be new. Each controller writes what it runs into the roster when it starts, and none leads before; the leader makes a level active in one transaction whose conditions are its key, the level's record and the entry of every controller of the settings. The epoch's record and the machine types are written in form 3 by the same transaction: a version without levels reads neither, so it neither leads nor accepts. Writes that would put the earlier form back (the epoch's record by a leader that gives its lease back or has found all launches listed, machine types) and direct acceptance depend on the level's stamp. Log and metrics say for whom a level waits.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -14,6 +14,7 @@
 	"mapleslip/internal/rollout"
 	"mapleslip/internal/telemetry"
 	"mapleslip/internal/transport"
+	"mapleslip/internal/upgrade"
 )
 
 // driver joins the controller, which does no I/O, to the transport.
@@ -79,6 +80,7 @@
 		coordination.ToPeer:   {MaxOpen: plan.peers, MaxPer: plan.perPeer, KeepIdle: 20 * time.Second},
 		coordination.ToWorker: {MaxOpen: plan.workers, MaxPer: 2, KeepIdle: 20 * time.Second},
 	}
+	d.ctl.ServeLevels(upgrade.Build, version)
 	if r != nil {
 		// Connections of checks are not kept: an instance may be gone at any time.
 		d.dialers[coordination.ToInstance] = &transport.Dialer{MaxOpen: plan.instances, MaxPer: 4}
--- a/internal/bookkeeping/record.go
+++ b/internal/bookkeeping/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"github.com/valyala/fastjson"
 
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/upgrade"
 )
 
 // Keys of the state service.
@@ -41,6 +43,11 @@
 // can't read.
 const Form = 2
 
+// LevelForm is the form of the epoch's record and of the machine types' from feature level
+// 1 on. A controller of a version without levels can read neither, so it neither leads nor
+// accepts; all other records stay as they are.
+const LevelForm = 3
+
 var errForm = errors.New("record of an unknown form")
 
 // open reads a record of this form. It is good until the parser is put back.
@@ -69,11 +76,17 @@
 	// Yields are the newest leases that were given back, the newest last. A
 	// controller that doesn't know them drops them when it comes to lead.
 	Yields []protocol.Yield
+	// Level is the active feature level.
+	Level upgrade.Level
 }
 
 // EncodeEpoch writes the counter of epochs.
 func EncodeEpoch(e Epoch) []byte {
-	b := strconv.AppendUint(begin("epoch"), e.N, 10)
+	b := begin("epoch")
+	if e.Level > 0 {
+		b = fmt.Appendf(nil, `{"form":%d,"level":%d,"epoch":`, LevelForm, e.Level)
+	}
+	b = strconv.AppendUint(b, e.N, 10)
 	if e.Unlisted {
 		b = append(b, `,"unlisted":true`...)
 	}
@@ -111,15 +124,19 @@
 	}
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := open(p, value)
+	v, err := p.ParseBytes(value)
 	if err != nil {
 		return Epoch{}, err
 	}
+	form, level := v.GetInt("form"), v.GetUint64("level")
+	if v.Type() != fastjson.TypeObject || form != Form && form != LevelForm || (form == LevelForm) != (level > 0) {
+		return Epoch{}, errForm
+	}
 	n, err := protocol.Member(v, "epoch").Uint64()
 	if err != nil {
 		return Epoch{}, errForm
 	}
-	e := Epoch{N: n, Unlisted: v.GetBool("unlisted")}
+	e := Epoch{N: n, Unlisted: v.GetBool("unlisted"), Level: upgrade.Level(level)}
 	for _, row := range v.GetArray("yields") {
 		y := protocol.Yield{Node: string(row.GetStringBytes("node")), To: string(row.GetStringBytes("to")), Epoch: row.GetUint64("epoch"),
 			At: micros(row.GetInt64("at")), Heard: make(map[string]int)}
@@ -133,6 +150,33 @@
 	return e, nil
 }
 
+// EncodeTypes writes machine types as they are kept at a feature level.
+func EncodeTypes(types []*protocol.MachineType, level upgrade.Level) []byte {
+	if level == 0 {
+		return protocol.AppendTypes(nil, types)
+	}
+	return append(protocol.AppendTypes(fmt.Appendf(nil, `{"form":%d,"types":`, LevelForm), types), '}')
+}
+
+// DecodeTypes reads machine types as they are kept, of either form.
+func DecodeTypes(value []byte) (types []*protocol.MachineType, later bool, err error) {
+	p := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(p)
+	v, err := p.ParseBytes(value)
+	if err != nil {
+		return nil, false, err
+	}
+	if later = v.Exists("form"); later {
+		inner := v.Get("types")
+		if v.GetInt("form") != LevelForm || inner == nil {
+			return nil, later, errForm
+		}
+		value = inner.MarshalTo(nil)
+	}
+	types, err = protocol.ParseTypes(value)
+	return types, later, err
+}
+
 // EncodeMemory writes what a leader has seen: zones that look cut off, each with
 // since when and when it last looked so, and since when machines are silent.
 func EncodeMemory(m protocol.Memory) []byte {
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -13,6 +13,7 @@
 	"mapleslip/internal/configuration"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
+	"mapleslip/internal/upgrade"
 )
 
 type (
@@ -284,7 +285,7 @@
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
 		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
-		typeByName: make(map[string]*protocol.MachineType), levels: &levelState{},
+		typeByName: make(map[string]*protocol.MachineType), levels: &levelState{serves: upgrade.Build},
 		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
 }
 
@@ -298,6 +299,7 @@
 func (c *Controller) Start(at now) []Effect {
 	c.at, c.born = at, at.Steady
 	c.follow()
+	c.startLevels()
 	return c.flush()
 }
 
--- a/internal/coordination/controller_test.go
+++ b/internal/coordination/controller_test.go
@@ -18,7 +18,7 @@
 	p := &protocol.Platform{Node: "n0", Siblings: []protocol.Sibling{{Name: "n1", Address: "n1"}}, StateRate: 100, StateWriteRate: 20}
 	c := New(p, protocol.DefaultOperator(), 1, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	first := c.Start(now{})
-	if len(first) != 1 {
+	if read, ok := first[0].(Call); !ok || read.Path != "/store/lead" || read.Priority != prioLeadership {
 		t.Fatalf("%v", first)
 	}
 	var watch, poll *Call
--- a/internal/coordination/election.go
+++ b/internal/coordination/election.go
@@ -6,6 +6,7 @@
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/upgrade"
 )
 
 // seat is what a node holds of leadership.
@@ -16,8 +17,9 @@
 	until       micros // the lease certainly lasts until then
 	renewing    bool
 	nextRenew   micros
-	predAnswers micros // until then a predecessor may answer workers
-	unlisted    bool   // launches of earlier epochs may be in no record
+	predAnswers micros        // until then a predecessor may answer workers
+	level       upgrade.Level // of the epoch's record, when the key was taken
+	unlisted    bool          // launches of earlier epochs may be in no record
 	yields      []protocol.Yield
 	asked       micros // when the lease was asked for
 }
@@ -153,6 +155,10 @@
 }
 
 func (c *Controller) lease() {
+	if c.levels != nil && !c.levels.listed {
+		c.retryFollow() // nobody leads whose version the roster does not have
+		return
+	}
 	c.become(Leasing)
 	sent := c.at.Steady
 	c.seat.asked = sent
@@ -204,8 +210,12 @@
 			return
 		}
 		var last uint64
+		var level upgrade.Level
 		if found {
 			rec, err := bookkeeping.DecodeEpoch(e.Value)
+			if err == nil {
+				err = c.servesLevel(rec.Level)
+			}
 			if err != nil {
 				// Records of a form that this program does not know: it must
 				// not lead without seeing what they say.
@@ -213,7 +223,7 @@
 				c.followIn(unreadableAgain)
 				return
 			}
-			last = rec.N
+			last, level = rec.N, rec.Level
 			c.seat.unlisted, c.seat.yields = rec.Unlisted, leadership.Recent(rec.Yields, c.at.Wall)
 			if leadership.Waits(c.platform.Node, last, c.at.Wall, rec.Yields) && c.waited != last {
 				// The lease was given back for another one to lead. It has its turn
@@ -227,7 +237,7 @@
 		lead := bookkeeping.Leadership{Node: c.platform.Node, Epoch: epoch, Lease: c.seat.lease, AnswerOn: c.operator.AnswerOn}
 		when := []protocol.Condition{{Key: bookkeeping.KeyLeader}, {Key: bookkeeping.KeyEpoch, Stamp: e.Stamp}}
 		then := []protocol.Change{
-			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: epoch, Unlisted: c.seat.unlisted, Yields: c.seat.yields})},
+			{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: epoch, Unlisted: c.seat.unlisted, Yields: c.seat.yields, Level: level})},
 			{Key: bookkeeping.KeyLeader, Value: bookkeeping.EncodeLeader(lead), Lease: c.seat.lease},
 		}
 		pred := c.leader
@@ -241,8 +251,9 @@
 				c.retryFollow()
 				return
 			}
-			c.seat.epoch, c.seat.stamp = epoch, r.Stamp
+			c.seat.epoch, c.seat.stamp, c.seat.level = epoch, r.Stamp, level
 			c.leader = lead
+			c.levelAtLeast(level)
 			// The predecessor stops answering workers a recorded time after its
 			// lease, which has ended by now. Without its record, ours is taken.
 			answers := pred.AnswerOn
--- a/internal/coordination/memory.go
+++ b/internal/coordination/memory.go
@@ -210,10 +210,10 @@
 	t := c.term
 	t.yielding = true
 	y := protocol.Yield{Node: c.platform.Node, To: to, Epoch: t.epoch, At: c.at.Wall, Heard: heard}
-	rec := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: leadership.Recent(append(t.yields, y), c.at.Wall)}
+	rec := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: leadership.Recent(append(t.yields, y), c.at.Wall), Level: c.level()}
 	then := []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(rec)}, {Key: bookkeeping.KeyLeader}}
-	c.lead(prioLeadership, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
-		if o == txnRejected {
+	c.lead(prioLeadership, c.underLevel(nil), then, func(o txnOutcome, r protocol.TxnResult) {
+		if other := c.otherLevel(o, r); other || o == txnRejected {
 			t.yielding = false // nothing was done: it is looked at again
 			return
 		}
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -76,12 +76,18 @@
 	return max(due, c.at.Steady+max(age/2, 2*protocol.Second))
 }
 
+// tookTypes takes machine types as the cloud tells them.
 func (c *Controller) tookTypes(value []byte) {
 	types, err := protocol.ParseTypes(value)
 	if err != nil {
 		c.malformed("machine types", err)
 		return
 	}
+	c.goByTypes(types)
+}
+
+// goByTypes goes by machine types from now on.
+func (c *Controller) goByTypes(types []*protocol.MachineType) {
 	for i, t := range types {
 		// Mostly prices have moved and nothing else. Then the type stays the one
 		// that hosts and rows know, and no row has to be made anew.
@@ -122,8 +128,7 @@
 		if r.Status == 200 {
 			c.tookTypes(r.Body)
 			if known == 0 && len(c.types) > 0 {
-				c.lead(prioNormal, nil, []protocol.Change{{Key: bookkeeping.KeyTypes, Value: protocol.AppendTypes(nil, c.types)}},
-					func(txnOutcome, protocol.TxnResult) {})
+				c.keepTypes(t)
 				t.dirty = true
 			}
 		} else {
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -21,6 +21,7 @@
 	refusedGone       = "the machine is gone"
 	refusedAlone      = "this node hears nobody"
 	refusedNotInForce = "the revision is not in force everywhere yet"
+	refusedLevel      = "this version does not serve the active feature level"
 	refusedStops      = "tasks of the job may still be on machines"
 )
 
@@ -81,6 +82,7 @@
 	ConfigChanges  uint64       // revisions made
 	ConfigOutdated uint64       // transactions refused because the head was another one
 	Config         *ConfigStats // nil: the configuration does not change while this runs
+	Levels         *LevelStats  // nil: this controller behaves as one that knows of no levels
 
 	// What a leader knows. Nothing else has them.
 	Hosts    map[string]int                          // by state
@@ -105,6 +107,7 @@
 		s.Epoch = c.leader.Epoch
 	}
 	s.Config = c.configStats()
+	s.Levels = c.levelStats()
 	s.Refused, s.Checks = maps.Clone(c.stats.Refused), maps.Clone(c.stats.Checks)
 	if c.term == nil {
 		return s
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -14,6 +14,7 @@
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 	"mapleslip/internal/served"
+	"mapleslip/internal/upgrade"
 )
 
 // term is what a leader knows and does during one epoch.
@@ -69,6 +70,7 @@
 
 	rollouts rolloutTerm
 	config   configTerm
+	levels   levelTerm
 
 	cutLog, budgetLog micros // when what they are about was last logged
 }
@@ -121,7 +123,7 @@
 	steps := []loadStep{
 		{bookkeeping.KeyTypes, func(e protocol.Entry) {
 			if e.Key == bookkeeping.KeyTypes {
-				c.tookTypes(e.Value)
+				c.tookKeptTypes(e.Value)
 			}
 		}},
 		{bookkeeping.KeyMemory, func(e protocol.Entry) {
@@ -217,6 +219,9 @@
 		}},
 		{bookkeeping.JobPrefix, func(e protocol.Entry) { c.learnJob(e) }},
 	}
+	if c.levels != nil {
+		steps = append(steps, loadStep{upgrade.KeyLevel, c.loadLevel(&refused)})
+	}
 	if t.rollouts.manager != nil {
 		steps = append(steps, loadStep{rollout.Prefix, c.loadRollout})
 	}
@@ -429,8 +434,9 @@
 			return
 		}
 	}
-	value := bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: t.epoch, Yields: t.yields})
-	c.lead(prioUrgent, nil, []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: value}}, func(o txnOutcome, _ protocol.TxnResult) {
+	value := bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: t.epoch, Yields: t.yields, Level: c.level()})
+	c.lead(prioUrgent, c.underLevel(nil), []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: value}}, func(o txnOutcome, r protocol.TxnResult) {
+		c.otherLevel(o, r)
 		if o != txnApplied {
 			c.after(protocol.Second, func() { c.allListed(t) })
 			return
@@ -566,6 +572,7 @@
 		return
 	}
 	c.pulseConfig(t)
+	c.pulseLevel(t)
 	if sweep {
 		c.enforce()
 		c.recordImages()
--- /dev/null
+++ b/internal/coordination/upgrade.go
@@ -0,0 +1,180 @@
+package coordination
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/upgrade"
+)
+
+// Raising the feature level. Only the leader does it, in one transaction that depends on
+// the leader key, on the level's record and on the entry of every controller that the
+// settings name: so every one of them has the level, whoever answers just then. The epoch's
+// record and the machine types are written in the later form by the same transaction: from
+// then on a controller of a version without levels neither leads nor accepts.
+
+var (
+	errLevelFell  = errors.New("it has a lower feature level than was active")
+	errLevelAlone = errors.New("the epoch's record has another feature level")
+	errLaterForm  = errors.New("record of a later form")
+)
+
+// levelEvery is how often the leader looks at the roster while a level waits.
+const levelEvery = 2 * protocol.Second
+
+// levelTerm is what a leader does about the level during one epoch.
+type levelTerm struct {
+	next  micros // when the roster is looked at again
+	busy  bool   // it is being read, or a level is being made active
+	waits []upgrade.Wait
+	told  string // for whom, as last logged
+}
+
+// servesLevel says why this program must not lead at a level, or nothing.
+func (c *Controller) servesLevel(l upgrade.Level) error {
+	switch {
+	case c.levels == nil && l > 0:
+		return errLaterForm
+	case c.levels != nil && !c.levels.serves.Serves(l):
+		return fmt.Errorf("feature level %d is active, and this program serves %d to %d", l, c.levels.serves.Low, c.levels.serves.High)
+	}
+	return nil
+}
+
+// loadLevel reads the level's record as a new leader. It has to be what the epoch's record
+// had when the leader key was taken: both are only ever written together.
+func (c *Controller) loadLevel(refused *bool) func(protocol.Entry) {
+	return func(e protocol.Entry) {
+		if e.Key != upgrade.KeyLevel {
+			return
+		}
+		c.tookLevel(e)
+		if l, err := upgrade.DecodeLevel(e.Value); err != nil || l != c.seat.level {
+			*refused = true
+			if err == nil {
+				c.damaged(e, errLevelAlone)
+			}
+		}
+	}
+}
+
+// controllers are the names of all controllers of the settings.
+func (c *Controller) controllers() []string {
+	names := []string{c.platform.Node}
+	for _, s := range c.platform.Siblings {
+		names = append(names, s.Name)
+	}
+	return names
+}
+
+// pulseLevel looks at the roster now and then, as long as there is a higher level.
+func (c *Controller) pulseLevel(t *term) {
+	s := c.levels
+	if s == nil || s.active >= s.serves.High || t.levels.busy || c.at.Steady < t.levels.next || !c.mayStart() {
+		return
+	}
+	t.levels.busy = true
+	roster := make(map[string]upgrade.Kept)
+	c.list(prioNormal, upgrade.RosterPrefix, func(e protocol.Entry) {
+		entry, err := upgrade.DecodeEntry(e.Value)
+		roster[strings.TrimPrefix(e.Key, upgrade.RosterPrefix)] = upgrade.Kept{Entry: entry, Stamp: e.Stamp, Err: err}
+	}, func(_ uint64, ok bool) {
+		if c.term != t {
+			return
+		}
+		if !ok || !c.mayStart() {
+			c.lookAtLevelAgain(t)
+			return
+		}
+		c.considerLevel(t, roster)
+	})
+}
+
+// lookAtLevelAgain lets the roster be looked at again after a while.
+func (c *Controller) lookAtLevelAgain(t *term) {
+	t.levels.busy = false
+	t.levels.next = c.at.Steady + levelEvery
+}
+
+// considerLevel tells for whom the highest level waits, and makes active the one that all
+// have.
+func (c *Controller) considerLevel(t *term, roster map[string]upgrade.Kept) {
+	s := c.levels
+	names := c.controllers()
+	d := upgrade.Decide(names, s.serves, s.active, roster)
+	t.levels.waits = d.Waits
+	if text := upgrade.Describe(d.Waits); text != t.levels.told {
+		t.levels.told = text
+		if text != "" {
+			c.log.Info("feature level waits", "level", uint64(s.serves.High), "active", uint64(s.active), "for", text)
+		}
+	}
+	// Without machine types there would be nothing to write in the later form.
+	if d.Next <= s.active || len(c.types) == 0 {
+		c.lookAtLevelAgain(t)
+		return
+	}
+	c.activate(t, d.Next, names, roster)
+}
+
+// activate makes a level active.
+func (c *Controller) activate(t *term, next upgrade.Level, names []string, roster map[string]upgrade.Kept) {
+	when := c.underLevel(nil)
+	for _, name := range names {
+		when = append(when, protocol.Condition{Key: upgrade.RosterKey(name), Stamp: roster[name].Stamp})
+	}
+	epoch := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: t.yields, Level: next}
+	then := []protocol.Change{
+		{Key: upgrade.KeyLevel, Value: upgrade.EncodeLevel(next)},
+		{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch)},
+		{Key: bookkeeping.KeyTypes, Value: bookkeeping.EncodeTypes(c.types, next)},
+	}
+	c.log.Info("making a feature level active", "level", uint64(next), "controllers", len(names))
+	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		if o == txnApplied {
+			c.tookLevel(protocol.Entry{Key: upgrade.KeyLevel, Value: then[0].Value, Stamp: r.Stamp})
+			c.lookAtLevelAgain(t)
+			return
+		}
+		// An entry may have changed, or an earlier try was carried out.
+		c.readLevel(prioUrgent, func(bool) { c.lookAtLevelAgain(t) })
+	})
+}
+
+// keepTypes records the machine types. What a leader sent before it made a level active
+// must not be carried out after it: that would put the earlier form back.
+func (c *Controller) keepTypes(t *term) {
+	value := bookkeeping.EncodeTypes(c.types, c.level())
+	c.lead(prioNormal, c.underLevel(nil), []protocol.Change{{Key: bookkeeping.KeyTypes, Value: value}}, func(o txnOutcome, r protocol.TxnResult) {
+		if c.otherLevel(o, r) {
+			c.after(rosterAgain, func() {
+				if c.term == t {
+					c.keepTypes(t)
+				}
+			})
+		}
+	})
+}
+
+// LevelStats is how the feature levels stand.
+type LevelStats struct {
+	Active, Highest uint64
+	Waits           map[string]string // of a leader: for whom the highest level waits, and why; nil elsewhere
+}
+
+func (c *Controller) levelStats() *LevelStats {
+	if c.levels == nil {
+		return nil
+	}
+	s := &LevelStats{Active: uint64(c.levels.active), Highest: uint64(c.levels.serves.High)}
+	if c.term != nil {
+		s.Waits = make(map[string]string, len(c.term.levels.waits))
+		for _, w := range c.term.levels.waits {
+			s.Waits[w.Node] = w.Why.String()
+		}
+	}
+	return s
+}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -320,7 +320,7 @@
 	if len(c.types) == 0 {
 		c.get(prioUser, bookkeeping.KeyTypes, func(e protocol.Entry, found, ok bool) {
 			if found {
-				c.tookTypes(e.Value)
+				c.tookKeptTypes(e.Value)
 			}
 			if len(c.types) == 0 {
 				over()
@@ -342,6 +342,22 @@
 		})
 		return
 	}
+	if c.levels != nil && !c.levels.known {
+		c.readLevel(prioUser, func(ok bool) {
+			if !ok || !c.levels.known {
+				over()
+				c.unavailable(to, refusedState)
+				return
+			}
+			c.directSubmit(to, spec, over)
+		})
+		return
+	}
+	if c.levels != nil && !c.levels.serves.Serves(c.levels.active) {
+		over()
+		c.unavailable(to, refusedLevel)
+		return
+	}
 	if why := c.impossible(spec); why != "" {
 		over()
 		c.refuse(to, spec, why)
@@ -350,9 +366,9 @@
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall = c.at.Wall
 	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
-		c.txn(prioUser, c.underRevision(when), then, func(o txnOutcome, r protocol.TxnResult) {
+		c.txn(prioUser, c.underLevel(c.underRevision(when)), then, func(o txnOutcome, r protocol.TxnResult) {
 			over()
-			if c.outdated(o, r) {
+			if outdated, other := c.outdated(o, r), c.otherLevel(o, r); outdated || other {
 				o = txnRejected
 			}
 			done(o, r)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -12,6 +12,7 @@
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 	"mapleslip/internal/served"
+	"mapleslip/internal/upgrade"
 )
 
 // A trace is a text that people read: what a deployment has, what happens to
@@ -371,7 +372,7 @@
 		}
 		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch.N, 10)
 		for _, key := range slices.Clone(w.store.order) {
-			if strings.HasPrefix(key, bookkeeping.LaunchPages) {
+			if strings.HasPrefix(key, bookkeeping.LaunchPages) || key == upgrade.KeyLevel {
 				w.store.drop(key)
 			}
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -83,6 +83,9 @@
 	descLag      = prometheus.NewDesc("mapleslip_config_lag", "Revisions that a controller is behind the leader, as it last told.", []string{"controller"}, nil)
 	descMade     = prometheus.NewDesc("mapleslip_config_changes_total", "Revisions that this node made as the leader.", nil, nil)
 	descOutdated = prometheus.NewDesc("mapleslip_config_outdated_total", "Transactions that were refused because a newer revision was there.", nil, nil)
+	descLevel    = prometheus.NewDesc("mapleslip_feature_level", "Feature level that is active, as far as the node knows.", nil, nil)
+	descServes   = prometheus.NewDesc("mapleslip_feature_level_served", "Highest feature level that the node's version serves.", nil, nil)
+	descLevelFor = prometheus.NewDesc("mapleslip_feature_level_waits", "1 for each controller that the highest level waits for, as the leader knows.", []string{"controller", "reason"}, nil)
 	descRunning  = prometheus.NewDesc("mapleslip_tasks_running", "Tasks that run, by class.", []string{"class"}, nil)
 )
 
@@ -90,7 +93,7 @@
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
 		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descWaiting, descRunning,
-		descConfig, descHolds, descDamaged, descInForce, descLag, descMade, descOutdated} {
+		descConfig, descHolds, descDamaged, descInForce, descLag, descMade, descOutdated, descLevel, descServes, descLevelFor} {
 		ch <- d
 	}
 }
@@ -142,6 +145,13 @@
 			gauge(descLag, float64(c.Revision-min(r, c.Revision)), name)
 		}
 	}
+	if l := st.Levels; l != nil {
+		gauge(descLevel, float64(l.Active))
+		gauge(descServes, float64(l.Highest))
+		for name, why := range l.Waits {
+			gauge(descLevelFor, 1, name, why)
+		}
+	}
 	if st.Hosts == nil {
 		return // it does not lead: what it once knew is no news
 	}
--- /dev/null
+++ b/internal/upgrade/golden_test.go
@@ -0,0 +1,116 @@
+package upgrade_test
+
+import (
+	"bytes"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/upgrade"
+)
+
+// written reads what the version in production wrote.
+func written(t *testing.T, s sample) []byte {
+	t.Helper()
+	path, _ := fileOf("testdata/level0", s)
+	b, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b = bytes.TrimSuffix(b, []byte("\n"))
+	if strings.HasSuffix(path, ".hex") {
+		if b, err = hex.DecodeString(string(b)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return b
+}
+
+// Old then new: whatever the version in production wrote is read, and comes out the same.
+func TestProductionIsRead(t *testing.T) {
+	for _, s := range samples() {
+		b := written(t, s)
+		if again, err := s.again(b); err != nil || !bytes.Equal(again, b) {
+			t.Errorf("%s: %v\nread as %q\nbut was %q", s.name, err, again, b)
+		}
+	}
+}
+
+// New then old: before a level is active every record and message is written byte for byte
+// as the version in production writes it.
+func TestWrittenAsProductionDoes(t *testing.T) {
+	list := samples()
+	for _, s := range list {
+		if b := written(t, s); !bytes.Equal(b, s.bytes) {
+			t.Errorf("%s\nwritten as %q\nproduction %q", s.name, s.bytes, b)
+		}
+	}
+	types := written(t, sample{name: "machine-types"})
+	if b := bookkeeping.EncodeTypes(machineTypes(), 0); !bytes.Equal(b, types) {
+		t.Errorf("machine types\nwritten as %q\nproduction %q", b, types)
+	}
+	if kept, later, err := bookkeeping.DecodeTypes(types); err != nil || later || !bytes.Equal(protocol.AppendTypes(nil, kept), types) {
+		t.Errorf("machine types read as %v, later form %v: %v", kept, later, err)
+	}
+	files, err := filepath.Glob("testdata/level0/*")
+	if err != nil || len(files) != len(list) {
+		t.Errorf("%d files of %d samples, %v", len(files), len(list), err)
+	}
+}
+
+// From level 1 on the epoch's record and the machine types are of a form that production
+// refuses, by its own rules: it reads an epoch only of form 2, or that is a number, and
+// machine types only with a list of "flavors". This version reads both forms.
+func TestLaterForms(t *testing.T) {
+	e := bookkeeping.Epoch{N: 9, Unlisted: true, Level: 1, Yields: []protocol.Yield{{Node: "node-1", To: "node-2", Epoch: 8, At: wall, Heard: map[string]int{"a": 1}}}}
+	value := bookkeeping.EncodeEpoch(e)
+	if got, err := bookkeeping.DecodeEpoch(value); err != nil || got.N != 9 || got.Level != 1 || !got.Unlisted || len(got.Yields) != 1 {
+		t.Errorf("%s is read as %+v, %v", value, got, err)
+	}
+	if !bytes.HasPrefix(value, []byte(`{"form":3,"level":1,"epoch":9`)) {
+		t.Errorf("the epoch's record is %s", value)
+	}
+	for _, bad := range []string{`{"form":3,"epoch":9}`, `{"form":2,"level":1,"epoch":9}`, `{"form":4,"level":1,"epoch":9}`, `{"form":3,"level":1}`, `[]`, `"9"`} {
+		if got, err := bookkeeping.DecodeEpoch([]byte(bad)); err == nil {
+			t.Errorf("%s is read as %+v", bad, got)
+		}
+	}
+	types := bookkeeping.EncodeTypes(machineTypes(), 1)
+	if got, later, err := bookkeeping.DecodeTypes(types); err != nil || !later || !bytes.Equal(protocol.AppendTypes(nil, got), protocol.AppendTypes(nil, machineTypes())) {
+		t.Errorf("%s is read as %v, %v, %v", types, got, later, err)
+	}
+	if got, err := protocol.ParseTypes(types); err == nil {
+		t.Errorf("production's rule reads machine types of the later form as %v", got)
+	}
+	for _, bad := range []string{`{"form":4,"types":{"flavors":[]}}`, `{"form":3}`, `{"form":3,"types":{}}`} {
+		if got, _, err := bookkeeping.DecodeTypes([]byte(bad)); err == nil {
+			t.Errorf("%s is read as %v", bad, got)
+		}
+	}
+}
+
+// The records of levels are read as they were written, and nothing else is read as one.
+func TestRecords(t *testing.T) {
+	entry := upgrade.Entry{Node: `node-"1"`, Levels: upgrade.Range{Low: 0, High: 1}, Build: "0.2.0"}
+	value := upgrade.EncodeEntry(entry)
+	if got, err := upgrade.DecodeEntry(value); err != nil || got != entry {
+		t.Errorf("%s is read as %+v, %v", value, got, err)
+	}
+	if l, err := upgrade.DecodeLevel(upgrade.EncodeLevel(3)); err != nil || l != 3 {
+		t.Errorf("level %d, %v", l, err)
+	}
+	for _, bad := range []string{`{`, `[]`, `{"form":2,"level":1}`, `{"form":1,"level":0}`, `{"form":1,"level":-1}`, `{"form":1,"level":"1"}`, `{"form":1}`} {
+		if l, err := upgrade.DecodeLevel([]byte(bad)); err == nil {
+			t.Errorf("%s is read as level %d", bad, l)
+		}
+	}
+	for _, bad := range []string{`{`, `{"form":2,"node":"a","low":0,"high":1}`, `{"form":1,"node":"","low":0,"high":1}`, `{"form":1,"node":"a","low":2,"high":1}`, `{"form":1,"node":"a","high":1}`} {
+		if e, err := upgrade.DecodeEntry([]byte(bad)); err == nil {
+			t.Errorf("%s is read as %+v", bad, e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/upgrade/samples_test.go
@@ -0,0 +1,252 @@
+package upgrade_test
+
+import (
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/configuration"
+	"mapleslip/internal/protocol"
+	"mapleslip/internal/rollout"
+)
+
+// This file stands by itself: put into the tree of the version in production, with
+// "WRITE=folder", it wrote testdata/level0 with that version's own encoders:
+//
+//	git worktree add FOLDER COMMIT; mkdir FOLDER/internal/upgrade
+//	cp internal/upgrade/samples_test.go FOLDER/internal/upgrade/
+//	cd FOLDER && WRITE=$PWD/level0 go test -run TestWriteSamples ./internal/upgrade
+
+// sample is a record or a message, and how what was written is read and written again.
+type sample struct {
+	name  string
+	bytes []byte
+	again func(b []byte) ([]byte, error)
+}
+
+const wall = protocol.Micros(1_700_000_000_123_456)
+
+func jobSpec(ref string, kind protocol.Kind, tasks int) *protocol.JobSpec {
+	return &protocol.JobSpec{Ref: ref, Class: "work", Team: "red", Kind: kind, Rank: protocol.High, Tasks: tasks,
+		Need: protocol.Resources{CPU: 5000, GPU: 1000, Mem: 19500}, Image: "work:7", ImageSize: 8250, Estimate: 80 * protocol.Second}
+}
+
+// fullSpec uses whatever a job may have.
+func fullSpec() *protocol.JobSpec {
+	s := jobSpec("req-000405", protocol.Gang, 4)
+	s.Types, s.Zone = []string{"big", `qu"oted`}, "a"
+	s.OneZone, s.Spread, s.Spot = true, true, true
+	s.CheckpointEvery, s.Saves, s.Deadline = 30*protocol.Second, 2*protocol.Second, 240*protocol.Second
+	return s
+}
+
+func machineTypes() []*protocol.MachineType {
+	return []*protocol.MachineType{{Name: "big", Offer: protocol.Resources{CPU: 32000, GPU: 4000, Mem: 256000}, Cache: 500_000, FetchRate: 0.0012,
+		Price: 8.25, SpotPrice: 2.31, Boot: 40 * protocol.Second, Zones: []string{"a", "b"}}}
+}
+
+func rolloutRecord() *rollout.Record {
+	spec, err := protocol.ParseRollout([]byte(`{"id":"r-2","service":"web","count":6,"floor":4,"surge":2,"stages":[2,6],"soakS":10,"startS":60,"healthyS":30,"faulty":2,` +
+		`"check":{"how":"http","at":"10.0.0.1:80","path":"/ok","everyS":2,"timeoutS":1,"passes":2,"fails":3},` +
+		`"job":{"jobclass":"web","owner":"red","rank":"critical","cores":1,"gpus":0,"memoryGb":2,"bundle":"web:2","sizeGb":1,"samePlace":false,"apart":true,"reclaimable":false}}`))
+	if err != nil {
+		panic(err)
+	}
+	old := *spec
+	job := *spec.Job
+	job.Image = "web:1"
+	old.Job = &job
+	return &rollout.Record{Service: "web", State: rollout.Paused, From: rollout.Promoting, Reason: "asked", Stage: 1, Made: 3, Changes: 9, OldCount: 6,
+		Old: rollout.Version{Hash: rollout.VersionOf(old.Job), Spec: &old, Batches: []rollout.Batch{{Ref: "req-000012", Tasks: 4, Leaving: true}}},
+		New: rollout.Version{Hash: rollout.VersionOf(spec.Job), Spec: spec, Batches: []rollout.Batch{{Ref: "req-01234567890123456789", Tasks: 2}}}}
+}
+
+// samples are all kinds of records and messages of level 0.
+func samples() []sample {
+	var list []sample
+	add := func(name string, b []byte, again func(b []byte) ([]byte, error)) {
+		list = append(list, sample{name, b, again})
+	}
+	job := func(name string, j *bookkeeping.Job) {
+		j.SubmittedWall, j.Epoch = wall, 7
+		add(name, bookkeeping.EncodeJob(j), func(b []byte) ([]byte, error) {
+			j, err := bookkeeping.DecodeJob(b)
+			if err != nil {
+				return nil, err
+			}
+			return bookkeeping.EncodeJob(j), nil
+		})
+	}
+	job("job-array", bookkeeping.NewJob(jobSpec("req-000001", protocol.Array, 25)))
+	job("job-service", bookkeeping.NewJob(jobSpec("req-000002", protocol.Service, 2)))
+	job("job-with-everything", bookkeeping.NewJob(fullSpec()))
+	asked := bookkeeping.NewJob(jobSpec("req-000003", protocol.Array, 1))
+	asked.State, asked.CancelledWall = bookkeeping.JobCancelling, wall+5
+	job("job-being-cancelled", asked)
+	told := bookkeeping.NewJob(jobSpec("req-000004", protocol.Array, 1))
+	told.State, told.CancelledWall = bookkeeping.JobCancelled, wall+6
+	job("job-cancelled-by-an-earlier-version", told)
+	for _, p := range []protocol.Phase{protocol.Done, protocol.Cancelled} {
+		add("final-"+string(p), bookkeeping.EncodeFinal(p, 25), func(b []byte) ([]byte, error) {
+			p, n, err := bookkeeping.DecodeFinal(b)
+			return bookkeeping.EncodeFinal(p, n), err
+		})
+	}
+	yields := []protocol.Yield{{Node: "node-1", To: "node-2", Epoch: 6, At: wall, Heard: map[string]int{"a": 3, "b": 0}}}
+	for name, e := range map[string]bookkeeping.Epoch{"epoch": {N: 7}, "epoch-unlisted": {N: 8, Unlisted: true}, "epoch-with-yields": {N: 9, Yields: yields}} {
+		add(name, bookkeeping.EncodeEpoch(e), func(b []byte) ([]byte, error) {
+			e, err := bookkeeping.DecodeEpoch(b)
+			return bookkeeping.EncodeEpoch(e), err
+		})
+	}
+	add("leader", bookkeeping.EncodeLeader(bookkeeping.Leadership{Node: "node-1", Epoch: 7, Lease: 12, AnswerOn: 9 * protocol.Second}), func(b []byte) ([]byte, error) {
+		l, err := bookkeeping.DecodeLeader(b)
+		return bookkeeping.EncodeLeader(l), err
+	})
+	add("machine-types", protocol.AppendTypes(nil, machineTypes()), func(b []byte) ([]byte, error) {
+		types, err := protocol.ParseTypes(b)
+		return protocol.AppendTypes(nil, types), err
+	})
+	memory := protocol.Memory{Epoch: 7, At: wall, Cuts: []protocol.Cut{{Zone: "a", Since: wall - 9, Seen: wall - 1}}, Silent: []protocol.Silence{{Host: "n-000009", Since: wall - 7}}}
+	add("memory", bookkeeping.EncodeMemory(memory), func(b []byte) ([]byte, error) {
+		m, err := bookkeeping.DecodeMemory(b)
+		return bookkeeping.EncodeMemory(m), err
+	})
+	hosts := func(images bool) []byte {
+		var list []*bookkeeping.Host
+		for i, spot := range []bool{false, true} {
+			h := bookkeeping.NewHost(0, fmt.Sprintf("n-%06d", i+1), "big", "a", spot)
+			h.Addr, h.RecordedWall = fmt.Sprintf("10.0.0.%d:9000", i+1), wall
+			h.Images["work:7"], h.Images["web:1"] = &bookkeeping.Image{Size: 8250}, &bookkeeping.Image{Size: 1000}
+			list = append(list, h)
+		}
+		return bookkeeping.EncodeHosts(list, images)
+	}
+	for name, images := range map[string]bool{"hosts": true, "hosts-without-images": false} {
+		add(name, hosts(images), func(b []byte) ([]byte, error) {
+			list, err := bookkeeping.DecodeHosts(0, b)
+			return bookkeeping.EncodeHosts(list, images), err
+		})
+	}
+	refs := []string{"req-000001", "req-000405"}
+	add("bookings", bookkeeping.EncodeBookings(refs, func(string) protocol.Micros { return wall }), func(b []byte) ([]byte, error) {
+		at, err := bookkeeping.DecodeBookings(b)
+		return bookkeeping.EncodeBookings(refs, func(ref string) protocol.Micros { return at[ref] }), err
+	})
+	array := func() *bookkeeping.Job { return bookkeeping.NewJob(jobSpec("req-000001", protocol.Array, 25)) }
+	done := array()
+	for _, i := range []int{0, 3, 24} {
+		done.Complete(i, false)
+	}
+	add("completions", bookkeeping.EncodeCompletions([]*bookkeeping.Job{done}), func(b []byte) ([]byte, error) {
+		list, err := bookkeeping.DecodeCompletions(b)
+		j := array()
+		if err == nil {
+			err = bookkeeping.ApplyChunk(j, 0, list["req-000001"])
+		}
+		return bookkeeping.EncodeCompletions([]*bookkeeping.Job{j}), err
+	})
+	add("completions-of-a-large-array", bookkeeping.EncodeChunk(done, 0), func(b []byte) ([]byte, error) {
+		j := array()
+		err := bookkeeping.ApplyChunk(j, 0, b)
+		return bookkeeping.EncodeChunk(j, 0), err
+	})
+	launch := func(ref string, index int, host string, number uint64) bookkeeping.Launch {
+		return bookkeeping.Launch{Name: protocol.AttemptName{TaskName: protocol.TaskName{Job: ref, Index: index}, Number: number}, Host: host}
+	}
+	add("launches", bookkeeping.EncodeLaunches([]bookkeeping.Launch{launch("req-000001", 0, "n-000001", 7<<24|1), launch("req-000001", 3, "n-000002", 7<<24|2), launch("req-000405", 1, "n-000001", 7<<24|3)}),
+		func(b []byte) ([]byte, error) {
+			list, err := bookkeeping.DecodeLaunches(b)
+			return bookkeeping.EncodeLaunches(list), err
+		})
+	entry := configuration.Entry{Revision: 3, At: wall, Who: "ops", Why: `a "reason"`, ID: "c-1", Changes: []configuration.Change{{Key: "log/level", Old: `"info"`, New: `"debug"`}, {Key: "team/red/gpus_max", New: "4"}}}
+	head := configuration.Head{Revision: 3, Started: 1, FirstPage: 1, LastPage: 1, Document: configuration.Document{"log/level": `"debug"`, "team/red/gpus_max": "4"}, Log: []configuration.Entry{entry}}
+	add("configuration", head.Encode(), func(b []byte) ([]byte, error) {
+		h, err := configuration.DecodeHead(b)
+		if err != nil {
+			return nil, err
+		}
+		return h.Encode(), nil
+	})
+	add("rollout", rolloutRecord().Encode(), func(b []byte) ([]byte, error) {
+		r, err := rollout.Decode(b)
+		if err != nil {
+			return nil, err
+		}
+		return r.Encode(), nil
+	})
+	for name, m := range messages(memory) {
+		add("message-"+name, protocol.AppendPeer(nil, m), func(b []byte) ([]byte, error) {
+			frame, _, err := protocol.SplitPeer(b)
+			if err != nil {
+				return nil, err
+			}
+			m, err := protocol.ParsePeer(frame)
+			if err != nil {
+				return nil, err
+			}
+			return protocol.AppendPeer(nil, m), nil
+		})
+	}
+	slices.SortFunc(list, func(a, b sample) int { return strings.Compare(a.name, b.name) })
+	return list
+}
+
+// messages are all kinds of messages between controllers.
+func messages(memory protocol.Memory) map[string]*protocol.PeerMessage {
+	m := map[string]*protocol.PeerMessage{
+		"answer":         {Kind: protocol.PeerAnswer, Status: 503, RetryAfter: protocol.Second, Body: []byte(`{"error":"later"}`)},
+		"answer-refused": {Kind: protocol.PeerAnswer},
+		"question":       {Kind: protocol.PeerAsk, Epoch: 7, From: "node-1", Body: protocol.AppendMemory(nil, memory)},
+		"question-empty": {Kind: protocol.PeerAsk, Epoch: 7, From: "node-1", Body: protocol.AppendMemory(nil, protocol.Memory{})},
+		"stand":          {Kind: protocol.PeerStand, Answers: true, Age: 5 * protocol.Second, Heard: 2, Body: protocol.AppendHearing(nil, map[string]int{"a": 2})},
+		"report":         {Kind: protocol.PeerReport, Returned: true, Body: []byte(`{"host":"n-000001"}`)},
+		"probe":          {Kind: protocol.PeerProbe, Addr: "10.0.0.1:9000", Body: []byte(`{"orders":[]}`)},
+		"check":          {Kind: protocol.PeerCheck, Check: protocol.CheckTCP, Addr: "10.0.0.1:80", Path: "/ok", Timeout: protocol.Second},
+		"grant":          {Kind: protocol.PeerGrant, Epoch: 7, From: "node-1", Revision: 3, Life: 99, At: 5, Body: []byte(`{"log/level":"debug"}`)},
+		"goes-by":        {Kind: protocol.PeerGoesBy, Revision: 3, Life: 99, At: 6},
+	}
+	for name, op := range map[string]protocol.UserOp{"submit": protocol.OpSubmit, "query": protocol.OpQuery, "cancel": protocol.OpCancel, "rollout": protocol.OpRollout,
+		"rollouts": protocol.OpRollouts, "rollout-show": protocol.OpRolloutShow, "rollout-pause": protocol.OpRolloutPause, "rollout-resume": protocol.OpRolloutResume,
+		"rollout-revert": protocol.OpRolloutRevert, "config": protocol.OpConfig, "config-apply": protocol.OpConfigApply, "config-history": protocol.OpConfigHistory,
+		"config-rollback": protocol.OpConfigRollback, "config-wait": protocol.OpConfigWait, "config-status": protocol.OpConfigStatus} {
+		m["call-"+name] = &protocol.PeerMessage{Kind: protocol.PeerCall, Op: op, Ref: "req-000405", From: "node-1", Body: []byte(`{"ref":"req-000405"}`)}
+	}
+	return m
+}
+
+// fileOf is the file of a sample: records are JSON, messages are binary and kept as hex.
+func fileOf(folder string, s sample) (path string, content string) {
+	if strings.HasPrefix(s.name, "message-") {
+		return filepath.Join(folder, s.name+".hex"), hex.EncodeToString(s.bytes) + "\n"
+	}
+	return filepath.Join(folder, s.name+".json"), string(s.bytes) + "\n"
+}
+
+// TestWriteSamples writes the files, where it is asked to.
+func TestWriteSamples(t *testing.T) {
+	folder := os.Getenv("WRITE")
+	if folder == "" {
+		return
+	}
+	for _, s := range samples() {
+		path, content := fileOf(folder, s)
+		if err := os.WriteFile(path, []byte(content), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// TestSamplesAreRead: each sample is read, and written again the same.
+func TestSamplesAreRead(t *testing.T) {
+	for _, s := range samples() {
+		if b, err := s.again(s.bytes); err != nil || string(b) != string(s.bytes) {
+			t.Errorf("%s: %v\n%q\n%q", s.name, err, b, s.bytes)
+		}
+	}
+}
