Feature levels: two versions side by side in simulated time

A leader asks the others what they serve before it makes a level active: an entry that a newer version left behind counts for nothing once its controller answers as one without levels.

--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -77,6 +77,8 @@
 		return WorkerCall{Reply: to, Addr: m.Addr, Body: m.Body}
 	case protocol.PeerGrant:
 		return GrantQuestion{Reply: to, Grant: configuration.Grant{Epoch: m.Epoch, Revision: m.Revision, Life: m.Life, Heard: m.At}, Document: m.Body}
+	case protocol.PeerLevels:
+		return LevelQuestion{Reply: to}
 	case protocol.PeerCheck:
 		return CheckCall{Reply: to, Kind: m.Check, Addr: m.Addr, Path: m.Path, Timeout: m.Timeout}
 	}
@@ -98,6 +100,9 @@
 	Timeout    micros
 }
 
+// LevelQuestion asks which feature levels this node serves.
+type LevelQuestion struct{ Reply Address }
+
 // HealthCall asks for the node's health.
 type HealthCall struct{ Reply Address }
 
@@ -121,14 +126,15 @@
 	Backlog int // events that wait
 }
 
-func (UserCall) event()     {}
-func (WorkerReport) event() {}
-func (PeerQuestion) event() {}
-func (WorkerCall) event()   {}
-func (CheckCall) event()    {}
-func (HealthCall) event()   {}
-func (CallDone) event()     {}
-func (Tick) event()         {}
+func (UserCall) event()      {}
+func (WorkerReport) event()  {}
+func (PeerQuestion) event()  {}
+func (WorkerCall) event()    {}
+func (CheckCall) event()     {}
+func (LevelQuestion) event() {}
+func (HealthCall) event()    {}
+func (CallDone) event()      {}
+func (Tick) event()          {}
 
 // Address is where an answer goes.
 type Address struct {
@@ -324,6 +330,8 @@
 		c.onCheckCall(e)
 	case PeerQuestion:
 		c.onAsk(e)
+	case LevelQuestion:
+		c.onLevelQuestion(e)
 	case GrantQuestion:
 		c.onGrant(e)
 	case WorkerCall:
--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -31,6 +31,9 @@
 	busy  bool   // it is being read, or a level is being made active
 	waits []upgrade.Wait
 	told  string // for whom, as last logged
+	// Controllers that answered as a version without levels, with the stamps that their
+	// entries had then.
+	old map[string]uint64
 }
 
 // servesLevel says why this program must not lead at a level, or nothing.
@@ -106,18 +109,79 @@
 	names := c.controllers()
 	d := upgrade.Decide(names, s.serves, s.active, roster)
 	t.levels.waits = d.Waits
-	if text := upgrade.Describe(d.Waits); text != t.levels.told {
-		t.levels.told = text
-		if text != "" {
-			c.log.Info("feature level waits", "level", uint64(s.serves.High), "active", uint64(s.active), "for", text)
-		}
-	}
 	// Without machine types there would be nothing to write in the later form.
 	if d.Next <= s.active || len(c.types) == 0 {
+		c.tellWaits(t)
 		c.lookAtLevelAgain(t)
 		return
 	}
-	c.activate(t, d.Next, names, roster)
+	c.askLevels(t, roster, func() {
+		withdrawn := false
+		for _, name := range names {
+			if stamp, old := t.levels.old[name]; old && stamp == roster[name].Stamp {
+				t.levels.waits = append(t.levels.waits, upgrade.Wait{Node: name, Why: upgrade.RunsOld})
+				withdrawn = true
+			}
+		}
+		c.tellWaits(t)
+		if withdrawn || !c.mayStart() {
+			c.lookAtLevelAgain(t)
+			return
+		}
+		c.activate(t, d.Next, names, roster)
+	})
+}
+
+// tellWaits logs for whom the highest level waits, where that has changed.
+func (c *Controller) tellWaits(t *term) {
+	text := upgrade.Describe(t.levels.waits)
+	if text == t.levels.told {
+		return
+	}
+	t.levels.told = text
+	if text != "" {
+		c.log.Info("feature level waits", "level", uint64(c.levels.serves.High), "active", uint64(c.levels.active), "for", text)
+	}
+}
+
+// askLevels asks the other controllers what they serve, once the roster has all of them, and
+// notes those that answer as a version without levels. An operator who went back to that
+// version leaves the entry of the newer one in the roster, which counts for nothing from then
+// on until it is written again. Who does not answer says nothing: the roster has what it runs.
+func (c *Controller) askLevels(t *term, roster map[string]upgrade.Kept, done func()) {
+	waiting := len(c.platform.Siblings)
+	if waiting == 0 {
+		done()
+		return
+	}
+	if t.levels.old == nil {
+		t.levels.old = make(map[string]uint64)
+	}
+	frame := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerLevels, From: c.platform.Node})
+	for _, s := range c.platform.Siblings {
+		c.callAddr(ToPeer, "", s.Address, "", frame, askEvery, func(r CallDone) {
+			if c.term != t {
+				return
+			}
+			if m := c.peerAnswer(r); m != nil {
+				t.levels.old[s.Name] = roster[s.Name].Stamp
+			}
+			if waiting--; waiting == 0 {
+				done()
+			}
+		})
+	}
+}
+
+// onLevelQuestion says what this controller serves. One of a version without levels answers
+// that it knows no such message.
+func (c *Controller) onLevelQuestion(e LevelQuestion) {
+	if c.levels == nil {
+		c.reply(e.Reply, 0, nil, 0)
+		return
+	}
+	m := &protocol.PeerMessage{Kind: protocol.PeerServes, Low: uint64(c.levels.serves.Low), High: uint64(c.levels.serves.High)}
+	c.emit(Reply{To: e.Reply, Status: 200, Body: protocol.AppendPeer(nil, m), Frame: true})
 }
 
 // activate makes a level active.
@@ -170,7 +234,7 @@
 		return nil
 	}
 	s := &LevelStats{Active: uint64(c.levels.active), Highest: uint64(c.levels.serves.High)}
-	if c.term != nil {
+	if c.term != nil && c.levels.active < c.levels.serves.High {
 		s.Waits = make(map[string]string, len(c.term.levels.waits))
 		for _, w := range c.term.levels.waits {
 			s.Waits[w.Node] = w.Why.String()
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -27,6 +27,8 @@
 	PeerCheck  // a leader's check of an instance, to be made by another node; so too
 	PeerGrant  // a leader says which revision of the configuration it goes by
 	PeerGoesBy // the answer: which one the other node does
+	PeerLevels // a leader asks which feature levels another node serves
+	PeerServes // the answer; a version without levels answers a PeerAnswer of status 0
 )
 
 // UserOp is what a user asks.
@@ -82,6 +84,8 @@
 	// document, where the other side doesn't have it.
 	Revision, Life uint64
 	At             Micros
+	// The feature levels that a node serves.
+	Low, High uint64
 	// The body of a call, a report or an answer.
 	Body []byte
 }
@@ -114,6 +118,10 @@
 		b = appendPeerRevision(b, m)
 	case PeerGoesBy:
 		b = appendPeerRevision(b, m)
+	case PeerLevels:
+		b = appendPeerText(b, m.From)
+	case PeerServes:
+		b = binary.BigEndian.AppendUint64(binary.BigEndian.AppendUint64(b, m.Low), m.High)
 	case PeerProbe:
 		b = appendPeerText(b, m.Addr)
 	case PeerCheck:
@@ -201,6 +209,12 @@
 		if m.At < 0 {
 			return nil, errFrame
 		}
+	case PeerLevels:
+		m.From = string(r.take(int(r.uint(2))))
+	case PeerServes:
+		if m.Low, m.High = r.uint(8), r.uint(8); m.Low > m.High {
+			return nil, errFrame
+		}
 	case PeerProbe:
 		m.Addr = string(r.take(int(r.uint(2))))
 	case PeerCheck:
--- a/internal/rehearsal/changes.go
+++ b/internal/rehearsal/changes.go
@@ -72,6 +72,7 @@
 
 // committed looks at what a transaction wrote.
 func (w *World) committed(then []*fastjson.Value) {
+	w.committedLevels(then)
 	g := w.changes
 	if g == nil {
 		return
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -173,6 +173,8 @@
 		w.noCapacity = true
 	case "changes": // of the configuration are on
 		w.judgeChanges()
+	case "production": // production N: so many controllers run the version in production
+		return w.sceneProduction(words)
 	case "rollouts": // are on
 		w.rollouts = &rollout.Settings{ChecksPerS: 50, AtOnce: 20, Services: 4}
 	default:
@@ -288,6 +290,8 @@
 				w.comesBack(n)
 			}
 		}
+	case "upgrade", "downgrade": // upgrade NODE [after=3]: it is killed and comes back with this version
+		return w.actUpgrade(words)
 	case "image": // image NAME passes|fails|hangs|flaps|crashes [after=SECONDS]: what its services do from now on
 		o := options(words[3:])
 		w.behaviours[words[1]] = behaviour{what: words[2], after: protocol.FromSeconds(number(o, "after", 0))}
@@ -371,6 +375,7 @@
 			return err
 		}
 		w.store.keys[bookkeeping.KeyEpoch].value = strconv.FormatUint(epoch.N, 10)
+		w.versions.active = 0
 		for _, key := range slices.Clone(w.store.order) {
 			if strings.HasPrefix(key, bookkeeping.LaunchPages) || key == upgrade.KeyLevel {
 				w.store.drop(key)
@@ -501,6 +506,8 @@
 		return nil
 	}
 	switch words[0] {
+	case "level", "level-waits":
+		return w.expectLevel(words)
 	case "leader":
 		name := "none"
 		if n := w.leader(); n != nil {
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -77,6 +77,7 @@
 	behaviours map[string]behaviour       // of services, by image
 	rollouts   *rollout.Settings          // nil: they are off
 	rolloutBy  map[string][]byte          // the last answer about a service's roll-out
+	versions   versions                   // of controllers, side by side
 	changes    *changes                   // of the configuration, nil: they are off
 	live       *Live                      // real connections, nil: all is simulated
 	stepped    func(*node, time.Duration) // what a controller's step took, for measurements
@@ -121,6 +122,7 @@
 	away bool
 	held []func()
 	balanced
+	generation
 	born  micros
 	life  int
 	calls int              // to other controllers, on their way
@@ -232,6 +234,7 @@
 	n.meter = transport.NewMeter(p.StateRate, p.StateWriteRate, 1, p.TxnOps)
 	w.share(n, false)
 	n.ctl = coordination.New(&p, w.Operator, n.seed, w.Logger.With("node", n.name))
+	w.configure(n)
 	if w.rollouts != nil {
 		n.ctl.EnableRollouts(*w.rollouts)
 	}
@@ -285,6 +288,7 @@
 	was := n.ctl.Role()
 	defer func() {
 		w.decides(n)
+		w.checkVersion(n)
 		if was == coordination.Loading && n.alive && n.ctl.Role() == coordination.Leading {
 			w.leaders++
 			w.note("%s leads", n.name)
@@ -405,6 +409,7 @@
 
 // call carries an outbound call of a controller.
 func (w *World) call(n *node, c coordination.Call) {
+	w.checkSends(n, c)
 	if w.changes != nil && c.Target == coordination.ToWorker {
 		if m := w.machines[strings.TrimSuffix(c.Addr, ":9000")]; m != nil {
 			w.sends(m, c.Body)
