--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -80,6 +80,11 @@
 		}
 	}
 	types := bookkeeping.EncodeTypes(machineTypes(), 1)
+	for name, b := range map[string][]byte{"epoch.json": value, "machine-types.json": types} {
+		if kept, err := os.ReadFile("testdata/level1/" + name); err != nil || string(kept) != string(b)+"\n" {
+			t.Errorf("%s: %v\nwritten as %s\nnot as    %s", name, err, b, kept)
+		}
+	}
 	if got, later, err := bookkeeping.DecodeTypes(types); err != nil || !later || !bytes.Equal(protocol.AppendTypes(nil, got), protocol.AppendTypes(nil, machineTypes())) {
 		t.Errorf("%s is read as %v, %v, %v", types, got, later, err)
 	}
--- /dev/null
+++ b/internal/upgrade/production_test.go
@@ -0,0 +1,37 @@
+package upgrade_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// This file, too, stands by itself. Put into the tree of the version in production beside
+// samples_test.go, with LEVEL1 naming testdata/level1, it shows that that version's own
+// readers refuse what is written from level 1 on; not part of CI, which has no other tree:
+//
+//	LEVEL1=$PWD/internal/upgrade/testdata/level1 go test -run TestProductionRefuses FOLDER/internal/upgrade
+
+func TestProductionRefuses(t *testing.T) {
+	folder := os.Getenv("LEVEL1")
+	if folder == "" {
+		return
+	}
+	for name, read := range map[string]func([]byte) error{
+		"epoch.json":         func(b []byte) error { _, err := bookkeeping.DecodeEpoch(b); return err },
+		"machine-types.json": func(b []byte) error { _, err := protocol.ParseTypes(b); return err },
+	} {
+		b, err := os.ReadFile(filepath.Join(folder, name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		err = read(b)
+		if err == nil {
+			t.Errorf("%s is read: %s", name, b)
+		}
+		t.Logf("%s: %v", name, err)
+	}
+}
