--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -191,10 +191,11 @@
 		when = append(when, protocol.Condition{Key: upgrade.RosterKey(name), Stamp: roster[name].Stamp})
 	}
 	epoch := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: t.yields, Level: next}
+	types, _ := c.typesRecord(next) // none of the later form is better than those of the earlier
 	then := []protocol.Change{
 		{Key: upgrade.KeyLevel, Value: upgrade.EncodeLevel(next)},
 		{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(epoch)},
-		{Key: bookkeeping.KeyTypes, Value: bookkeeping.EncodeTypes(c.types, next)},
+		{Key: bookkeeping.KeyTypes, Value: types},
 	}
 	c.log.Info("making a feature level active", "level", uint64(next), "controllers", len(names))
 	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
@@ -208,10 +209,23 @@
 	})
 }
 
+// typesRecord is the record of the machine types at a level, and whether they fit into a
+// value. Those that don't are left out: then only the leader accepts.
+func (c *Controller) typesRecord(l upgrade.Level) (value []byte, fits bool) {
+	if value = bookkeeping.EncodeTypes(c.types, l); len(value) <= c.platform.ValueBytes {
+		return value, true
+	}
+	c.log.Warn("machine types don't fit into a record: only the leader accepts jobs", "bytes", len(value))
+	return bookkeeping.EncodeTypes(nil, l), false
+}
+
 // keepTypes records the machine types. What a leader sent before it made a level active
 // must not be carried out after it: that would put the earlier form back.
 func (c *Controller) keepTypes(t *term) {
-	value := bookkeeping.EncodeTypes(c.types, c.level())
+	value, fits := c.typesRecord(c.level())
+	if !fits {
+		return // those that are kept are better than none
+	}
 	c.lead(prioNormal, c.underLevel(nil), []protocol.Change{{Key: bookkeeping.KeyTypes, Value: value}}, func(o txnOutcome, r protocol.TxnResult) {
 		if c.otherLevel(o, r) {
 			c.after(rosterAgain, func() {
--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -126,6 +126,28 @@
 	}
 }
 
+// Machine types that are too many for a value don't hold a level up, and are not cut short:
+// a controller that knew only some of them would refuse what fits the others.
+func TestTypesThatDoNotFit(t *testing.T) {
+	c, _ := levelled(t)
+	c.types = []*protocol.MachineType{{Name: "big", Offer: protocol.Resources{CPU: 8000, Mem: 64000}, FetchRate: 0.001, Price: 1, SpotPrice: 1, Boot: protocol.Second, Zones: []string{"a"}}}
+	value, fits := c.typesRecord(1)
+	if types, later, err := bookkeeping.DecodeTypes(value); err != nil || !later || !fits || len(types) != 1 {
+		t.Errorf("%s, %v, %v", value, fits, err)
+	}
+	c.platform.ValueBytes = 100
+	value, fits = c.typesRecord(1)
+	if _, later, err := bookkeeping.DecodeTypes(value); err == nil || !later || fits || len(value) > 100 {
+		t.Errorf("%s, %v, %v", value, fits, err)
+	}
+	c.load()
+	c.flush()
+	c.keepTypes(c.term)
+	if written := calls(c.flush(), `"set":"types"`); len(written) > 0 {
+		t.Errorf("those that are kept are overwritten: %s", written[0].Body)
+	}
+}
+
 // The level that is known never falls, and features are asked by it.
 func TestAllows(t *testing.T) {
 	c, _ := levelled(t)
