--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -96,6 +96,7 @@
 	r := start(t, s)
 	st := coordination.Stats{Role: coordination.Leading, Epoch: 7, Rounds: 5, Rows: [4]uint64{100, 5, 20, 3}, Cuts: [4]uint64{2, 0, 0, 1},
 		Refused: map[string]uint64{"no leader can be reached": 4},
+		Levels:  &coordination.LevelStats{Active: 1, Highest: 2, Waits: map[string]string{"n1": "no entry in the roster"}},
 		Hosts:   map[string]int{"ready": 9, "booting": 2}, Waiting: map[string]int{}, Running: map[string]int{"a": 1}}
 	teams := make(map[string]served.Count)
 	for i := range 50 {
@@ -126,6 +127,7 @@
 		`mapleslip_jobs_due{by="class",name="a",outcome="late"} 3`, `mapleslip_jobs_due{by="team",name="other",outcome="in time"} 1128`,
 		`mapleslip_jobs_due{by="largest",name="a",outcome="late"} 4`, `mapleslip_largest_wait_seconds{class="class-04"} 300`,
 		`mapleslip_largest_wait_seconds{class="other"} 120`,
+		`mapleslip_feature_level 1`, `mapleslip_feature_level_served 2`, `mapleslip_feature_level_waits{controller="n1",reason="no entry in the roster"} 1`,
 		`mapleslip_calls_waiting{service="state"} 2`, `mapleslip_events_waiting 3`, `mapleslip_step_seconds_count{event="tick"} 1`,
 	} {
 		if !strings.Contains(text, line+"\n") {
--- a/internal/upgrade/golden_test.go
+++ b/internal/upgrade/golden_test.go
@@ -98,6 +98,28 @@
 	}
 }
 
+// The messages about levels, which only versions with levels send each other.
+func TestMessages(t *testing.T) {
+	for text, m := range map[string]*protocol.PeerMessage{
+		"\x00\x00\x00\x0e\x01\x0a\x00\x06node-1\x00\x00\x00\x00":                                                   {Kind: protocol.PeerLevels, From: "node-1"},
+		"\x00\x00\x00\x16\x01\x0b\x00\x00\x00\x00\x00\x00\x00\x01\x00\x00\x00\x00\x00\x00\x00\x02\x00\x00\x00\x00": {Kind: protocol.PeerServes, Low: 1, High: 2},
+	} {
+		b := protocol.AppendPeer(nil, m)
+		frame, _, err := protocol.SplitPeer([]byte(text))
+		if err != nil || string(b) != text {
+			t.Errorf("written as %q, %v", b, err)
+			continue
+		}
+		if got, err := protocol.ParsePeer(frame); err != nil || !bytes.Equal(protocol.AppendPeer(nil, got), b) {
+			t.Errorf("%q is read as %+v, %v", text, got, err)
+		}
+	}
+	bad := protocol.AppendPeer(nil, &protocol.PeerMessage{Kind: protocol.PeerServes, Low: 2, High: 1})
+	if m, err := protocol.ParsePeer(bad[4:]); err == nil {
+		t.Errorf("a range that is none is read as %+v", m)
+	}
+}
+
 // The records of levels are read as they were written, and nothing else is read as one.
 func TestRecords(t *testing.T) {
 	entry := upgrade.Entry{Node: `node-"1"`, Levels: upgrade.Range{Low: 0, High: 1}, Build: "0.2.0"}
--- a/internal/upgrade/production_test.go
+++ b/internal/upgrade/production_test.go
@@ -34,4 +34,9 @@
 		}
 		t.Logf("%s: %v", name, err)
 	}
+	// A leader's question for levels: what can't be read is answered with status 0.
+	question := "\x01\x0a\x00\x06node-1\x00\x00\x00\x00"
+	if m, err := protocol.ParsePeer([]byte(question)); err == nil {
+		t.Errorf("the question for levels is read as %+v", m)
+	}
 }
