Feature levels: the roster is looked at every second while a level waits

A level came up to 2 s after the last controller was back, during which users who ask for what is new have to come again. One list of a few keys a second, and only while it waits.

--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -23,7 +23,7 @@
 )
 
 // levelEvery is how often the leader looks at the roster while a level waits.
-const levelEvery = 2 * protocol.Second
+const levelEvery = protocol.Second
 
 // levelTerm is what a leader does about the level during one epoch.
 type levelTerm struct {
