--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -13,6 +13,7 @@
 	"mapleslip/internal/configuration"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
+	"mapleslip/internal/upgrade"
 )
 
 type (
@@ -76,6 +77,8 @@
 		return WorkerCall{Reply: to, Addr: m.Addr, Body: m.Body}
 	case protocol.PeerGrant:
 		return GrantQuestion{Reply: to, Grant: configuration.Grant{Epoch: m.Epoch, Revision: m.Revision, Life: m.Life, Heard: m.At}, Document: m.Body}
+	case protocol.PeerLevels:
+		return LevelQuestion{Reply: to}
 	case protocol.PeerCheck:
 		return CheckCall{Reply: to, Kind: m.Check, Addr: m.Addr, Path: m.Path, Timeout: m.Timeout}
 	}
@@ -97,6 +100,9 @@
 	Timeout    micros
 }
 
+// LevelQuestion asks which feature levels this node serves.
+type LevelQuestion struct{ Reply Address }
+
 // HealthCall asks for the node's health.
 type HealthCall struct{ Reply Address }
 
@@ -120,14 +126,15 @@
 	Backlog int // events that wait
 }
 
-func (UserCall) event()     {}
-func (WorkerReport) event() {}
-func (PeerQuestion) event() {}
-func (WorkerCall) event()   {}
-func (CheckCall) event()    {}
-func (HealthCall) event()   {}
-func (CallDone) event()     {}
-func (Tick) event()         {}
+func (UserCall) event()      {}
+func (WorkerReport) event()  {}
+func (PeerQuestion) event()  {}
+func (WorkerCall) event()    {}
+func (CheckCall) event()     {}
+func (LevelQuestion) event() {}
+func (HealthCall) event()    {}
+func (CallDone) event()      {}
+func (Tick) event()          {}
 
 // Address is where an answer goes.
 type Address struct {
@@ -254,6 +261,8 @@
 
 	config *configState // nil: the configuration does not change while this runs
 
+	levels *levelState // nil: this controller behaves as one that knows of no feature levels
+
 	stats                  Stats
 	observed               bool // spans are emitted
 	stateReach, cloudReach reach
@@ -277,7 +286,7 @@
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
 	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
 		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: newFinals(),
-		typeByName: make(map[string]*protocol.MachineType),
+		typeByName: make(map[string]*protocol.MachineType), levels: &levelState{serves: upgrade.Build},
 		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
 }
 
@@ -291,6 +300,7 @@
 func (c *Controller) Start(at now) []Effect {
 	c.at, c.born = at, at.Steady
 	c.follow()
+	c.startLevels()
 	return c.flush()
 }
 
@@ -315,6 +325,8 @@
 		c.onCheckCall(e)
 	case PeerQuestion:
 		c.onAsk(e)
+	case LevelQuestion:
+		c.onLevelQuestion(e)
 	case GrantQuestion:
 		c.onGrant(e)
 	case WorkerCall:
--- a/internal/rehearsal/changes.go
+++ b/internal/rehearsal/changes.go
@@ -73,6 +73,7 @@
 func (w *World) committed(then []*fastjson.Value) {
 	w.carriedOut(then)
 	w.recorded.took(then)
+	w.committedLevels(then)
 	g := w.changes
 	if g == nil {
 		return
