State service limits that shrink: one typed value, answers to 400 and 429, records divided

Change: internal/coordination/limits.go holds what the service takes as published, announced and as its answers show; records are written under the smaller of both, large ones divided after everything else, a record never written without what its parts took before those are durable; a 400 is never sent again as it was; a 429 lowers the rate, which is probed up.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -293,6 +293,8 @@
 			d.call(e)
 		case coordination.Share:
 			d.share(e.Leads)
+		case coordination.WriteRate:
+			d.meters[coordination.ToState].SetWrites(e.PerSecond, e.Lowered)
 		case coordination.LogLevel:
 			d.setLevel(e.Level)
 		case coordination.Span:
--- a/internal/configuration/record.go
+++ b/internal/configuration/record.go
@@ -59,6 +59,9 @@
 	Page      string
 	PageValue []byte
 	Drop      string // the oldest page, where there are more than are kept; "": none
+	// LeftOut is how many of the oldest entries that the head had fit no page: it was
+	// written under larger limits.
+	LeftOut int
 }
 
 // PageKey is the key of a page of history.
@@ -83,7 +86,7 @@
 	}
 	// All but the new entry go to a page: they take less than a value, as they did so far.
 	n.LastPage++
-	w.Page, w.PageValue = PageKey(n.LastPage), encodePage(h.Log)
+	w.Page, w.PageValue, w.LeftOut = fitPage(b, n.LastPage, h.Log)
 	n.Log = []Entry{e}
 	if n.FirstPage == 0 {
 		n.FirstPage = 1
@@ -357,3 +360,14 @@
 	}
 	return e, nil
 }
+
+// fitPage makes a page of the log's newest entries, as many as a value takes. Under
+// smaller limits than those of its head it leaves the oldest out.
+func fitPage(b *Bounds, number uint64, log []Entry) (key string, value []byte, leftOut int) {
+	value = encodePage(log)
+	for len(value) > b.ValueBytes && leftOut < len(log) {
+		leftOut++
+		value = encodePage(log[leftOut:])
+	}
+	return PageKey(number), value, leftOut
+}
--- a/internal/coordination/configuration.go
+++ b/internal/coordination/configuration.go
@@ -67,7 +67,7 @@
 
 // EnableConfiguration lets the configuration change, before Start.
 func (c *Controller) EnableConfiguration(o configuration.Options) {
-	b := configuration.Bounds{Teams: c.platform.Teams, Zones: c.platform.Zones, Operator: c.operator, ValueBytes: c.platform.ValueBytes}
+	b := configuration.Bounds{Teams: c.platform.Teams, Zones: c.platform.Zones, Operator: c.operator, ValueBytes: c.limits.target.valueBytes}
 	c.config = &configState{options: o, bounds: b, holder: configuration.Holder{Life: c.rng.Uint64()}, settings: configuration.Of(&b, nil)}
 }
 
@@ -792,6 +792,9 @@
 	if w.Page != "" {
 		then = append(then, protocol.Change{Key: w.Page, Value: w.PageValue})
 	}
+	if w.LeftOut > 0 {
+		c.log.Warn("the history of the configuration is too long for the state service", "entries_left_out", w.LeftOut)
+	}
 	if w.Drop != "" {
 		then = append(then, protocol.Change{Key: w.Drop})
 	}
@@ -807,7 +810,7 @@
 			made(w.Head.Revision, true)
 			return
 		}
-		if o == txnRejected {
+		if o.undone() {
 			answer(503, nil)
 			return
 		}
--- a/internal/coordination/controller.go
+++ b/internal/coordination/controller.go
@@ -201,6 +201,7 @@
 	operator protocol.Operator
 	rng      *rand.Rand
 	log      *slog.Logger
+	limits   stateLimits
 
 	at       now
 	effects  []Effect
@@ -280,7 +281,7 @@
 
 // New makes a controller.
 func New(p *protocol.Platform, o protocol.Operator, seed uint64, log *slog.Logger) *Controller {
-	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log,
+	return &Controller{platform: p, operator: o, rng: rand.New(rand.NewPCG(seed, 0x6d61706c65)), log: log, limits: newStateLimits(p),
 		calls: make(map[uint64]openCall), callers: make(map[string]caller), finals: make(map[string]final),
 		typeByName: make(map[string]*protocol.MachineType),
 		stateReach: reach{name: "the state service"}, cloudReach: reach{name: "the cloud"}}
@@ -345,6 +346,7 @@
 	case Tick:
 		c.watchLag(e.Backlog)
 		c.feel()
+		c.probeRate()
 		c.logRefusals()
 	}
 	c.watchLease()
@@ -478,14 +480,31 @@
 type txnOutcome uint8
 
 const (
-	txnApplied  txnOutcome = iota
-	txnRefused             // a condition did not hold
-	txnRejected            // certainly not executed
-	txnUnknown             // may have been executed, or may still be
+	txnApplied   txnOutcome = iota
+	txnRefused              // a condition did not hold
+	txnRejected             // certainly not executed
+	txnTooLarge             // certainly not executed: beyond the limits, which are known to be lower now
+	txnMalformed            // certainly not executed, and not for the limits: it is not sent again
+	txnUnknown              // may have been executed, or may still be
 )
 
+// undone reports whether a transaction was certainly not executed.
+func (o txnOutcome) undone() bool {
+	return o == txnRejected || o == txnTooLarge || o == txnMalformed
+}
+
 func (c *Controller) txn(prio uint8, when []protocol.Condition, then []protocol.Change, done func(o txnOutcome, r protocol.TxnResult)) {
 	body := protocol.AppendTxn(nil, when, then)
+	if c.limits.wasRefused(body) {
+		c.after(0, func() { done(txnMalformed, protocol.TxnResult{}) })
+		return
+	}
+	c.commit(prio, body, then, c.at.Steady+stateTimeout, done)
+}
+
+// commit sends a transaction. One that is refused for the rate was not executed and is sent
+// again until a time: it would else be what a user waits for another second.
+func (c *Controller) commit(prio uint8, body []byte, then []protocol.Change, until micros, done func(o txnOutcome, r protocol.TxnResult)) {
 	c.call(ToState, prio, "POST", "/commit", body, stateTimeout, len(then), func(r CallDone) {
 		if r.Unsent {
 			done(txnRejected, protocol.TxnResult{})
@@ -504,10 +523,16 @@
 			} else {
 				done(txnRefused, res)
 			}
-		case 400, 429, 503:
-			if r.Status == 400 {
-				c.log.Error("the state service refused a transaction as malformed", "body", string(body))
+		case 400:
+			done(c.transactionRefused(body, r.Body, then), protocol.TxnResult{})
+		case 429:
+			c.lowerRate()
+			if c.at.Steady+crowdedPause >= until {
+				done(txnRejected, protocol.TxnResult{})
+				return
 			}
+			c.after(crowdedPause, func() { c.commit(prio, body, then, until, done) })
+		case 503:
 			done(txnRejected, protocol.TxnResult{})
 		default:
 			done(txnUnknown, protocol.TxnResult{})
--- a/internal/coordination/memory.go
+++ b/internal/coordination/memory.go
@@ -57,7 +57,7 @@
 			cuts[zone] = &protocol.Cut{Zone: zone, Since: c.at.Wall, Seen: c.wallOf(seen)}
 		}
 	}
-	bytes, room := 200, c.platform.ValueBytes-200
+	bytes, room := 200, c.room()
 	for _, h := range t.book.Hosts() {
 		if h.State != bookkeeping.HostReady && (!h.FromRecord || h.Proven) || at-h.Heard <= release {
 			continue
@@ -213,7 +213,7 @@
 	rec := bookkeeping.Epoch{N: t.epoch, Unlisted: t.unlisted, Yields: leadership.Recent(append(t.yields, y), c.at.Wall)}
 	then := []protocol.Change{{Key: bookkeeping.KeyEpoch, Value: bookkeeping.EncodeEpoch(rec)}, {Key: bookkeeping.KeyLeader}}
 	c.lead(prioLeadership, nil, then, func(o txnOutcome, _ protocol.TxnResult) {
-		if o == txnRejected {
+		if o.undone() {
 			t.yielding = false // nothing was done: it is looked at again
 			return
 		}
--- a/internal/coordination/pages.go
+++ b/internal/coordination/pages.go
@@ -15,9 +15,12 @@
 	lost    bool           // a write of it may have been applied or not: its stamp has to be read
 	entries map[string]int // bytes that each may take
 	size    int
-	due     micros // when it has to be written, Forever: it is as it should be
-	urgent  bool   // work waits for that
+	bytes   int     // of the record as the state service has it
+	heirs   []*page // that took entries of it, and have to be durable before it is written without them
+	due     micros  // when it has to be written, Forever: it is as it should be
+	urgent  bool    // work waits for that
 	writing writing
+	alone   bool // a transaction with it was refused as malformed: it goes by itself
 }
 
 // writing is whether a record is on its way to the state service.
@@ -41,6 +44,7 @@
 	next   [writingLater + 1]micros // none before
 	stamps bool                     // the stamp of a record that was lost is being read
 	last   int                      // number of the newest record
+	waited micros                   // since when records that nothing waits for wait for others
 	// value makes the record of some entries; applied is called once it is durable.
 	value func(names []string) (value []byte, applied func())
 }
@@ -59,7 +63,7 @@
 // load takes a record that was read.
 func (p *pages) load(e protocol.Entry) *page {
 	p.skip(e.Key)
-	g := &page{key: e.Key, stamp: e.Stamp, entries: make(map[string]int), due: protocol.Forever}
+	g := &page{key: e.Key, stamp: e.Stamp, bytes: len(e.Value), entries: make(map[string]int), due: protocol.Forever}
 	p.list = append(p.list, g)
 	return g
 }
@@ -70,18 +74,45 @@
 	p.of[name] = g
 }
 
+// adopt enters an entry of a record that was read. While a record is divided two name it:
+// the one that was written last keeps it.
+func (p *pages) adopt(g *page, name string, size int) {
+	old := p.of[name]
+	if old != nil && old.stamp > g.stamp {
+		return
+	}
+	if old != nil {
+		old.size -= old.entries[name]
+		delete(old.entries, name)
+	}
+	p.enter(g, name, size)
+}
+
+// place is the record that a new entry comes into: one that has to be written anyway,
+// before any of the others, so that a round's entries take as few changes as can be; nil:
+// there is no room. A record on its way is no place where the entry would wait for it.
+func (p *pages) place(size, room int, due micros) *page {
+	var best *page
+	for _, o := range p.list {
+		if o.size+size > room || o.writing == writingLater {
+			continue
+		}
+		if o.due <= due && o.writing == notWriting && o.due < protocol.Forever {
+			return o
+		}
+		if best == nil || o.writing < best.writing || o.writing == best.writing && o.size < best.size {
+			best = o
+		}
+	}
+	return best
+}
+
 // put says that an entry is new or has changed, and when it has to be written. A new one
 // gets no place in a record that it would have to wait for.
 func (p *pages) put(name string, size, room int, due micros, urgent bool) {
 	g := p.of[name]
 	if g == nil {
-		for _, o := range p.list {
-			if o.size+size <= room && o.writing != writingLater {
-				g = o
-				break
-			}
-		}
-		if g == nil {
+		if g = p.place(size, room, due); g == nil {
 			p.last++
 			g = &page{key: p.prefix + strconv.Itoa(p.last), entries: make(map[string]int), due: protocol.Forever}
 			p.list = append(p.list, g)
@@ -111,6 +142,10 @@
 // kept from being written again for as long as that takes, which is long while others wait.
 const laterPages = 3
 
+// laterWaits is how long records that nothing waits for are held back by those that
+// something waits for.
+const laterWaits = 2 * protocol.Second
+
 // writePages writes the records that are due: those that work waits for, as many as one
 // transaction takes, and besides some of those that it doesn't, if there are no others.
 // Together they had machines that had just come up wait for seven seconds to be recorded,
@@ -138,10 +173,14 @@
 		}
 		urgent, later = urgent || g.urgent, later || !g.urgent
 	}
-	switch {
-	case urgent && !p.busy[writingUrgent] && at >= p.next[writingUrgent]:
+	if !later || !urgent || p.busy[writingLater] {
+		p.waited = at
+	}
+	if urgent && !p.busy[writingUrgent] && at >= p.next[writingUrgent] {
 		c.writeSome(p, writingUrgent)
-	case later && !urgent && !p.busy[writingLater] && at >= p.next[writingLater]:
+	}
+	// Where something is urgent all the time the others get their turn now and then.
+	if later && (!urgent || at-p.waited >= laterWaits) && !p.busy[writingLater] && at >= p.next[writingLater] {
 		c.writeSome(p, writingLater)
 	}
 }
@@ -149,14 +188,18 @@
 // writeSome writes records that are due and of that urgency, in one transaction.
 func (c *Controller) writeSome(p *pages, how writing) {
 	at := c.at.Steady
-	prio, most := prioUrgent, c.platform.TxnOps
+	prio, most := prioUrgent, c.limits.target.changes
 	if how == writingLater {
 		prio, most = prioNormal, min(laterPages, most)
 	}
+	if p.dividing() {
+		most = c.limits.allowed.changes // a record and its parts go together if they can
+	}
 	var when []protocol.Condition
 	var then []protocol.Change
 	var batch []*page
 	var applied []func()
+	var sizes []int
 	size := 0
 	for _, g := range p.list {
 		if g.due > at || g.writing != notWriting || g.urgent != (how == writingUrgent) {
@@ -166,13 +209,16 @@
 			g.due = protocol.Forever
 			continue
 		}
+		if !g.heirsKept(batch) || g.alone && len(then) > 0 {
+			continue
+		}
 		// A record of which nothing is left is emptied and not dropped: a late copy of
 		// the write that made it, which depends on there being none, would bring it back
 		// as the newest of all.
 		ch := protocol.Change{Key: g.key}
 		var done func()
 		ch.Value, done = p.value(slices.Sorted(maps.Keys(g.entries)))
-		if len(ch.Value) > c.platform.ValueBytes {
+		if len(ch.Value) > c.limits.target.valueBytes {
 			c.split(p, g, len(ch.Value))
 			continue
 		}
@@ -183,7 +229,8 @@
 		then = append(then, ch)
 		batch, applied = append(batch, g), append(applied, done)
 		g.writing, g.due, g.urgent = how, protocol.Forever, false
-		if len(then) == most {
+		sizes = append(sizes, len(ch.Value))
+		if len(then) == most || g.alone {
 			break
 		}
 	}
@@ -200,21 +247,81 @@
 		for i, g := range batch {
 			g.writing = notWriting
 			if o == txnApplied {
-				g.stamp = r.Stamp
+				g.stamp, g.bytes, g.heirs, g.alone = r.Stamp, sizes[i], nil, false
 				if applied[i] != nil {
 					applied[i]()
 				}
 				continue
 			}
 			g.due, g.urgent = c.at.Steady, g.urgent || how == writingUrgent
+			g.alone = g.alone || o == txnMalformed
 			g.lost = g.lost || o == txnUnknown || o == txnRefused && slices.Contains(r.Failed, g.key)
 		}
+		if o == txnMalformed && len(batch) == 1 {
+			batch[0].due = c.at.Steady + unwritableAgain // it is told of, and holds up no others
+			return
+		}
 		if o != txnApplied {
 			p.next[how] = c.at.Steady + 300*protocol.Millisecond
 		}
 	})
 }
 
+// unwritableAgain is how long a record is left alone that the state service refuses for
+// another reason than its limits.
+const unwritableAgain = 60 * protocol.Second
+
+// dividing reports whether a record is being divided.
+func (p *pages) dividing() bool {
+	for _, g := range p.list {
+		if len(g.heirs) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// heirsKept reports whether what was taken out of a record is durable elsewhere, or comes
+// to be with it: else a successor would not find it. What a record waits for is as urgent
+// as the record.
+func (g *page) heirsKept(batch []*page) bool {
+	kept := true
+	for _, o := range g.heirs {
+		if o.stamp == 0 && len(o.entries) > 0 && !slices.Contains(batch, o) {
+			kept = false
+			o.urgent = o.urgent || g.urgent // it waits for them
+		}
+	}
+	return kept
+}
+
+// divideLarge brings records that are stored above what is written now under it, one of
+// each kind at a time and after everything else, so that nothing has to be divided when
+// the state service takes no larger ones any more.
+func (c *Controller) divideLarge() {
+	t := c.term
+	for _, p := range []*pages{t.launchPages, t.hostPages, t.donePages, t.bookingPages} {
+		var large *page
+		left := 0
+		for _, g := range p.list {
+			if g.bytes <= c.limits.target.valueBytes {
+				continue
+			}
+			if left++; g.due < protocol.Forever || g.writing != notWriting || len(g.heirs) > 0 {
+				large = nil
+				break
+			}
+			if large == nil {
+				large = g
+			}
+		}
+		if large != nil {
+			large.due = c.at.Steady
+			c.log.Info("dividing a record", "key", large.key, "bytes", large.bytes, "most", c.limits.target.valueBytes, "left", left)
+		}
+	}
+}
+
 // split moves half of a record that came out too long to another one. Both are
 // written; the one that takes them first, in case only one gets through.
 func (c *Controller) split(p *pages, g *page, size int) {
@@ -225,16 +332,16 @@
 		return
 	}
 	p.last++
-	o := &page{key: p.prefix + strconv.Itoa(p.last), entries: make(map[string]int), due: c.at.Steady, urgent: true}
+	o := &page{key: p.prefix + strconv.Itoa(p.last), entries: make(map[string]int), due: c.at.Steady, urgent: g.urgent}
 	p.list = append([]*page{o}, p.list...)
+	g.heirs = append(g.heirs, o)
 	for _, name := range names[len(names)/2:] {
 		size := g.entries[name]
 		g.size -= size
 		delete(g.entries, name)
 		p.enter(o, name, size)
 	}
-	// In the same transaction, or later.
-	g.due, g.urgent = c.at.Steady, true
+	g.due = c.at.Steady // in the same transaction, or later
 }
 
 // restamp finds out which stamp a record has after a write without an answer.
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -122,8 +122,7 @@
 		if r.Status == 200 {
 			c.tookTypes(r.Body)
 			if known == 0 && len(c.types) > 0 {
-				c.lead(prioNormal, nil, []protocol.Change{{Key: bookkeeping.KeyTypes, Value: protocol.AppendTypes(nil, c.types)}},
-					func(txnOutcome, protocol.TxnResult) {})
+				c.keepTypes()
 				t.dirty = true
 			}
 		} else {
@@ -133,6 +132,18 @@
 	})
 }
 
+// keepTypes keeps the machine types in the state service, if they fit a value: part of
+// them would have jobs refused that fit the others. Without the record a node that has not
+// reached the cloud yet tells users to come back.
+func (c *Controller) keepTypes() {
+	value := protocol.AppendTypes(nil, c.types)
+	if len(value) > c.limits.target.valueBytes {
+		c.log.Info("the machine types are too long for the state service", "bytes", len(value))
+		return
+	}
+	c.lead(prioNormal, nil, []protocol.Change{{Key: bookkeeping.KeyTypes, Value: value}}, func(txnOutcome, protocol.TxnResult) {})
+}
+
 // pollMachines reads the cloud's list of machines.
 func (c *Controller) pollMachines(t *term) {
 	if c.term != t {
--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -24,18 +24,22 @@
 	turn    int               // which controller makes the next check
 	shy     map[string]micros // controllers whose checks others disputed: not asked before
 	damaged map[string]bool   // services whose record can't be read
+	tooLong map[string]bool   // services whose record is longer than the state service takes
 	later   []rollout.Event   // what came while the lease could have ended
 }
 
 // shyChecks is how long a controller makes no checks after one was disputed.
 const shyChecks = 20 * protocol.Second
 
+// tooLongAgain is how often a record that is too long is looked at again.
+const tooLongAgain = 30 * protocol.Second
+
 // rolloutWait is how long an operator waits for the state service.
 const rolloutWait = 1500 * protocol.Millisecond
 
 // EnableRollouts switches roll-outs on, before Start.
 func (c *Controller) EnableRollouts(s rollout.Settings) {
-	s.ValueBytes = c.platform.ValueBytes
+	s.ValueBytes = c.limits.target.valueBytes
 	s.Others = len(c.platform.Siblings)
 	c.rollouts = &s
 	c.ownCalls = make(map[uint64]func(int, []byte))
@@ -48,7 +52,7 @@
 		return
 	}
 	t.rollouts = rolloutTerm{manager: rollout.NewManager(*c.rollouts, fleet{t}, c.rng.Uint64()), stamps: make(map[string]uint64),
-		shy: make(map[string]micros), damaged: make(map[string]bool)}
+		shy: make(map[string]micros), damaged: make(map[string]bool), tooLong: make(map[string]bool)}
 }
 
 // fleet shows a leader's jobs to roll-outs.
@@ -181,6 +185,15 @@
 			}
 		})
 	}
+	if size := len(e.Value); size > c.limits.allowed.valueBytes {
+		// It was begun under larger limits. Nothing of it goes on; its jobs do.
+		if !t.rollouts.tooLong[e.Service] {
+			t.rollouts.tooLong[e.Service] = true
+			c.log.Error("the record of a roll-out is too long for the state service", "service", e.Service, "bytes", size, "most", c.limits.allowed.valueBytes)
+		}
+		again(tooLongAgain)
+		return
+	}
 	c.lead(prioUser, when, []protocol.Change{{Key: key, Value: e.Value}}, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -106,7 +106,7 @@
 	launches := make(map[string]recordedLaunch)
 	c.term = t
 	bookings := make(map[string]micros)
-	done := make(map[string][]byte)
+	done := make(map[string][][]byte)
 	chunks := make(map[string][]protocol.Entry)
 	host := func(h *bookkeeping.Host) {
 		h.Answered = c.seat.predAnswers
@@ -146,7 +146,7 @@
 			g := t.hostPages.load(e)
 			for _, h := range hosts {
 				host(h)
-				t.hostPages.enter(g, h.Name, hostBytes(h))
+				t.hostPages.adopt(g, h.Name, hostBytes(h))
 			}
 		}},
 		{bookkeeping.OldHostPrefix, func(e protocol.Entry) {
@@ -168,7 +168,7 @@
 			}
 			g := t.bookingPages.load(e)
 			for ref, at := range at {
-				t.bookingPages.enter(g, ref, bookingBytes(ref))
+				t.bookingPages.adopt(g, ref, bookingBytes(ref))
 				bookings[ref] = at
 			}
 		}},
@@ -190,8 +190,8 @@
 			}
 			g := t.donePages.load(e)
 			for ref, bits := range list {
-				t.donePages.enter(g, ref, len(ref)+len(bits)+8)
-				done[ref] = bits
+				t.donePages.adopt(g, ref, len(ref)+len(bits)+8)
+				done[ref] = append(done[ref], bits) // two records name it while one is divided
 			}
 		}},
 		{bookkeeping.LaunchPages, func(e protocol.Entry) {
@@ -272,8 +272,12 @@
 				j := t.book.Job(ref)
 				if j == nil {
 					t.donePages.drop(ref, protocol.Forever)
-				} else if err := bookkeeping.ApplyChunk(j, 0, bits); err != nil {
-					c.log.Error("damaged record", "key", t.donePages.of[ref].key, "job", ref, "err", err)
+					continue
+				}
+				for _, b := range bits {
+					if err := bookkeeping.ApplyChunk(j, 0, b); err != nil {
+						c.log.Error("damaged record", "key", t.donePages.of[ref].key, "job", ref, "err", err)
+					}
 				}
 			}
 			for ref, list := range chunks {
@@ -464,7 +468,7 @@
 	if t.dropping || len(t.orphans) == 0 {
 		return
 	}
-	n := min(len(t.orphans), c.platform.TxnOps)
+	n := min(len(t.orphans), c.limits.target.changes)
 	var then []protocol.Change
 	for _, key := range t.orphans[:n] {
 		then = append(then, protocol.Change{Key: key})
@@ -571,6 +575,7 @@
 		c.recordImages()
 		c.closeJobs()
 		c.dropOrphans()
+		c.divideLarge()
 	}
 	c.writePages(t.hostPages)
 	c.writePages(t.launchPages)
@@ -596,8 +601,8 @@
 
 // room is how much of a record entries may take; in a host's some is left for
 // images, which are written as far as they fit.
-func (c *Controller) room() int     { return c.platform.ValueBytes - 200 }
-func (c *Controller) hostRoom() int { return c.platform.ValueBytes * 6 / 10 }
+func (c *Controller) room() int     { return c.limits.target.valueBytes - 200 }
+func (c *Controller) hostRoom() int { return c.limits.target.valueBytes * 6 / 10 }
 
 // record asks for a host's record. Nothing is launched on a host before: a
 // successor must know where tasks may be.
@@ -621,7 +626,7 @@
 		}
 	}
 	value := bookkeeping.EncodeHosts(hosts, true)
-	if len(value) > c.platform.ValueBytes {
+	if len(value) > c.limits.target.valueBytes {
 		value = bookkeeping.EncodeHosts(hosts, false)
 	}
 	return value, func() {
@@ -759,7 +764,7 @@
 			delete(w.dirty, k) // its final record covers it
 			continue
 		}
-		if len(then) == c.platform.TxnOps {
+		if len(then) == c.limits.target.changes {
 			break
 		}
 		if w.lost[k] {
@@ -852,15 +857,19 @@
 		chunks = append(chunks, k)
 	}
 	sort.Ints(chunks)
+	var rest []string // dropped once the job is over
 	for _, k := range chunks {
-		if len(then) < c.platform.TxnOps {
-			then = append(then, protocol.Change{Key: chunkKey{ref, k}.record()})
+		if key := (chunkKey{ref, k}).record(); len(then) < c.limits.target.changes {
+			then = append(then, protocol.Change{Key: key})
+		} else {
+			rest = append(rest, key)
 		}
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
 	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		switch o {
 		case txnApplied:
+			t.orphans = append(t.orphans, rest...)
 			c.over(j, phase)
 		case txnRefused:
 			// Our own earlier try may have been applied late.
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -229,7 +229,7 @@
 	nodes := len(c.platform.Siblings) + 1
 	room, under := c.platform.StateRate*ReadShare(nodes, false)/2, c.direct
 	if e.Op == protocol.OpSubmit {
-		room, under = c.platform.StateWriteRate*WriteShare(nodes, false), c.directSubmits
+		room, under = c.limits.rate*WriteShare(nodes, false), c.directSubmits
 	}
 	if e.Op != protocol.OpCancel && float64(under) >= max(2, room*directWait.Seconds()) {
 		c.unavailable(e.Reply, refusedNoLeader)
@@ -371,15 +371,15 @@
 				c.unavailable(to, refusedState)
 				return
 			}
-			c.refuseUnknown(to, spec, why)
+			c.refuseUnknown(to, spec, 422, why)
 		})
 		return
 	}
-	c.refuseUnknown(to, spec, why)
+	c.refuseUnknown(to, spec, 422, why)
 }
 
-// refuseUnknown answers 422 unless there is such a job.
-func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, why string) {
+// refuseUnknown refuses a job unless it was accepted before.
+func (c *Controller) refuseUnknown(to Address, spec *protocol.JobSpec, status int, why string) {
 	c.find(prioUser, spec.Ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 		switch {
 		case !ok:
@@ -387,7 +387,7 @@
 		case found:
 			c.answerKnown(to, spec.Ref, j, f)
 		default:
-			c.reply(to, 422, protocol.ErrorBody(why), 0)
+			c.reply(to, status, protocol.ErrorBody(why), 0)
 		}
 	})
 }
@@ -406,9 +406,11 @@
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
 	ref := j.Spec.Ref
 	value := bookkeeping.EncodeJob(j)
-	if len(value) > c.platform.ValueBytes {
+	// An earlier submission of it may have been accepted under a larger limit.
+	tooLong := func() { c.refuseUnknown(to, j.Spec, 400, "description too long") }
+	if len(value) > c.limits.allowed.valueBytes {
 		refused()
-		c.reply(to, 400, protocol.ErrorBody("description too long"), 0)
+		tooLong()
 		return
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
@@ -429,6 +431,12 @@
 				}
 				c.answerKnown(to, ref, j, f)
 			})
+		case txnTooLarge, txnMalformed:
+			if len(value) > c.limits.allowed.valueBytes {
+				tooLong()
+				return
+			}
+			c.unavailable(to, refusedState)
 		default:
 			c.unavailable(to, refusedState)
 		}
@@ -477,7 +485,7 @@
 
 // writeRate is how many changes a second the leader may make.
 func (c *Controller) writeRate() float64 {
-	return max(1, c.platform.StateWriteRate*WriteShare(len(c.platform.Siblings)+1, true))
+	return max(1, c.limits.rate*WriteShare(len(c.platform.Siblings)+1, true))
 }
 
 // WriteShare is the part of the rate of changes, and of the cloud's, that a node
@@ -721,10 +729,17 @@
 	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.AskAgain {
 		return
 	}
-	j.Asking = true
 	ref := j.Spec.Ref
+	value := bookkeeping.EncodeJob(j)
+	if len(value) > c.limits.allowed.valueBytes {
+		// It was accepted under a larger limit. Its user was told nothing yet, and asks a
+		// new leader again.
+		j.AskKept = true
+		return
+	}
+	j.Asking = true
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
-	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j)}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: value}}
 	c.lead(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		j.Asking = false
 		if o == txnApplied {
--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -247,6 +247,9 @@
 	w := &f.Facts.Workers
 	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = p.ReportEvery.Seconds(), p.WorkerLease.Seconds(), p.GangWait.Seconds(), p.GangPeer.Seconds(), p.Cancel.Seconds()
 	f.Facts.State.RPS, f.Facts.State.WriteRPS, f.Facts.State.ValueKB, f.Facts.State.TxnOps = p.StateRate, p.StateWriteRate, float64(p.ValueBytes)/1024, p.TxnOps
+	if n := p.StateNext; n != nil {
+		f.Facts.State.Next = &stateNextFile{n.WriteRate, float64(n.ValueBytes) / 1024, n.TxnOps}
+	}
 	f.Facts.Cloud.RPS, f.Facts.Cloud.ListLagS = p.CloudRate, p.ListLag.Seconds()
 	f.Facts.Quota.CPU, f.Facts.Quota.MemoryMB, f.Facts.Quota.MaxConnections = p.CPUShare, float64(p.MemoryBytes)/1e6, p.MaxConnections
 	return toml.Marshal(&f)
--- a/internal/protocol/settings.go
+++ b/internal/protocol/settings.go
@@ -45,6 +45,7 @@
 	GangWait, GangPeer, Cancel Micros
 	StateRate, StateWriteRate  float64
 	ValueBytes, TxnOps         int
+	StateNext                  *StateLimits // announced; nil: nothing is
 	CloudRate                  float64
 	ListLag                    Micros
 	CPUShare                   float64
@@ -73,6 +74,12 @@
 	Share   float64 `toml:"share"`
 }
 
+type stateNextFile struct {
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
 type platformFile struct {
 	NodeName      string        `toml:"node_name"`
 	Area          string        `toml:"area"`
@@ -97,10 +104,11 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			RPS      float64        `toml:"rps"`
+			WriteRPS float64        `toml:"write_rps"`
+			ValueKB  float64        `toml:"value_kb"`
+			TxnOps   int            `toml:"txn_ops"`
+			Next     *stateNextFile `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -156,6 +164,9 @@
 		CPUShare: f.Facts.Quota.CPU, MemoryBytes: int64(f.Facts.Quota.MemoryMB * 1e6),
 		MaxConnections: f.Facts.Quota.MaxConnections,
 	}
+	if n := f.Facts.State.Next; n != nil {
+		p.StateNext = &StateLimits{WriteRate: n.WriteRPS, ValueBytes: int(n.ValueKB * 1024), TxnOps: n.TxnOps}
+	}
 	for _, s := range f.Siblings {
 		p.Siblings = append(p.Siblings, Sibling{s.NodeName, s.Area, s.Address})
 	}
@@ -215,8 +226,11 @@
 			return &KeyError{n.key, fmt.Sprintf("missing or impossible: must be above 0 and at most %g", n.max)}
 		}
 	}
-	if p.TxnOps < 6 {
-		return &KeyError{"facts.state.txn_ops", "at least 6 changes in a transaction are needed"}
+	if p.TxnOps < MinTxnOps {
+		return &KeyError{"facts.state.txn_ops", fmt.Sprintf("at least %d changes in a transaction are needed", MinTxnOps)}
+	}
+	if err := p.StateNext.check(); err != nil {
+		return err
 	}
 	nodes, report := float64(len(p.Siblings)+1), p.ReportEvery.Seconds()
 	for _, n := range []struct {
@@ -227,8 +241,8 @@
 		{"facts.workers.lease_s", p.WorkerLease.Seconds(), 2*report + 4, "a report that is not answered within 4 s, and the one after it, take two times report_s more"},
 		{"facts.workers.cancel_s", p.Cancel.Seconds(), 2 * (1.5*report + 2), "within half of it a silent machine has to be noticed and asked"},
 		{"facts.state.rps", p.StateRate, max(8, nodes), "the leader renews its lease, and each controller has to look who leads"},
-		{"facts.state.write_rps", p.StateWriteRate, 2, "a leader records each launch and each job"},
-		{"facts.state.value_kb", f.Facts.State.ValueKB, 2, "a job's description has to fit"},
+		{"facts.state.write_rps", p.StateWriteRate, MinWriteRate, "a leader records each launch and each job"},
+		{"facts.state.value_kb", f.Facts.State.ValueKB, MinValueBytes / 1024, "a job's description has to fit"},
 		{"facts.quota.memory_mb", f.Facts.Quota.MemoryMB, 16, "that is what a controller takes that does nothing"},
 		{"facts.quota.max_connections", float64(p.MaxConnections), 32 + 4*nodes, "the state service, the cloud and each controller need some"},
 	} {
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -168,6 +168,8 @@
 			return err
 		}
 		w.Platform.ValueBytes = n
+	case "next":
+		return w.sceneNext(words[1:])
 	case "no-capacity":
 		w.noCapacity = true
 	case "changes": // of the configuration are on
@@ -304,6 +306,8 @@
 		w.store.set(words[1], &entry{value: words[2], stamp: w.store.revision})
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
+	case "limits-fall":
+		return w.actLimitsFall(words[1:])
 	case "count": // from here on: changes written, workers asked, users without an answer
 		w.written, w.asked, w.led = w.store.written, w.questions, w.leaders
 		w.unanswered = 0
@@ -607,6 +611,8 @@
 			got = "yes"
 		}
 		return differs(got, words[2])
+	case "fits", "unfit":
+		return w.expectLimits(words)
 	case "submitted": // submitted REF STATUS
 		return differs(strconv.Itoa(w.jobs[words[1]].status), words[2])
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -335,6 +335,8 @@
 			}
 		case coordination.Share:
 			w.share(n, e.Leads)
+		case coordination.WriteRate:
+			n.meter.SetWrites(e.PerSecond, e.Lowered)
 		case coordination.LogLevel:
 			w.changes.level[n.name] = e.Level
 		case coordination.Call:
--- a/internal/rollout/manager.go
+++ b/internal/rollout/manager.go
@@ -176,6 +176,9 @@
 // repeatAfter is when a submission or cancellation without an answer is repeated.
 const repeatAfter = 3 * protocol.Second
 
+// SetValueBytes tells how long a record may be from now on.
+func (g *Manager) SetValueBytes(n int) { g.set.ValueBytes = n }
+
 // NewManager makes a manager without services. seed spreads the checks.
 func NewManager(s Settings, fleet Fleet, seed uint64) *Manager {
 	return &Manager{set: s, fleet: fleet, rng: rand.New(rand.NewPCG(seed, 0x726f6c6c)), services: make(map[string]*machine),
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -135,6 +135,9 @@
 type Meter struct {
 	calls, changes bucket
 	rate, writes   float64
+	shareOfCalls   float64 // parts of the rates that this process may use
+	shareOfChanges float64
+	largestOwn     int // changes of its largest call
 	burst          float64
 	largest        float64   // changes of the largest call
 	reads          fairQueue // calls without changes, which don't wait for the rate of changes
@@ -156,11 +159,22 @@
 // saved up beyond that is gone: a process that is back at once, again and again, or seven
 // of them together, would else come with a full burst each time.
 func (m *Meter) SetShare(calls, changes float64, largest int) {
+	m.shareOfCalls, m.shareOfChanges, m.largestOwn = calls, changes, largest
 	m.calls.rate, m.calls.burst = m.rate*calls, max(1, m.rate*calls*m.burst)
 	m.changes.rate, m.changes.burst = m.writes*changes, max(min(m.largest, float64(largest)), m.writes*changes*m.burst)
 	m.calls.level, m.changes.level = min(m.calls.level, m.calls.burst), min(m.changes.level, m.changes.burst)
 }
 
+// SetWrites sets the rate of changes that all processes share. Where the service has just
+// refused some nothing is saved up.
+func (m *Meter) SetWrites(perSecond float64, refused bool) {
+	m.writes = perSecond
+	m.SetShare(m.shareOfCalls, m.shareOfChanges, m.largestOwn)
+	if refused {
+		m.changes.level = min(m.changes.level, 0)
+	}
+}
+
 // Waiting is how many calls wait for their turn.
 func (m *Meter) Waiting() int { return m.reads.waiting + m.edits.waiting }
 
