--- /dev/null
+++ b/internal/coordination/limits_test.go
@@ -0,0 +1,74 @@
+package coordination
+
+import (
+	"testing"
+
+	"mapleslip/internal/protocol"
+)
+
+// What is learnt from transactions that are refused as malformed: first that there are too
+// many changes, then that a value is too large, and nothing where neither can be.
+func TestLimitsFromRefusals(t *testing.T) {
+	announced := &protocol.StateLimits{WriteRate: 24, ValueBytes: 3072, TxnOps: 6}
+	for _, c := range []struct {
+		name           string
+		announced      *protocol.StateLimits
+		refused        [][2]int // changes, bytes of the largest value
+		explained      bool     // the last one
+		target, allows transactionLimits
+	}{
+		{"many changes", nil, [][2]int{{12, 8000}}, true, transactionLimits{8192, 6}, transactionLimits{8192, 6}},
+		{"still too many", nil, [][2]int{{12, 8000}, {6, 8000}}, true, transactionLimits{8192, 4}, transactionLimits{8192, 4}},
+		{"then the value", nil, [][2]int{{12, 8000}, {6, 8000}, {4, 8000}}, true, transactionLimits{4000, 4}, transactionLimits{7999, 4}},
+		{"the smallest value", nil, [][2]int{{2, 3000}}, true, transactionLimits{2048, 12}, transactionLimits{2999, 12}},
+		{"sent before that was known", nil, [][2]int{{12, 100}, {12, 100}}, true, transactionLimits{8192, 6}, transactionLimits{8192, 6}},
+		{"neither can be", nil, [][2]int{{4, 2048}}, false, transactionLimits{8192, 12}, transactionLimits{8192, 12}},
+		{"announced, a division at once", announced, [][2]int{{7, 3000}}, true, transactionLimits{3072, 6}, transactionLimits{3072, 6}},
+		{"announced, a description", announced, [][2]int{{1, 5000}}, true, transactionLimits{3072, 6}, transactionLimits{3072, 6}},
+		{"lower than announced", announced, [][2]int{{1, 3072}}, true, transactionLimits{2048, 6}, transactionLimits{3071, 12}},
+	} {
+		l := newStateLimits(&protocol.Platform{ValueBytes: 8192, TxnOps: 12, StateWriteRate: 35, StateNext: c.announced})
+		explained := false
+		for _, r := range c.refused {
+			explained = l.tooLarge(r[0], r[1])
+		}
+		if explained != c.explained || l.target != c.target || l.allowed != c.allows {
+			t.Errorf("%s: explained %v, target %+v, allowed %+v", c.name, explained, l.target, l.allowed)
+		}
+	}
+}
+
+// The rate falls at once and rises slowly, each time more slowly, and never beyond what is
+// published.
+func TestRateFromRefusals(t *testing.T) {
+	l := newStateLimits(&protocol.Platform{ValueBytes: 8192, TxnOps: 12, StateWriteRate: 35, StateNext: &protocol.StateLimits{WriteRate: 24, ValueBytes: 2048, TxnOps: 4}})
+	at := 100 * protocol.Second
+	if l.rate != 35 {
+		t.Fatalf("%g before anything was refused", l.rate)
+	}
+	if !l.crowded(at) || l.rate != 24 {
+		t.Fatalf("%g: the announced rate holds", l.rate)
+	}
+	if l.crowded(at+protocol.Second/2) || l.rate != 24 {
+		t.Fatalf("%g: it was sent before the rate was lowered", l.rate)
+	}
+	if l.probe(at + protocol.Second/2); l.rate != 24 {
+		t.Fatalf("%g: tried too soon", l.rate)
+	}
+	if !l.probe(at+2*protocol.Second) || l.rate <= 24 || l.rate > 26 {
+		t.Fatalf("%g tried", l.rate)
+	}
+	was := l.probeEvery
+	if !l.crowded(at+3*protocol.Second) || l.rate != 24 || l.probeEvery <= was {
+		t.Fatalf("%g, tried every %d", l.rate, l.probeEvery)
+	}
+	if !l.crowded(at+5*protocol.Second) || l.rate >= 24 {
+		t.Fatalf("%g: less than announced", l.rate)
+	}
+	for s := micros(6); s < 2000; s++ {
+		l.probe(at + s*protocol.Second)
+	}
+	if l.rate != 35 {
+		t.Fatalf("%g after half an hour", l.rate)
+	}
+}
--- a/internal/protocol/files_test.go
+++ b/internal/protocol/files_test.go
@@ -122,7 +122,8 @@
 		Teams:       map[string]Team{"red": {Name: "red", Guarantee: Resources{GPU: 8000}, Limit: Resources{CPU: 1000, GPU: 9000}}},
 		Objectives:  []Objective{{"wait", "urgent", 2700 * Millisecond, 0.95}},
 		ReportEvery: Second, WorkerLease: 10 * Second, GangWait: 20 * Second, GangPeer: 5 * Second, Cancel: 21 * Second,
-		StateRate: 500, StateWriteRate: 200, ValueBytes: 8192, TxnOps: 12, CloudRate: 20, ListLag: Second, CPUShare: 1, MemoryBytes: 512e6, MaxConnections: 99}
+		StateRate: 500, StateWriteRate: 200, ValueBytes: 8192, TxnOps: 12, CloudRate: 20, ListLag: Second, CPUShare: 1, MemoryBytes: 512e6, MaxConnections: 99,
+		StateNext: &StateLimits{WriteRate: 24.5, ValueBytes: 2560, TxnOps: 4}}
 	text, err := SettingsFile(p)
 	if err != nil {
 		t.Fatal(err)
--- /dev/null
+++ b/internal/rehearsal/limits_test.go
@@ -0,0 +1,180 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// busyFleet is a deployment in the middle of its work, of machines with 24 or 25 tasks
+// each, written under the larger limits.
+func busyFleet(tb testing.TB, machines, tasks int) *World {
+	tb.Helper()
+	w := NewWorld(3)
+	w.quiet = true
+	w.Platform.ReportEvery = 5 * protocol.Second
+	w.Platform.WorkerLease = 24 * protocol.Second
+	w.Platform.StateWriteRate = 35
+	var b strings.Builder
+	fmt.Fprintf(&b, "team red\nno-capacity\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a,b\nfleet %d large a\nfleet %d large b\n", machines/2, machines-machines/2)
+	for i := range tasks / 100 {
+		fmt.Fprintf(&b, "at 3 submit req-%06d array tasks=100 cpus=1 mem=1 gpus=0 run=3000 estimate=3000 size=0.1 image=rerun-%d\n", i+1, i%6)
+	}
+	if err := w.play(b.String()); err != nil {
+		tb.Fatal(err)
+	}
+	for w.started < tasks && w.now < 200*protocol.Second {
+		w.Run(w.now + protocol.Second)
+	}
+	if w.started != tasks || len(w.Broken) > 0 {
+		tb.Fatalf("%d started, %v", w.started, w.Broken)
+	}
+	return w
+}
+
+// largeRecords is how many records that leaders write take more than a size.
+func (w *World) largeRecords(bytes int) (large, all int) {
+	for key, e := range w.store.keys {
+		if strings.HasPrefix(key, bookkeeping.JobPrefix) {
+			continue
+		}
+		all++
+		if len(e.value) > bytes {
+			large++
+		}
+	}
+	return large, all
+}
+
+// shrunk is what a take-over under lower limits took.
+type shrunk struct {
+	leads, fits, started micros // since all controllers ended
+	commits, written     int
+	largeBefore, records int
+}
+
+// takeOverShrunk lets the limits of the state service fall and all controllers end, and
+// has work submitted from then on.
+func takeOverShrunk(tb testing.TB, w *World, announced bool) (s shrunk) {
+	tb.Helper()
+	s.largeBefore, _ = w.largeRecords(2048)
+	if err := w.actLimitsFall(nil); err != nil {
+		tb.Fatal(err)
+	}
+	if announced {
+		l := w.store.fallen.StateLimits
+		w.Platform.StateNext = &l
+	}
+	for _, n := range w.nodes {
+		w.end(n, 3*protocol.Second)
+	}
+	written, commits, started, began := w.store.written, w.store.commits, w.started, w.now
+	for step := 0; (s.fits == 0 || s.started == 0) && w.now < began+300*protocol.Second; step++ {
+		if step < 40 {
+			for k := range 5 {
+				job := fmt.Sprintf("submit req-%06d array tasks=4 cpus=0.1 mem=0.1 gpus=0 run=3000 estimate=3000 size=0.1 image=rerun-1", 900001+5*step+k)
+				if err := w.actSubmit(strings.Fields(job)); err != nil {
+					tb.Fatal(err)
+				}
+			}
+		}
+		w.Run(w.now + protocol.Second/2)
+		if s.leads == 0 && w.leader() != nil {
+			s.leads = w.now - began
+		}
+		if s.started == 0 && w.started >= started+800 {
+			s.started = w.now - began
+		}
+		if n, all := w.largeRecords(2048); n == 0 && s.fits == 0 {
+			s.fits, s.records = w.now-began, all
+			s.commits, s.written = w.store.commits-commits, w.store.written-written
+		}
+	}
+	if len(w.Broken) > 0 {
+		tb.Error(w.Broken)
+	}
+	return s
+}
+
+// All controllers of a fleet end after the limits of the state service fell, announced
+// and not. The next leader leads as soon as ever, divides what is stored, and what is
+// submitted meanwhile starts.
+func TestTakeOverAfterTheLimitsFell(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("announced=%v", announced), func(t *testing.T) {
+			w := busyFleet(t, 300, 7200)
+			s := takeOverShrunk(t, w, announced)
+			most := 8 // refused for their size before all limits are known
+			if announced {
+				most = 1 // the first that divides a record: all of it would have gone at once
+			}
+			if s.fits == 0 || s.fits > 40*protocol.Second || s.leads > 9*protocol.Second || s.started == 0 || w.store.fallen.count > most || s.largeBefore < 30 {
+				t.Errorf("%+v, %d refused for their size", s, w.store.fallen.count)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeOverAfterTheLimitsFell is that at 1,238 machines and 30,000 tasks.
+func BenchmarkTakeOverAfterTheLimitsFell(b *testing.B) {
+	for _, announced := range []bool{true, false} {
+		b.Run(fmt.Sprintf("announced=%v", announced), func(b *testing.B) {
+			for range b.N {
+				w := busyFleet(b, 1238, 30_000)
+				s := takeOverShrunk(b, w, announced)
+				b.ReportMetric(s.leads.Seconds(), "leads_s")
+				b.ReportMetric(s.fits.Seconds(), "fits_s")
+				b.ReportMetric(s.started.Seconds(), "started_s")
+				b.ReportMetric(float64(s.largeBefore), "large_records")
+				b.ReportMetric(float64(s.records), "records")
+				b.ReportMetric(float64(s.commits), "transactions")
+				b.ReportMetric(float64(s.written), "changes")
+				b.ReportMetric(float64(w.store.fallen.count), "refused_size")
+				b.ReportMetric(float64(w.store.refused), "refused_rate")
+			}
+		})
+	}
+}
+
+// BenchmarkStartsUnderShrunkLimits is how many tasks a second start, and jobs a second are
+// accepted, for a minute of more submissions than 24 changes a second carry.
+func BenchmarkStartsUnderShrunkLimits(b *testing.B) {
+	for _, tasks := range []int{1, 4, 25} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for range b.N {
+				w := NewWorld(3)
+				w.quiet = true
+				w.Platform.StateWriteRate = 35
+				text := "team red\nno-capacity\ntype large cpus=320 gpus=4 mem=1280 boot=35 zones=a,b\nnext\nfleet 300 large a\nfleet 300 large b\nat 20 limits-fall\n"
+				if err := w.play(text); err != nil {
+					b.Fatal(err)
+				}
+				began, started := w.now, w.started
+				for step := range 60 {
+					for k := range 30 {
+						job := fmt.Sprintf("submit req-%06d array tasks=%d cpus=0.1 mem=0.1 gpus=0 run=20 estimate=20 size=0.1 image=rerun-1", 1000+30*step+k, tasks)
+						if err := w.actSubmit(strings.Fields(job)); err != nil {
+							b.Fatal(err)
+						}
+					}
+					w.Run(w.now + protocol.Second)
+				}
+				accepted := 0
+				for _, j := range w.jobs {
+					if j.accepted {
+						accepted++
+					}
+				}
+				b.ReportMetric(float64(w.started-started)/(w.now-began).Seconds(), "starts/s")
+				b.ReportMetric(float64(accepted)/(w.now-began).Seconds(), "accepted/s")
+				b.ReportMetric(float64(w.store.refused), "refused_rate")
+				if len(w.Broken) > 0 {
+					b.Error(w.Broken)
+				}
+			}
+		})
+	}
+}
