--- a/internal/rehearsal/limits_test.go
+++ b/internal/rehearsal/limits_test.go
@@ -178,3 +178,71 @@
 		})
 	}
 }
+
+// earlierRecords are those of an earlier leader, written under the larger limits: one of
+// sixty hosts, one of where 120 tasks are, one of which tasks of 60 arrays are done, and one
+// of their bookings. Each takes more than 2 KiB.
+func earlierRecords(t *testing.T) (text string) {
+	t.Helper()
+	var b strings.Builder
+	add := func(key string, value []byte) {
+		if !strings.HasPrefix(key, "j/") && key != bookkeeping.KeyEpoch && len(value) <= protocol.MinValueBytes {
+			t.Fatalf("%s takes %d bytes only", key, len(value))
+		}
+		fmt.Fprintf(&b, "record %s %s\n", key, value)
+	}
+	add(bookkeeping.KeyEpoch, bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: 7}))
+	var hosts []*bookkeeping.Host
+	for i := range 60 {
+		h := bookkeeping.NewHost(0, fmt.Sprintf("n-%06d", i+1), "large", "a", false)
+		h.Addr, h.RecordedWall = fmt.Sprintf("n-%06d:9000", i+1), 1
+		hosts = append(hosts, h)
+	}
+	add("hp/1", bookkeeping.EncodeHosts(hosts, true))
+	var jobs []*bookkeeping.Job
+	var refs []string
+	var launches []bookkeeping.Launch
+	for i := range 60 {
+		spec := &protocol.JobSpec{Ref: fmt.Sprintf("req-%06d", i+1), Class: "work", Team: "red", Kind: protocol.Array, Tasks: 100,
+			Need: protocol.Resources{CPU: 1000, Mem: 1000}, Image: "img-1", ImageSize: 100, Estimate: 5 * protocol.Second}
+		j := bookkeeping.NewJob(spec)
+		j.SubmittedWall, j.Epoch = 1_700_000_000*protocol.Second, 7
+		add("j/"+spec.Ref, bookkeeping.EncodeJob(j))
+		for k := range 98 {
+			j.Complete(k, true)
+		}
+		for k := range 2 {
+			launches = append(launches, bookkeeping.Launch{Host: hosts[(2*i+k)%60].Name,
+				Name: protocol.AttemptName{TaskName: protocol.TaskName{Job: spec.Ref, Index: 98 + k}, Number: 7<<24 + uint64(2*i+k)}})
+		}
+		jobs, refs = append(jobs, j), append(refs, spec.Ref)
+	}
+	add("lp/1", bookkeeping.EncodeLaunches(launches))
+	add("dp/1", bookkeeping.EncodeCompletions(jobs))
+	for len(refs) < 90 { // of jobs that are over
+		refs = append(refs, fmt.Sprintf("req-%06d", 1+len(refs)))
+	}
+	add("bp/1", bookkeeping.EncodeBookings(refs, func(string) protocol.Micros { return 1_700_000_100 * protocol.Second }))
+	return b.String()
+}
+
+// The records of an earlier leader are larger than the state service takes now. Leaders
+// end again and again while they divide them, some writes come late. Nothing that was done
+// runs again, what was not runs, and in the end every record fits.
+func TestLargeRecordsOfAnEarlierLeader(t *testing.T) {
+	for _, scene := range []string{"next\n", ""} {
+		for _, ends := range []string{"", "at 1 ends-in leading 3 after=0.3 back=0.2\n", "at 1 ends-in leading 4 after=0.7 back=0.2\nat 1 late-writes every=4 by=5 with=p/\nat 20 late-writes every=0\n"} {
+			text := "nodes 3\nteam red\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a\nno-capacity\nlimits changes=35\n" + scene + "fleet 60 large a\n" + earlierRecords(t) +
+				"at 0 limits-fall\n" + ends + "at 60 expect leader some\nat 60 expect fits 2048\nat 60 expect starts 120\nat 60 expect at-most 120 starts\n"
+			w, err := RunTrace(text, nil)
+			if err != nil {
+				t.Errorf("%q %q: %v\n%s", scene, ends, err, strings.Join(w.Log, "\n"))
+			}
+			for key := range w.store.keys {
+				if strings.HasPrefix(key, "j/") {
+					t.Errorf("%q %q: %s is not over", scene, ends, key)
+				}
+			}
+		}
+	}
+}
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -306,6 +306,10 @@
 		w.store.set(words[1], &entry{value: words[2], stamp: w.store.revision})
 	case "rollout", "rollout-pause", "rollout-resume", "rollout-revert":
 		return w.actRollout(words)
+	case "submit-again": // submit-again REF: its user repeats the submission
+		w.submit(w.jobs[words[1]])
+	case "announce": // to controllers that start from now on: announce value=2048 ops=4 changes=24
+		return w.sceneNext(words[1:])
 	case "limits-fall":
 		return w.actLimitsFall(words[1:])
 	case "count": // from here on: changes written, workers asked, users without an answer
