--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -72,3 +72,50 @@
 		t.Fatalf("%g after half an hour", l.rate)
 	}
 }
+
+// A transaction that is refused as malformed is never sent again as it is; one beyond the
+// rate is, after a pause, and the rate is lower from then on.
+func TestRefusedTransactions(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	c.role, c.seat.until = Leading, c.at.Steady+100*protocol.Second
+	stateCalls(c)
+	var ended []txnOutcome
+	write := func(value string) []Call {
+		c.txn(prioUrgent, nil, []protocol.Change{{Key: "k", Value: []byte(value)}}, func(o txnOutcome, _ protocol.TxnResult) { ended = append(ended, o) })
+		return stateCalls(c)
+	}
+	answer := func(call Call, status int, body string) {
+		c.Step(c.at, CallDone{ID: call.ID, Status: status, Body: []byte(body)})
+		c.effects = nil
+	}
+	later := func(d micros) (made []Call) {
+		c.at.Steady += d
+		c.runTimers()
+		for _, call := range stateCalls(c) {
+			if call.Path == "/commit" {
+				made = append(made, call)
+			}
+		}
+		return made
+	}
+	sent := write(`"a"`)
+	answer(sent[0], 400, `{}`)
+	if again := append(write(`"a"`), later(protocol.Second/20)...); len(again) > 0 || len(ended) != 2 || ended[1] != txnMalformed {
+		t.Fatalf("sent again: %+v, ended %v", again, ended)
+	}
+	sent = write(`"b"`)
+	answer(sent[0], 400, `{"error":"no such lease"}`)
+	if sent = write(`"b"`); len(sent) != 1 || ended[2] != txnRejected {
+		t.Fatalf("sent %+v, ended %v: the lease may be another one", sent, ended)
+	}
+	rate := c.limits.rate
+	answer(sent[0], 429, `{}`)
+	again := later(crowdedPause)
+	if len(again) != 1 || string(again[0].Body) != string(sent[0].Body) || len(ended) != 3 || c.limits.rate >= rate {
+		t.Fatalf("sent again: %+v, ended %v, rate %g", again, ended, c.limits.rate)
+	}
+	answer(again[0], 200, `{"generation":3}`)
+	if len(ended) != 4 || ended[3] != txnApplied {
+		t.Fatalf("ended %v", ended)
+	}
+}
--- a/internal/coordination/pages_test.go
+++ b/internal/coordination/pages_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"strings"
 	"testing"
 
 	"mapleslip/internal/bookkeeping"
@@ -46,3 +47,61 @@
 		t.Fatalf("then %+v", made)
 	}
 }
+
+// stateCalls are the calls to the state service that a controller has made since it was
+// last asked.
+func stateCalls(c *Controller) (made []Call) {
+	for _, e := range c.flush() {
+		if call, ok := e.(Call); ok && call.Target == ToState {
+			made = append(made, call)
+		}
+	}
+	return made
+}
+
+// A record comes out too long, and so does the half that is taken out of it: what is left
+// of it would fit, but is not written before that half is, in parts, in the same
+// transaction or another. Else its entries were in no record for a while, and a successor
+// would not know where tasks are.
+func TestWhatIsTakenOutIsWrittenFirst(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	c.role, c.seat.until = Leading, c.at.Steady+protocol.Second
+	c.limits.target = transactionLimits{valueBytes: 2048, changes: 4}
+	c.limits.allowed = c.limits.target
+	bytes := map[string]int{"a": 100, "b": 100, "c": 100, "d": 1500, "e": 1500, "f": 1500}
+	p := c.newPages("xp/", func(names []string) ([]byte, func()) {
+		n := 2
+		for _, name := range names {
+			n += bytes[name]
+		}
+		return []byte(`"` + strings.Repeat("x", n-2) + `"`), nil
+	})
+	g := p.load(protocol.Entry{Key: "xp/1", Stamp: 5, Value: make([]byte, 4802)})
+	for name, n := range bytes {
+		p.adopt(g, name, n)
+	}
+	g.due = c.at.Steady
+	stateCalls(c)
+	durable := make(map[string]bool)
+	for step := 0; step < 10 && g.stamp == 5; step++ {
+		c.writePages(p)
+		for _, call := range stateCalls(c) {
+			written := string(call.Body)
+			for _, o := range p.list {
+				if strings.Contains(written, `"set":"`+o.key+`"`) {
+					for name := range o.entries {
+						durable[name] = true
+					}
+				}
+			}
+			if strings.Contains(written, `"set":"xp/1"`) && len(durable) < len(bytes) {
+				t.Fatalf("only %v are in what was written", durable)
+			}
+			c.Step(c.at, CallDone{ID: call.ID, Status: 200, Body: []byte(`{"generation":9}`)})
+			c.effects = nil
+		}
+	}
+	if g.stamp != 9 || len(p.list) != 4 {
+		t.Fatalf("%d records, the first one with stamp %d", len(p.list), g.stamp)
+	}
+}
--- a/internal/rehearsal/limits_test.go
+++ b/internal/rehearsal/limits_test.go
@@ -246,3 +246,23 @@
 		}
 	}
 }
+
+// Two records name the same array while one is divided: the one that comes last in order is
+// not the one that was written last. What either says is done stays done.
+func TestCompletionsInTwoRecords(t *testing.T) {
+	spec := &protocol.JobSpec{Ref: "req-000001", Class: "work", Team: "red", Kind: protocol.Array, Tasks: 8,
+		Need: protocol.Resources{CPU: 1000, Mem: 1000}, Image: "img-1", ImageSize: 100, Estimate: 5 * protocol.Second}
+	j := bookkeeping.NewJob(spec)
+	j.SubmittedWall, j.Epoch = 1_700_000_000*protocol.Second, 7
+	text := fmt.Sprintf("nodes 1\nteam red\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a\nno-capacity\nfleet 2 large a\nrecord epoch %s\nrecord j/req-000001 %s\n",
+		bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: 7}), bookkeeping.EncodeJob(j))
+	j.Complete(0, true)
+	text += fmt.Sprintf("record dp/2 %s\n", bookkeeping.EncodeCompletions([]*bookkeeping.Job{j}))
+	for k := range 6 {
+		j.Complete(k, true)
+	}
+	text += fmt.Sprintf("record dp/10 %s\nat 20 expect starts 2\nat 20 expect kept f/req-000001 yes\n", bookkeeping.EncodeCompletions([]*bookkeeping.Job{j}))
+	if w, err := RunTrace(text, nil); err != nil {
+		t.Errorf("%v\n%s", err, strings.Join(w.Log, "\n"))
+	}
+}
