--- a/internal/coordination/pages_test.go
+++ b/internal/coordination/pages_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -105,3 +106,27 @@
 		t.Fatalf("%d records, the first one with stamp %d", len(p.list), g.stamp)
 	}
 }
+
+// The entries of a round take as few changes as can be: many records have a little room,
+// and those that are new come into one of them as long as it has.
+func TestNewEntriesComeTogether(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	p := c.newPages("xp/", func([]string) ([]byte, func()) { return nil, nil })
+	for i := range 10 {
+		g := p.load(protocol.Entry{Key: p.prefix + strconv.Itoa(i+1), Stamp: uint64(i + 1)})
+		p.adopt(g, "old-"+strconv.Itoa(i), 1000+100*i)
+	}
+	at := c.at.Steady
+	for i := range 20 {
+		p.put("new-"+strconv.Itoa(i), 40, 1900, at, true)
+	}
+	due := 0
+	for _, g := range p.list {
+		if g.due <= at {
+			due++
+		}
+	}
+	if due != 1 || len(p.list) != 10 {
+		t.Errorf("%d of %d records have to be written", due, len(p.list))
+	}
+}
