--- a/internal/coordination/pages_test.go
+++ b/internal/coordination/pages_test.go
@@ -130,3 +130,16 @@
 		t.Errorf("%d of %d records have to be written", due, len(p.list))
 	}
 }
+
+// Images are recorded as often as their part of the rate of changes allows, at most.
+func TestImagesTakeTheirPartOfTheRate(t *testing.T) {
+	for _, c := range []struct {
+		records int
+		rate    float64
+		after   micros
+	}{{20, 26, 10 * protocol.Second}, {100, 20, 50 * protocol.Second}, {0, 18, 10 * protocol.Second}} {
+		if got := imagesAfter(c.records, c.rate); got != c.after {
+			t.Errorf("%d records at %g a second: after %d", c.records, c.rate, got)
+		}
+	}
+}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -644,16 +644,27 @@
 	}
 }
 
-// imagesEvery is how often the images of hosts are recorded anew. Which ones a
+// imagesEvery is how often the images of hosts are recorded anew where they take few records. Which ones a
 // host has is worth knowing after a take-over, but nothing depends on it.
 const imagesEvery = 10 * protocol.Second
 
+// imagesShare is the part of the rate of changes that records of hosts may take for that.
+// Small records are many, and with each machine's images changing all the time they took a
+// fifth of 24 changes a second.
+const imagesShare = 0.1
+
+// imagesAfter is how long after one time the images are recorded the next time, so that all
+// records of hosts take no more than their part of a rate.
+func imagesAfter(records int, rate float64) micros {
+	return max(imagesEvery, protocol.FromSeconds(float64(records)/(rate*imagesShare)))
+}
+
 func (c *Controller) recordImages() {
 	t := c.term
 	if c.at.Steady < t.nextImages {
 		return
 	}
-	t.nextImages = c.at.Steady + imagesEvery
+	t.nextImages = c.at.Steady + imagesAfter(len(t.hostPages.list), c.writeRate())
 	for _, h := range t.book.Hosts() {
 		if h.Recorded && h.ImagesNew && h.State == bookkeeping.HostReady {
 			t.hostPages.put(h.Name, hostBytes(h), c.hostRoom(), c.at.Steady, false)
