--- a/internal/coordination/pages_test.go
+++ b/internal/coordination/pages_test.go
@@ -1,6 +1,8 @@
 package coordination
 
 import (
+	"strconv"
+	"strings"
 	"testing"
 
 	"mapleslip/internal/bookkeeping"
@@ -46,3 +48,98 @@
 		t.Fatalf("then %+v", made)
 	}
 }
+
+// stateCalls are the calls to the state service that a controller has made since it was
+// last asked.
+func stateCalls(c *Controller) (made []Call) {
+	for _, e := range c.flush() {
+		if call, ok := e.(Call); ok && call.Target == ToState {
+			made = append(made, call)
+		}
+	}
+	return made
+}
+
+// A record comes out too long, and so does the half that is taken out of it: what is left
+// of it would fit, but is not written before that half is, in parts, in the same
+// transaction or another. Else its entries were in no record for a while, and a successor
+// would not know where tasks are.
+func TestWhatIsTakenOutIsWrittenFirst(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	c.role, c.seat.until = Leading, c.at.Steady+protocol.Second
+	c.limits.target = transactionLimits{valueBytes: 2048, changes: 4}
+	c.limits.allowed = c.limits.target
+	bytes := map[string]int{"a": 100, "b": 100, "c": 100, "d": 1500, "e": 1500, "f": 1500}
+	p := c.newPages("xp/", func(names []string) ([]byte, func()) {
+		n := 2
+		for _, name := range names {
+			n += bytes[name]
+		}
+		return []byte(`"` + strings.Repeat("x", n-2) + `"`), nil
+	})
+	g := p.load(protocol.Entry{Key: "xp/1", Stamp: 5, Value: make([]byte, 4802)})
+	for name, n := range bytes {
+		p.adopt(g, name, n)
+	}
+	g.due = c.at.Steady
+	stateCalls(c)
+	durable := make(map[string]bool)
+	for step := 0; step < 10 && g.stamp == 5; step++ {
+		c.writePages(p)
+		for _, call := range stateCalls(c) {
+			written := string(call.Body)
+			for _, o := range p.list {
+				if strings.Contains(written, `"set":"`+o.key+`"`) {
+					for name := range o.entries {
+						durable[name] = true
+					}
+				}
+			}
+			if strings.Contains(written, `"set":"xp/1"`) && len(durable) < len(bytes) {
+				t.Fatalf("only %v are in what was written", durable)
+			}
+			c.Step(c.at, CallDone{ID: call.ID, Status: 200, Body: []byte(`{"generation":9}`)})
+			c.effects = nil
+		}
+	}
+	if g.stamp != 9 || len(p.list) != 4 {
+		t.Fatalf("%d records, the first one with stamp %d", len(p.list), g.stamp)
+	}
+}
+
+// The entries of a round take as few changes as can be: many records have a little room,
+// and those that are new come into one of them as long as it has.
+func TestNewEntriesComeTogether(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	p := c.newPages("xp/", func([]string) ([]byte, func()) { return nil, nil })
+	for i := range 10 {
+		g := p.load(protocol.Entry{Key: p.prefix + strconv.Itoa(i+1), Stamp: uint64(i + 1)})
+		p.adopt(g, "old-"+strconv.Itoa(i), 1000+100*i)
+	}
+	at := c.at.Steady
+	for i := range 20 {
+		p.put("new-"+strconv.Itoa(i), 40, 1900, at, true)
+	}
+	due := 0
+	for _, g := range p.list {
+		if g.due <= at {
+			due++
+		}
+	}
+	if due != 1 || len(p.list) != 10 {
+		t.Errorf("%d of %d records have to be written", due, len(p.list))
+	}
+}
+
+// Images are recorded as often as their part of the rate of changes allows, at most.
+func TestImagesTakeTheirPartOfTheRate(t *testing.T) {
+	for _, c := range []struct {
+		records int
+		rate    float64
+		after   micros
+	}{{20, 26, 10 * protocol.Second}, {100, 20, 50 * protocol.Second}, {0, 18, 10 * protocol.Second}} {
+		if got := imagesAfter(c.records, c.rate); got != c.after {
+			t.Errorf("%d records at %g a second: after %d", c.records, c.rate, got)
+		}
+	}
+}
--- a/internal/coordination/upgrade.go
+++ b/internal/coordination/upgrade.go
@@ -210,9 +210,10 @@
 }
 
 // typesRecord is the record of the machine types at a level, and whether they fit into a
-// value. Those that don't are left out: then only the leader accepts.
+// value. Those that don't are left out, since part of them would have jobs refused that fit
+// the others: then only the leader accepts.
 func (c *Controller) typesRecord(l upgrade.Level) (value []byte, fits bool) {
-	if value = bookkeeping.EncodeTypes(c.types, l); len(value) <= c.platform.ValueBytes {
+	if value = bookkeeping.EncodeTypes(c.types, l); len(value) <= c.limits.target.valueBytes {
 		return value, true
 	}
 	c.log.Warn("machine types don't fit into a record: only the leader accepts jobs", "bytes", len(value))
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -229,7 +229,7 @@
 	nodes := len(c.platform.Siblings) + 1
 	room, under := c.platform.StateRate*ReadShare(nodes, false)/2, c.direct
 	if e.Op == protocol.OpSubmit {
-		room, under = c.platform.StateWriteRate*WriteShare(nodes, false), c.directSubmits
+		room, under = c.limits.rate*WriteShare(nodes, false), c.directSubmits
 	}
 	if e.Op != protocol.OpCancel && float64(under) >= max(2, room*directWait.Seconds()) {
 		c.unavailable(e.Reply, refusedNoLeader)
@@ -428,10 +428,12 @@
 func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
 	ref, t := j.Spec.Ref, c.term
 	value := bookkeeping.EncodeJob(j)
-	if len(value) > c.platform.ValueBytes {
+	// An earlier submission of it may have been accepted under a larger limit.
+	tooLong := func() { c.refuseUnknown(to, j.Spec, 400, "description too long") }
+	if len(value) > c.limits.allowed.valueBytes {
 		refused()
 		// The record that it was accepted with may have been shorter: it names an epoch.
-		c.refuseUnknown(to, j.Spec, 400, "description too long")
+		tooLong()
 		return
 	}
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref}, {Key: bookkeeping.FinalPrefix + ref}}
@@ -456,6 +458,12 @@
 				}
 				c.answerKnown(to, ref, j, f)
 			})
+		case txnTooLarge, txnMalformed:
+			if len(value) > c.limits.allowed.valueBytes {
+				tooLong()
+				return
+			}
+			c.unavailable(to, refusedState)
 		default:
 			c.unavailable(to, refusedState)
 		}
@@ -504,7 +512,7 @@
 
 // writeRate is how many changes a second the leader may make.
 func (c *Controller) writeRate() float64 {
-	return max(1, c.platform.StateWriteRate*WriteShare(len(c.platform.Siblings)+1, true))
+	return max(1, c.limits.rate*WriteShare(len(c.platform.Siblings)+1, true))
 }
 
 // WriteShare is the part of the rate of changes, and of the cloud's, that a node
@@ -748,10 +756,17 @@
 	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.AskAgain {
 		return
 	}
-	j.Asking = true
 	ref := j.Spec.Ref
+	value := bookkeeping.EncodeJob(j)
+	if len(value) > c.limits.allowed.valueBytes {
+		// It was accepted under a larger limit. Its user was told nothing yet, and asks a
+		// new leader again.
+		j.AskKept = true
+		return
+	}
+	j.Asking = true
 	when := []protocol.Condition{{Key: bookkeeping.JobPrefix + ref, Stamp: j.Stamp}}
-	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: bookkeeping.EncodeJob(j)}}
+	then := []protocol.Change{{Key: bookkeeping.JobPrefix + ref, Value: value}}
 	c.lead(prioUser, when, then, func(o txnOutcome, r protocol.TxnResult) {
 		j.Asking = false
 		if o == txnApplied {
--- /dev/null
+++ b/internal/rehearsal/state_limits_test.go
@@ -0,0 +1,268 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// busyFleet is a deployment in the middle of its work, of machines with 24 or 25 tasks
+// each, written under the larger limits.
+func busyFleet(tb testing.TB, machines, tasks int) *World {
+	tb.Helper()
+	w := NewWorld(3)
+	w.quiet = true
+	w.Platform.ReportEvery = 5 * protocol.Second
+	w.Platform.WorkerLease = 24 * protocol.Second
+	w.Platform.StateWriteRate = 35
+	var b strings.Builder
+	fmt.Fprintf(&b, "team red\nno-capacity\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a,b\nfleet %d large a\nfleet %d large b\n", machines/2, machines-machines/2)
+	for i := range tasks / 100 {
+		fmt.Fprintf(&b, "at 3 submit req-%06d array tasks=100 cpus=1 mem=1 gpus=0 run=3000 estimate=3000 size=0.1 image=rerun-%d\n", i+1, i%6)
+	}
+	if err := w.play(b.String()); err != nil {
+		tb.Fatal(err)
+	}
+	for w.started < tasks && w.now < 200*protocol.Second {
+		w.Run(w.now + protocol.Second)
+	}
+	if w.started != tasks || len(w.Broken) > 0 {
+		tb.Fatalf("%d started, %v", w.started, w.Broken)
+	}
+	return w
+}
+
+// largeRecords is how many records that leaders write take more than a size.
+func (w *World) largeRecords(bytes int) (large, all int) {
+	for key, e := range w.store.keys {
+		if strings.HasPrefix(key, bookkeeping.JobPrefix) {
+			continue
+		}
+		all++
+		if len(e.value) > bytes {
+			large++
+		}
+	}
+	return large, all
+}
+
+// shrunk is what a take-over under lower limits took.
+type shrunk struct {
+	leads, fits, started micros // since all controllers ended
+	commits, written     int
+	largeBefore, records int
+}
+
+// takeOverShrunk lets the limits of the state service fall and all controllers end, and
+// has work submitted from then on.
+func takeOverShrunk(tb testing.TB, w *World, announced bool) (s shrunk) {
+	tb.Helper()
+	s.largeBefore, _ = w.largeRecords(2048)
+	if err := w.actLimitsFall(nil); err != nil {
+		tb.Fatal(err)
+	}
+	if announced {
+		l := w.store.fallen.StateLimits
+		w.Platform.StateNext = &l
+	}
+	for _, n := range w.nodes {
+		w.end(n, 3*protocol.Second)
+	}
+	written, commits, started, began := w.store.written, w.store.commits, w.started, w.now
+	for step := 0; (s.fits == 0 || s.started == 0) && w.now < began+300*protocol.Second; step++ {
+		if step < 40 {
+			for k := range 5 {
+				job := fmt.Sprintf("submit req-%06d array tasks=4 cpus=0.1 mem=0.1 gpus=0 run=3000 estimate=3000 size=0.1 image=rerun-1", 900001+5*step+k)
+				if err := w.actSubmit(strings.Fields(job)); err != nil {
+					tb.Fatal(err)
+				}
+			}
+		}
+		w.Run(w.now + protocol.Second/2)
+		if s.leads == 0 && w.leader() != nil {
+			s.leads = w.now - began
+		}
+		if s.started == 0 && w.started >= started+800 {
+			s.started = w.now - began
+		}
+		if n, all := w.largeRecords(2048); n == 0 && s.fits == 0 {
+			s.fits, s.records = w.now-began, all
+			s.commits, s.written = w.store.commits-commits, w.store.written-written
+		}
+	}
+	if len(w.Broken) > 0 {
+		tb.Error(w.Broken)
+	}
+	return s
+}
+
+// All controllers of a fleet end after the limits of the state service fell, announced
+// and not. The next leader leads as soon as ever, divides what is stored, and what is
+// submitted meanwhile starts.
+func TestTakeOverAfterTheLimitsFell(t *testing.T) {
+	for _, announced := range []bool{true, false} {
+		t.Run(fmt.Sprintf("announced=%v", announced), func(t *testing.T) {
+			w := busyFleet(t, 300, 7200)
+			s := takeOverShrunk(t, w, announced)
+			most := 8 // refused for their size before all limits are known
+			if announced {
+				most = 1 // the first that divides a record: all of it would have gone at once
+			}
+			if s.fits == 0 || s.fits > 40*protocol.Second || s.leads > 9*protocol.Second || s.started == 0 || w.store.fallen.count > most || s.largeBefore < 30 {
+				t.Errorf("%+v, %d refused for their size", s, w.store.fallen.count)
+			}
+		})
+	}
+}
+
+// BenchmarkTakeOverAfterTheLimitsFell is that at 1,238 machines and 30,000 tasks.
+func BenchmarkTakeOverAfterTheLimitsFell(b *testing.B) {
+	for _, announced := range []bool{true, false} {
+		b.Run(fmt.Sprintf("announced=%v", announced), func(b *testing.B) {
+			for range b.N {
+				w := busyFleet(b, 1238, 30_000)
+				s := takeOverShrunk(b, w, announced)
+				b.ReportMetric(s.leads.Seconds(), "leads_s")
+				b.ReportMetric(s.fits.Seconds(), "fits_s")
+				b.ReportMetric(s.started.Seconds(), "started_s")
+				b.ReportMetric(float64(s.largeBefore), "large_records")
+				b.ReportMetric(float64(s.records), "records")
+				b.ReportMetric(float64(s.commits), "transactions")
+				b.ReportMetric(float64(s.written), "changes")
+				b.ReportMetric(float64(w.store.fallen.count), "refused_size")
+				b.ReportMetric(float64(w.store.refused), "refused_rate")
+			}
+		})
+	}
+}
+
+// BenchmarkStartsUnderShrunkLimits is how many tasks a second start, and jobs a second are
+// accepted, for a minute of more submissions than 24 changes a second carry.
+func BenchmarkStartsUnderShrunkLimits(b *testing.B) {
+	for _, tasks := range []int{1, 4, 25} {
+		b.Run(fmt.Sprintf("tasks=%d", tasks), func(b *testing.B) {
+			for range b.N {
+				w := NewWorld(3)
+				w.quiet = true
+				w.Platform.StateWriteRate = 35
+				text := "team red\nno-capacity\ntype large cpus=320 gpus=4 mem=1280 boot=35 zones=a,b\nnext\nfleet 300 large a\nfleet 300 large b\nat 20 limits-fall\n"
+				if err := w.play(text); err != nil {
+					b.Fatal(err)
+				}
+				began, started := w.now, w.started
+				for step := range 60 {
+					for k := range 30 {
+						job := fmt.Sprintf("submit req-%06d array tasks=%d cpus=0.1 mem=0.1 gpus=0 run=20 estimate=20 size=0.1 image=rerun-1", 1000+30*step+k, tasks)
+						if err := w.actSubmit(strings.Fields(job)); err != nil {
+							b.Fatal(err)
+						}
+					}
+					w.Run(w.now + protocol.Second)
+				}
+				accepted := 0
+				for _, j := range w.jobs {
+					if j.accepted {
+						accepted++
+					}
+				}
+				b.ReportMetric(float64(w.started-started)/(w.now-began).Seconds(), "starts/s")
+				b.ReportMetric(float64(accepted)/(w.now-began).Seconds(), "accepted/s")
+				b.ReportMetric(float64(w.store.refused), "refused_rate")
+				if len(w.Broken) > 0 {
+					b.Error(w.Broken)
+				}
+			}
+		})
+	}
+}
+
+// earlierRecords are those of an earlier leader, written under the larger limits: one of
+// sixty hosts, one of where 120 tasks are, one of which tasks of 60 arrays are done, and one
+// of their bookings. Each takes more than 2 KiB.
+func earlierRecords(t *testing.T) (text string) {
+	t.Helper()
+	var b strings.Builder
+	add := func(key string, value []byte) {
+		if !strings.HasPrefix(key, "j/") && key != bookkeeping.KeyEpoch && len(value) <= protocol.MinValueBytes {
+			t.Fatalf("%s takes %d bytes only", key, len(value))
+		}
+		fmt.Fprintf(&b, "record %s %s\n", key, value)
+	}
+	add(bookkeeping.KeyEpoch, bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: 7}))
+	var hosts []*bookkeeping.Host
+	for i := range 60 {
+		h := bookkeeping.NewHost(0, fmt.Sprintf("n-%06d", i+1), "large", "a", false)
+		h.Addr, h.RecordedWall = fmt.Sprintf("n-%06d:9000", i+1), 1
+		hosts = append(hosts, h)
+	}
+	add("hp/1", bookkeeping.EncodeHosts(hosts, true))
+	var jobs []*bookkeeping.Job
+	var refs []string
+	var launches []bookkeeping.Launch
+	for i := range 60 {
+		spec := &protocol.JobSpec{Ref: fmt.Sprintf("req-%06d", i+1), Class: "work", Team: "red", Kind: protocol.Array, Tasks: 100,
+			Need: protocol.Resources{CPU: 1000, Mem: 1000}, Image: "img-1", ImageSize: 100, Estimate: 5 * protocol.Second}
+		j := bookkeeping.NewJob(spec)
+		j.SubmittedWall, j.Epoch = 1_700_000_000*protocol.Second, 7
+		add("j/"+spec.Ref, bookkeeping.EncodeJob(j))
+		for k := range 98 {
+			j.Complete(k, true)
+		}
+		for k := range 2 {
+			launches = append(launches, bookkeeping.Launch{Host: hosts[(2*i+k)%60].Name,
+				Name: protocol.AttemptName{TaskName: protocol.TaskName{Job: spec.Ref, Index: 98 + k}, Number: 7<<24 + uint64(2*i+k)}})
+		}
+		jobs, refs = append(jobs, j), append(refs, spec.Ref)
+	}
+	add("lp/1", bookkeeping.EncodeLaunches(launches))
+	add("dp/1", bookkeeping.EncodeCompletions(jobs))
+	for len(refs) < 90 { // of jobs that are over
+		refs = append(refs, fmt.Sprintf("req-%06d", 1+len(refs)))
+	}
+	add("bp/1", bookkeeping.EncodeBookings(refs, func(string) protocol.Micros { return 1_700_000_100 * protocol.Second }))
+	return b.String()
+}
+
+// The records of an earlier leader are larger than the state service takes now. Leaders
+// end again and again while they divide them, some writes come late. Nothing that was done
+// runs again, what was not runs, and in the end every record fits.
+func TestLargeRecordsOfAnEarlierLeader(t *testing.T) {
+	for _, scene := range []string{"next\n", ""} {
+		for _, ends := range []string{"", "at 1 ends-in leading 3 after=0.3 back=0.2\n", "at 1 ends-in leading 4 after=0.7 back=0.2\nat 1 late-writes every=4 by=5 with=p/\nat 20 late-writes every=0\n"} {
+			text := "nodes 3\nteam red\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a\nno-capacity\nlimits changes=35\n" + scene + "fleet 60 large a\n" + earlierRecords(t) +
+				"at 0 limits-fall\n" + ends + "at 60 expect leader some\nat 60 expect fits 2048\nat 60 expect starts 120\nat 60 expect at-most 120 starts\n"
+			w, err := RunTrace(text, nil)
+			if err != nil {
+				t.Errorf("%q %q: %v\n%s", scene, ends, err, strings.Join(w.Log, "\n"))
+			}
+			for key := range w.store.keys {
+				if strings.HasPrefix(key, "j/") {
+					t.Errorf("%q %q: %s is not over", scene, ends, key)
+				}
+			}
+		}
+	}
+}
+
+// Two records name the same array while one is divided: the one that comes last in order is
+// not the one that was written last. What either says is done stays done.
+func TestCompletionsInTwoRecords(t *testing.T) {
+	spec := &protocol.JobSpec{Ref: "req-000001", Class: "work", Team: "red", Kind: protocol.Array, Tasks: 8,
+		Need: protocol.Resources{CPU: 1000, Mem: 1000}, Image: "img-1", ImageSize: 100, Estimate: 5 * protocol.Second}
+	j := bookkeeping.NewJob(spec)
+	j.SubmittedWall, j.Epoch = 1_700_000_000*protocol.Second, 7
+	text := fmt.Sprintf("nodes 1\nteam red\ntype large cpus=32 gpus=4 mem=128 boot=35 zones=a\nno-capacity\nfleet 2 large a\nrecord epoch %s\nrecord j/req-000001 %s\n",
+		bookkeeping.EncodeEpoch(bookkeeping.Epoch{N: 7}), bookkeeping.EncodeJob(j))
+	j.Complete(0, true)
+	text += fmt.Sprintf("record dp/2 %s\n", bookkeeping.EncodeCompletions([]*bookkeeping.Job{j}))
+	for k := range 6 {
+		j.Complete(k, true)
+	}
+	text += fmt.Sprintf("record dp/10 %s\nat 20 expect starts 2\nat 20 expect kept f/req-000001 yes\n", bookkeeping.EncodeCompletions([]*bookkeeping.Job{j}))
+	if w, err := RunTrace(text, nil); err != nil {
+		t.Errorf("%v\n%s", err, strings.Join(w.Log, "\n"))
+	}
+}
--- a/internal/transport/bucket.go
+++ b/internal/transport/bucket.go
@@ -22,6 +22,13 @@
 // tasks share; a submission is one to itself. What one has no use for the others have.
 var weights = [priorities]float64{Pressing: 5, User: 12, Urgent: 16, Normal: 2}
 
+// saved is how much of its part a class of users may catch up on, as what each of its calls
+// costs divided by its weight: a few submissions that come after a pause go before what
+// other classes have waiting, and a flood of them gets the class's part and no more.
+// Without it each waited for its turn behind the records of those before it, a quarter of
+// a second where the rate is low.
+var saved = [priorities]float64{Pressing: 0.6, User: 0.6}
+
 // Metered is one call waiting for its turn.
 type Metered struct {
 	Priority Priority
@@ -34,12 +41,12 @@
 // fairQueue is self-clocked fair queueing (Golestani, INFOCOM 1994) over the classes:
 // each call is tagged with when its class would be through with it if it had its part of
 // the service and no more, and the lowest tag is next. A class that has waited for nothing
-// begins at the tag of what was sent last, so nothing is saved up by not asking, and a
-// small call of a class that asks for little passes the large ones of one that asks for
-// much. Leadership has no tags and goes first.
+// begins at the tag of what was sent last, or a little before (see saved), so hardly
+// anything is saved up by not asking, and a small call of a class that asks for little
+// passes the large ones of one that asks for much. Leadership has no tags and goes first.
 type fairQueue struct {
 	flows   [priorities]flow
-	virtual float64 // tag of the call that was taken last
+	virtual float64 // highest tag of a call that was taken
 	waiting int
 }
 
@@ -84,7 +91,7 @@
 	class, n := laneOf(c.Priority)
 	f := &q.flows[class]
 	if f.empty() {
-		f.finish = max(f.finish, q.virtual)
+		f.finish = max(f.finish, q.virtual-saved[c.Priority])
 	}
 	l, other := &f.lanes[n], &f.lanes[lanes-1-n]
 	if len(l.calls) == 0 {
@@ -120,7 +127,7 @@
 	f := &q.flows[p]
 	if p != Leadership {
 		f.finish = f.tag(p)
-		q.virtual = f.finish
+		q.virtual = max(q.virtual, f.finish)
 	}
 	l := f.head()
 	c := l.calls[0]
@@ -184,6 +191,9 @@
 type Meter struct {
 	calls, changes bucket
 	rate, writes   float64
+	shareOfCalls   float64 // parts of the rates that this process may use
+	shareOfChanges float64
+	largestOwn     int // changes of its largest call
 	burst          float64
 	largest        float64   // changes of the largest call
 	reads          fairQueue // calls without changes, which don't wait for the rate of changes
@@ -205,11 +215,22 @@
 // saved up beyond that is gone: a process that is back at once, again and again, or seven
 // of them together, would else come with a full burst each time.
 func (m *Meter) SetShare(calls, changes float64, largest int) {
+	m.shareOfCalls, m.shareOfChanges, m.largestOwn = calls, changes, largest
 	m.calls.rate, m.calls.burst = m.rate*calls, max(1, m.rate*calls*m.burst)
 	m.changes.rate, m.changes.burst = m.writes*changes, max(min(m.largest, float64(largest)), m.writes*changes*m.burst)
 	m.calls.level, m.changes.level = min(m.calls.level, m.calls.burst), min(m.changes.level, m.changes.burst)
 }
 
+// SetWrites sets the rate of changes that all processes share. Where the service has just
+// refused some nothing is saved up.
+func (m *Meter) SetWrites(perSecond float64, refused bool) {
+	m.writes = perSecond
+	m.SetShare(m.shareOfCalls, m.shareOfChanges, m.largestOwn)
+	if refused {
+		m.changes.level = min(m.changes.level, 0)
+	}
+}
+
 // Waiting is how many calls wait for their turn.
 func (m *Meter) Waiting() int { return m.reads.waiting + m.edits.waiting }
 
