Chained jobs: waiting, released by the durable done, cancelled by derivation

Need: a submission may name jobs that have to be done before any of its tasks starts, and a cancellation takes all that need the job with it.

A job with awaits is in a state of its own, waiting, until the final record of each one is known to be durable and done; it is in no plan before. Once one is durably cancelled the job is doomed: the leader from memory, any other controller by a walk over the records answer cancelled, and the finals follow a few at a time. While the final record of a job before it is on its way or not read yet, the leader answers from the state service. A launch on record is proof that an earlier leader saw all of them done.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -25,10 +25,11 @@
 	JobFinishing                  // all tasks are done, the record is on its way
 	JobDone                       // durable and told
 	JobClosed                     // cancelled and no task is left
+	JobWaiting                    // accepted, awaits jobs that are not known to be done
 )
 
 func (s JobState) String() string {
-	return [...]string{"live", "cancelling", "cancelled", "finishing", "done", "closed"}[s]
+	return [...]string{"live", "cancelling", "cancelled", "finishing", "done", "closed", "waiting"}[s]
 }
 
 var jobMoves = map[JobState][]JobState{
@@ -36,6 +37,7 @@
 	JobCancelling: {JobClosed, JobDone},
 	JobCancelled:  {JobClosed},
 	JobFinishing:  {JobDone, JobCancelled},
+	JobWaiting:    {JobLive, JobCancelling},
 }
 
 // TaskState is where a task is, apart from its attempts.
@@ -65,7 +67,11 @@
 	Stamp         uint64 // of its record
 	SubmittedWall micros
 	Submitted     micros
-	CancelledWall micros // time of day at which its user asked to cancel it, as recorded
+	Free          micros   // since when it may start: its submission, or the end of the last job that it awaits
+	Awaiting      []string // jobs that it awaits and that are not known to be done
+	Unsure        bool     // one of them, or one that they await, may be cancelled and durably so
+	Doomed        bool     // one of them, or one that they await, is durably cancelled: so is this job
+	CancelledWall micros   // time of day at which its user asked to cancel it, as recorded
 	Tasks         []Task
 	Done          int
 	Queued        int // tasks that wait for a place
@@ -122,9 +128,14 @@
 	return list
 }
 
-// NewJob makes a job from its specification.
+// NewJob makes a job from its specification. It waits if it awaits others.
 func NewJob(spec *protocol.JobSpec) *Job {
-	return &Job{Spec: spec, Tasks: make([]Task, spec.Tasks), Queued: spec.Tasks}
+	j := &Job{Spec: spec, Tasks: make([]Task, spec.Tasks), Queued: spec.Tasks}
+	if len(spec.Awaits) > 0 {
+		j.State = JobWaiting
+		j.Awaiting = slices.Clone(spec.Awaits)
+	}
+	return j
 }
 
 // To is the one place where a job changes its state.
--- /dev/null
+++ b/internal/coordination/chains.go
@@ -0,0 +1,254 @@
+package coordination
+
+import (
+	"slices"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// Chained jobs, as the leader sees them. A job that awaits others is waiting until each of
+// them is known to be durably done, and is no part of any plan until then. Once one of them
+// is durably cancelled the job is doomed: whoever answers for it says cancelled, since every
+// reader comes to the same conclusion from the same records, and its own final record
+// follows when there is room for it. Nothing else has to be written, or to be written in
+// time, for the promise to hold.
+
+// chains is what a leader knows of the jobs that await others.
+type chains struct {
+	dependants map[string][]*bookkeeping.Job // jobs that wait, by each of the jobs that they await
+	unknown    []string                      // awaited jobs that this leader has to look up
+	asked      map[string]bool               // those, and the ones that are being looked up
+	looking    int
+	doomed     []*bookkeeping.Job        // whose final records are not on their way yet
+	writing    map[*bookkeeping.Job]bool // doomed jobs whose final records are
+}
+
+// mostLookups bounds the awaited jobs that are looked up at once, mostDoomedWrites the final
+// records of doomed jobs on their way: others wait for the state service as well.
+const (
+	mostLookups      = 16
+	mostDoomedWrites = 8
+)
+
+func newChains() chains {
+	return chains{dependants: make(map[string][]*bookkeeping.Job), asked: make(map[string]bool),
+		writing: make(map[*bookkeeping.Job]bool)}
+}
+
+// link takes a job that entered the book into the graph.
+func (c *Controller) link(j *bookkeeping.Job) {
+	g := &c.term.chains
+	j.Free = j.Submitted
+	if len(j.Awaiting) > 0 {
+		c.linkAwaited(j)
+	}
+	// Jobs that await it may have entered before.
+	for _, d := range g.dependants[j.Spec.Ref] {
+		if j.Doomed || j.State == bookkeeping.JobCancelled {
+			c.doom(d)
+		} else {
+			c.updateUnsure(d)
+		}
+	}
+}
+
+// linkAwaited finds out how the jobs stand that a job awaits.
+func (c *Controller) linkAwaited(j *bookkeeping.Job) {
+	g := &c.term.chains
+	doomed := false
+	j.Awaiting = slices.DeleteFunc(j.Awaiting, func(ref string) bool {
+		f, over := c.finals[ref]
+		doomed = doomed || over && f.phase == protocol.Cancelled
+		return over && f.phase == protocol.Done
+	})
+	for _, ref := range j.Awaiting {
+		g.dependants[ref] = append(g.dependants[ref], j)
+		o := c.term.book.Job(ref)
+		switch {
+		case o == nil:
+			c.wantAwaited(ref)
+		case o.Doomed || o.State == bookkeeping.JobCancelled:
+			doomed = true
+		}
+	}
+	switch {
+	case doomed:
+		c.doom(j)
+	case len(j.Awaiting) == 0:
+		c.freeToStart(j)
+	default:
+		c.updateUnsure(j)
+	}
+}
+
+// freeToStart lets a job start whose awaited jobs are all durably done.
+func (c *Controller) freeToStart(j *bookkeeping.Job) {
+	if j.State != bookkeeping.JobWaiting {
+		return // its user asked to cancel it
+	}
+	t := c.term
+	j.To(bookkeeping.JobLive)
+	j.Free = c.at.Steady
+	if t.led > 0 {
+		c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	}
+	t.dirty = true
+	c.log.Debug("job is free to start", "ref", j.Spec.Ref)
+}
+
+// began notes that a task of a job was launched, by an earlier leader if the job is still
+// waiting here. No leader launches before it knows that all awaited jobs are durably done,
+// and that never changes.
+func (c *Controller) began(j *bookkeeping.Job) {
+	if j.State != bookkeeping.JobWaiting {
+		return
+	}
+	j.To(bookkeeping.JobLive)
+	j.Awaiting, j.Unsure = nil, false
+	for _, d := range c.term.chains.dependants[j.Spec.Ref] {
+		c.updateUnsure(d)
+	}
+}
+
+// awaitedOver takes the durable end of a job to those that await it.
+func (c *Controller) awaitedOver(ref string, p protocol.Phase) {
+	if c.term == nil {
+		return
+	}
+	g := &c.term.chains
+	list := g.dependants[ref]
+	delete(g.dependants, ref)
+	for _, j := range list {
+		if p == protocol.Cancelled {
+			c.doom(j)
+			continue
+		}
+		j.Awaiting = slices.DeleteFunc(j.Awaiting, func(r string) bool { return r == ref })
+		if len(j.Awaiting) == 0 {
+			c.freeToStart(j)
+		}
+		c.updateUnsure(j)
+	}
+}
+
+// doom cancels a job of which an awaited one is durably cancelled, and all that await it.
+func (c *Controller) doom(first *bookkeeping.Job) {
+	g := &c.term.chains
+	for work := []*bookkeeping.Job{first}; len(work) > 0; {
+		j := work[len(work)-1]
+		work = work[:len(work)-1]
+		if j.Doomed || j.State != bookkeeping.JobWaiting && j.State != bookkeeping.JobCancelling {
+			continue
+		}
+		if j.State == bookkeeping.JobWaiting {
+			j.To(bookkeeping.JobCancelling)
+			j.CancelledWall = c.at.Wall
+		}
+		j.Doomed, j.Unsure = true, false
+		if !j.Closing {
+			g.doomed = append(g.doomed, j)
+		}
+		ref := j.Spec.Ref
+		for _, to := range c.term.cancels[ref] {
+			c.reply(to, 200, c.jobAnswer(j), 0)
+		}
+		delete(c.term.cancels, ref)
+		work = append(work, g.dependants[ref]...)
+		delete(g.dependants, ref)
+	}
+}
+
+// updateUnsure finds out whether a waiting job may be durably cancelled without this leader
+// knowing it, and the same for those that await it. It is so while the final record of a
+// job before it is on its way, or is still to be read.
+func (c *Controller) updateUnsure(first *bookkeeping.Job) {
+	g := &c.term.chains
+	for work := []*bookkeeping.Job{first}; len(work) > 0; {
+		j := work[len(work)-1]
+		work = work[:len(work)-1]
+		unsure := !j.Doomed && slices.ContainsFunc(j.Awaiting, c.mayBeCancelled)
+		if unsure != j.Unsure {
+			j.Unsure = unsure
+			work = append(work, g.dependants[j.Spec.Ref]...)
+		}
+	}
+}
+
+// mayBeCancelled reports whether an awaited job may be durably cancelled without this
+// leader knowing it.
+func (c *Controller) mayBeCancelled(ref string) bool {
+	o := c.term.book.Job(ref)
+	return o == nil || o.Closing || o.Unsure
+}
+
+// closing notes that the final record of a cancelled job is on its way.
+func (c *Controller) closing(j *bookkeeping.Job) {
+	j.Closing = true
+	for _, d := range c.term.chains.dependants[j.Spec.Ref] {
+		c.updateUnsure(d)
+	}
+}
+
+// wantAwaited has an awaited job looked up that is not in the book.
+func (c *Controller) wantAwaited(ref string) {
+	g := &c.term.chains
+	if !g.asked[ref] {
+		g.asked[ref] = true
+		g.unknown = append(g.unknown, ref)
+	}
+}
+
+// awaitedAgain is after how long a lookup is tried again that failed.
+const awaitedAgain = 500 * protocol.Millisecond
+
+// stepChains goes on with lookups and with the final records of doomed jobs.
+func (c *Controller) stepChains() {
+	g := &c.term.chains
+	for g.looking < mostLookups && len(g.unknown) > 0 {
+		ref := g.unknown[0]
+		g.unknown = g.unknown[1:]
+		c.lookUpAwaited(ref)
+	}
+	for len(g.writing) < mostDoomedWrites && len(g.doomed) > 0 {
+		j := g.doomed[0]
+		g.doomed = g.doomed[1:]
+		if !j.Closing && !j.Asking && c.nowhere(j) {
+			g.writing[j] = true
+			j.Closing = true
+			c.finish(j)
+		} else if !j.Closing {
+			g.doomed = append(g.doomed, j)
+			return
+		}
+	}
+}
+
+// lookUpAwaited reads how an awaited job stands that is not in the book.
+func (c *Controller) lookUpAwaited(ref string) {
+	t := c.term
+	g := &t.chains
+	if len(g.dependants[ref]) == 0 || t.book.Job(ref) != nil {
+		delete(g.asked, ref)
+		return // it is known meanwhile
+	}
+	g.looking++
+	c.find(prioUrgent, ref, func(_ *bookkeeping.Job, _ final, found, ok bool) {
+		if c.term != t {
+			return
+		}
+		g.looking--
+		if ok && found {
+			delete(g.asked, ref) // finding it told those that await it
+			return
+		}
+		if ok {
+			c.log.Error("an awaited job has no record", "ref", ref)
+		}
+		c.after(awaitedAgain, func() {
+			if c.term == t {
+				g.unknown = append(g.unknown, ref)
+			}
+		})
+	})
+}
--- a/internal/coordination/classes.go
+++ b/internal/coordination/classes.go
@@ -30,7 +30,7 @@
 
 func (k *class) arrived(at micros, j *bookkeeping.Job) {
 	k.last, k.most = j.Spec, max(k.most, j.Spec.Tasks)
-	if at-j.Submitted < 5*protocol.Second {
+	if at-j.Free < 5*protocol.Second {
 		k.arrivals = append(k.arrivals, at)
 	}
 	for len(k.arrivals) > 0 && at-k.arrivals[0] > arrivalWindow {
--- a/internal/coordination/guests.go
+++ b/internal/coordination/guests.go
@@ -22,7 +22,7 @@
 // frugal reports whether a job neither keeps a machine at the full price nor has
 // one rented.
 func (c *Controller) frugal(j *bookkeeping.Job) bool {
-	return guest(j.Spec) && j.Spec.Spot && c.at.Steady-j.Submitted < frugalFor
+	return guest(j.Spec) && j.Spec.Spot && c.at.Steady-j.Free < frugalFor
 }
 
 // held reports whether a machine has work for which it is to be kept.
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -58,7 +58,7 @@
 	}
 	// A class that has to start at once can't wait for others to save.
 	need.hurry = need.within < pressingWithin
-	due := protocol.End(j.Submitted, need.within)
+	due := protocol.End(j.Free, need.within)
 	// A place that is free but has to fetch the image first may be too late,
 	// where one with the image would not be.
 	var cold []int
@@ -68,7 +68,7 @@
 		}
 	}
 	missing := min(len(w.tasks), w.request.Limit) - len(w.result.Start)
-	if at < j.Submitted+min(2*protocol.Second, need.within/16) {
+	if at < j.Free+min(2*protocol.Second, need.within/16) {
 		missing = 0
 	}
 	need.soonest = at + 10*protocol.Second + c.class(s.Class).length(s)
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -349,7 +349,7 @@
 		// ready at. Without this, in a burst that never lets the queue end, every
 		// plan found a place within a boot time, and nothing was rented for 100 s
 		// while 99 jobs waited and 300 machines could be had.
-		left.Waited = (at - w.job.Submitted) / 2
+		left.Waited = (at - w.job.Free) / 2
 		left.Tasks -= len(w.result.Start) + len(w.result.Booked)
 		// A booking far away is as good as none, if a machine that is rented now
 		// could be ready sooner.
@@ -525,7 +525,7 @@
 	if within == 0 || j.Spec.Kind == protocol.Service {
 		return 0
 	}
-	return j.Submitted + within*7/10 - c.class(j.Spec.Class).length(j.Spec)
+	return j.Free + within*7/10 - c.class(j.Spec.Class).length(j.Spec)
 }
 
 // startWithin is the shortest time that an aim gives a class to start, or 0.
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -193,7 +193,7 @@
 			fetch = max(fetch, c.fetchTime(typ, s.ImageSize))
 		}
 	}
-	return c.at.Steady-j.Submitted < chooseFetches*fetch
+	return c.at.Steady-j.Free < chooseFetches*fetch
 }
 
 // placeHot starts what an array can at once on machines that have its image.
@@ -390,7 +390,7 @@
 		}
 		w := &wanted{job: j, within: holdsGuarantee(c.guarantee(s.Team), sums[s.Team])}
 		w.missed, w.room = c.missed(j), at < j.RoomUntil
-		w.turn = j.Submitted
+		w.turn = j.Free
 		if s.Kind == protocol.Array {
 			// Jobs count alike, so a large one lets small ones pass that come a
 			// little later: by its work, spread over some machines.
@@ -570,7 +570,7 @@
 	}
 	for _, o := range c.platform.Objectives {
 		if o.Kind == "finished" && o.Class == s.Class {
-			due = max(due, j.Submitted+o.Within)
+			due = max(due, j.Free+o.Within)
 		}
 	}
 	return due
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -22,7 +22,7 @@
 	if within == 0 {
 		return 0, false
 	}
-	return j.Submitted + within, false
+	return j.Free + within, false
 }
 
 // countServed counts a job once it has what is asked of its class, or it is too late.
@@ -72,11 +72,11 @@
 	}
 	t := c.term
 	name := j.Spec.Class
-	if 2*j.Spec.Tasks < c.class(name).most || guest(j.Spec) || j.Submitted+beginWithin < t.led {
+	if 2*j.Spec.Tasks < c.class(name).most || guest(j.Spec) || j.Free+beginWithin < t.led {
 		j.BeginCounted = true
 		return
 	}
-	wait := c.at.Steady - j.Submitted
+	wait := c.at.Steady - j.Free
 	begun := j.Running+j.Done > 0
 	if j.Spec.Kind == protocol.Gang {
 		begun = j.Running+j.Done >= len(j.Tasks)
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -21,6 +21,7 @@
 	refusedGone       = "the machine is gone"
 	refusedAlone      = "this node hears nobody"
 	refusedNotInForce = "the revision is not in force everywhere yet"
+	refusedFeature    = "not every controller has the version for this yet"
 	refusedStops      = "tasks of the job may still be on machines"
 )
 
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -62,6 +62,8 @@
 	calling int                 // direct commands on their way
 	probes  prober
 
+	chains chains // jobs that await others
+
 	orphans  []string // keys to be dropped
 	dropping bool
 
@@ -79,6 +81,7 @@
 		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]micros),
 		classes: make(map[string]*class), others: make(map[string]stand), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
 	t.rental.init()
+	t.chains = newChains()
 	t.probes.init()
 	t.hostPages = c.newPages(bookkeeping.HostPages, c.hostRecord)
 	t.bookingPages = c.newPages(bookkeeping.BookingPages, c.bookingRecord)
@@ -331,6 +334,7 @@
 	if j == nil || h == nil || l.Name.Index >= len(j.Tasks) {
 		return // over, or gone with its host
 	}
+	c.began(j)
 	a := t.book.Attach(c.at.Steady, j, h, l.Name)
 	a.Adopted, a.Recorded = true, true
 	j.BeginCounted = true // by an earlier leader, which knew whether it began in time
@@ -400,6 +404,9 @@
 		c.pin(launches[name])
 	}
 	for _, j := range slices.Clone(t.book.Line()) {
+		if j.Done > 0 {
+			c.began(j)
+		}
 		c.checkFinished(j)
 	}
 	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Line()), "hosts", len(t.book.Hosts()), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
@@ -532,11 +539,15 @@
 	t := c.term
 	j.Submitted = min(c.at.Steady, c.steadyOf(j.SubmittedWall))
 	t.book.AddJob(j)
+	c.link(j)
 	// An attempt of a job that was not known yet may have been reported.
 	for _, a := range t.book.Rebind(c.at.Steady, j) {
+		c.began(j)
 		c.recordLaunch(a, c.at.Steady)
 	}
-	c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	if len(j.Spec.Awaits) == 0 {
+		c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	}
 	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "rank", int(j.Spec.Rank),
 		"cpus", float64(j.Spec.Need.CPU)/1000, "gpus", float64(j.Spec.Need.GPU)/1000, "mem_gb", float64(j.Spec.Need.Mem)/1000, "saves", j.Spec.Checkpoints(), "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
@@ -566,6 +577,7 @@
 		return
 	}
 	c.pulseConfig(t)
+	c.stepChains()
 	if sweep {
 		c.enforce()
 		c.recordImages()
@@ -909,6 +921,7 @@
 		j.To(bookkeeping.JobClosed)
 		c.log.Debug("cancelled", "ref", j.Spec.Ref, "asked_ms_ago", int64((c.at.Wall-j.CancelledWall)/protocol.Millisecond), "told", len(t.cancels[j.Spec.Ref]))
 	}
+	delete(t.chains.writing, j)
 	for i := range j.Tasks {
 		j.Tasks[i].Durable = true
 	}
@@ -922,7 +935,7 @@
 // mostFinals is how many jobs that are over are remembered.
 const mostFinals = 50_000
 
-// remember keeps the last phase of a job that is over.
+// remember keeps the last phase of a job that is durably over.
 func (c *Controller) remember(ref string, f final) {
 	if len(c.finals) > mostFinals {
 		for k := range c.finals { // any of them: the state service has them all
@@ -933,6 +946,7 @@
 		}
 	}
 	c.finals[ref] = f
+	c.awaitedOver(ref, f.phase)
 }
 
 // closeJobs lets go of jobs that are over and of which no attempt is left.
@@ -952,7 +966,7 @@
 			c.keepAsk(j)
 		case bookkeeping.JobCancelled: // by an earlier version
 			if j.Settled() && t.recovered && !j.Closing && len(t.cancels[j.Spec.Ref]) == 0 {
-				j.Closing = true
+				c.closing(j)
 				c.finish(j)
 			}
 		}
--- a/internal/coordination/users.go
+++ b/internal/coordination/users.go
@@ -3,6 +3,7 @@
 import (
 	"mapleslip/internal/bookkeeping"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/upgrade"
 )
 
 // forwardTimeout is how long the leader has to answer a passed-on call before
@@ -58,6 +59,10 @@
 			return
 		}
 		e.Ref = spec.Ref
+		if len(spec.Awaits) > 0 && !c.allows(upgrade.ChainedJobs) {
+			c.unavailable(e.Reply, refusedFeature)
+			return
+		}
 	} else if !protocol.ValidRef(e.Ref) {
 		// No such id can ever have been accepted.
 		c.reply(e.Reply, 404, protocol.ErrorBody("no such job"), 0)
@@ -262,12 +267,8 @@
 			c.unavailable(to, refusedState)
 		case !found:
 			c.reply(to, 404, protocol.ErrorBody("no such job"), 0)
-		case j != nil && c.mayStart() && c.term.book.Job(ref) == j:
-			c.reply(to, 200, c.jobAnswer(j), 0)
-		case j != nil && j.State == bookkeeping.JobCancelled:
-			c.reply(to, 200, protocol.JobAnswer(ref, protocol.Cancelled, 0, 0), 0)
 		case j != nil:
-			c.reply(to, 200, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+			c.answerLive(to, j)
 		default:
 			c.replyFinal(to, ref, f)
 		}
@@ -347,9 +348,24 @@
 		c.refuse(to, spec, why)
 		return
 	}
+	if len(spec.Awaits) == 0 {
+		c.directCreate(to, spec, protocol.Queued, over)
+		return
+	}
+	c.admitAwaits(to, spec, over, func(cancelled bool) {
+		phase := protocol.Queued
+		if cancelled {
+			phase = protocol.Cancelled
+		}
+		c.directCreate(to, spec, phase, over)
+	})
+}
+
+// directCreate creates a job's record without the leader. phase is what its user is told.
+func (c *Controller) directCreate(to Address, spec *protocol.JobSpec, phase protocol.Phase, over func()) {
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall = c.at.Wall
-	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
+	c.create(to, j, phase, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
 		c.txn(prioUser, c.underRevision(when), then, func(o txnOutcome, r protocol.TxnResult) {
 			over()
 			if c.outdated(o, r) {
@@ -394,7 +410,7 @@
 
 func (c *Controller) answerKnown(to Address, ref string, j *bookkeeping.Job, f final) {
 	if j != nil {
-		c.reply(to, 200, c.jobAnswer(j), 0)
+		c.answerLive(to, j)
 		return
 	}
 	c.replyFinal(to, ref, f)
@@ -402,8 +418,9 @@
 
 type writer func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult))
 
-// create records a job if it is not there yet, and answers once it is durable.
-func (c *Controller) create(to Address, j *bookkeeping.Job, write writer, refused func()) {
+// create records a job if it is not there yet, and answers once it is durable, with the
+// phase given unless this node leads and knows better.
+func (c *Controller) create(to Address, j *bookkeeping.Job, phase protocol.Phase, write writer, refused func()) {
 	ref := j.Spec.Ref
 	value := bookkeeping.EncodeJob(j)
 	if len(value) > c.platform.ValueBytes {
@@ -420,7 +437,11 @@
 			if c.mayStart() && c.term.book.Job(ref) == nil {
 				c.enter(j)
 			}
-			c.reply(to, 201, protocol.JobAnswer(ref, protocol.Queued, 0, 0), 0)
+			body := protocol.JobAnswer(ref, phase, 0, 0)
+			if len(j.Spec.Awaits) > 0 && c.knows(j) {
+				body = c.jobAnswer(j)
+			}
+			c.reply(to, 201, body, 0)
 		case txnRefused:
 			c.find(prioUser, ref, func(j *bookkeeping.Job, f final, found, ok bool) {
 				if !ok || !found {
@@ -528,6 +549,40 @@
 		c.refuse(to, spec, why)
 		return
 	}
+	if !c.knowsAwaited(spec) {
+		c.admitUnknown(to, spec)
+		return
+	}
+	c.admit(to, spec)
+}
+
+// admitUnknown accepts a job as the leader of which it has to look up what it awaits.
+func (c *Controller) admitUnknown(to Address, spec *protocol.JobSpec) {
+	if c.askedTooMuch() {
+		c.unavailable(to, refusedQuestions)
+		return
+	}
+	c.looking++
+	t := c.term
+	over := func() { c.looking-- }
+	c.admitAwaits(to, spec, over, func(bool) {
+		over()
+		if c.term != t || !c.mayStart() {
+			c.unavailable(to, refusedNoLeader)
+			return
+		}
+		if j := t.book.Job(spec.Ref); j != nil {
+			c.answerLive(to, j)
+			return
+		}
+		c.admit(to, spec)
+	})
+}
+
+// admit accepts a job as the leader, in its turn.
+func (c *Controller) admit(to Address, spec *protocol.JobSpec) {
+	t := c.term
+	ref := spec.Ref
 	if waiting, ok := t.submits[ref]; ok {
 		t.submits[ref] = append(waiting, to)
 		return
@@ -550,7 +605,7 @@
 	line.began()
 	j := bookkeeping.NewJob(spec)
 	j.SubmittedWall, j.Epoch = c.at.Wall, t.epoch
-	c.create(to, j, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
+	c.create(to, j, protocol.Queued, func(when []protocol.Condition, then []protocol.Change, done func(txnOutcome, protocol.TxnResult)) {
 		when = append([]protocol.Condition{{Key: bookkeeping.KeyLeader, Stamp: c.seat.stamp}}, when...)
 		c.txn(prio, c.underRevision(when), then, func(o txnOutcome, r protocol.TxnResult) {
 			others := t.submits[ref]
@@ -607,6 +662,12 @@
 func (c *Controller) jobAnswer(j *bookkeeping.Job) []byte {
 	phase := protocol.Queued
 	running := j.Running
+	switch {
+	case j.Doomed:
+		return protocol.JobAnswer(j.Spec.Ref, protocol.Cancelled, 0, 0)
+	case j.State == bookkeeping.JobWaiting:
+		return protocol.AwaitingAnswer(j.Spec.Ref, j.Awaiting)
+	}
 	switch j.State {
 	case bookkeeping.JobDone:
 		phase, running = protocol.Done, 0
@@ -624,16 +685,18 @@
 // writer knows, for seconds if the answer is lost and the write is carried out late; a node
 // that finds it then tells its user, who must not be told something older by the leader.
 // So until the outcome is known the leader, too, answers from the state service.
-func ending(j *bookkeeping.Job) bool { return j.State == bookkeeping.JobFinishing || j.Closing }
+// It is the same for a job that awaits others while one of their records is on its way, or
+// not read yet. A doomed job is cancelled whatever becomes of its own record.
+func ending(j *bookkeeping.Job) bool {
+	return !j.Doomed && (j.State == bookkeeping.JobFinishing || j.Closing || j.Unsure)
+}
 
 func (c *Controller) query(to Address, ref string) {
 	if j := c.term.book.Job(ref); j != nil && !ending(j) {
 		c.reply(to, 200, c.jobAnswer(j), 0)
 		return
 	}
-	// Lookups come second to what the leader has to write and read itself: a
-	// storm of questions about jobs that nobody knows would use up the rate.
-	if float64(c.looking) >= max(4, c.platform.StateRate*ReadShare(len(c.platform.Siblings)+1, true)/2*directWait.Seconds()) {
+	if c.askedTooMuch() {
 		c.unavailable(to, refusedQuestions)
 		return
 	}
@@ -641,6 +704,13 @@
 	c.lookUp(to, ref, func() { c.looking-- })
 }
 
+// askedTooMuch reports whether this leader looks up as much for users as it may. Lookups
+// come second to what the leader has to write and read itself: a storm of questions about
+// jobs that nobody knows would use up the rate.
+func (c *Controller) askedTooMuch() bool {
+	return float64(c.looking) >= max(4, c.platform.StateRate*ReadShare(len(c.platform.Siblings)+1, true)/2*directWait.Seconds())
+}
+
 // cancel ends a job: durable first, then the answer, then its tasks are
 // stopped until none is left.
 func (c *Controller) cancel(to Address, ref string) {
@@ -663,12 +733,16 @@
 		})
 		return
 	}
+	if j.Doomed {
+		c.reply(to, 200, c.jobAnswer(j), 0)
+		return
+	}
 	switch j.State {
 	case bookkeeping.JobDone, bookkeeping.JobCancelled, bookkeeping.JobClosed:
 		c.reply(to, 200, c.jobAnswer(j), 0)
 	case bookkeeping.JobCancelling, bookkeeping.JobFinishing:
 		t.cancels[ref] = append(t.cancels[ref], to)
-	case bookkeeping.JobLive:
+	case bookkeeping.JobLive, bookkeeping.JobWaiting:
 		t.cancels[ref] = append(t.cancels[ref], to)
 		j.To(bookkeeping.JobCancelling)
 		j.CancelledWall = c.at.Wall
@@ -705,8 +779,8 @@
 // stop. Told before, it was a promise that no later leader could keep when a cut, an
 // outage of the state service and the end of all controllers came together.
 func (c *Controller) endCancelled(j *bookkeeping.Job) {
-	if j.State == bookkeeping.JobCancelling && !j.Closing && !j.Asking && c.nowhere(j) {
-		j.Closing = true
+	if j.State == bookkeeping.JobCancelling && !j.Doomed && !j.Closing && !j.Asking && c.nowhere(j) {
+		c.closing(j)
 		c.finish(j)
 	}
 }
@@ -718,7 +792,7 @@
 // keepAsk keeps the request in the state service, so that a new leader goes on with
 // it also if its user has given up asking.
 func (c *Controller) keepAsk(j *bookkeeping.Job) {
-	if j.AskKept || j.Asking || j.Closing || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.AskAgain {
+	if j.AskKept || j.Asking || j.Closing || j.Doomed || c.at.Wall-j.CancelledWall < askKeptAfter || c.at.Steady < j.AskAgain {
 		return
 	}
 	j.Asking = true
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -226,6 +226,9 @@
 	if j != nil && task.Index >= len(j.Tasks) {
 		j = nil
 	}
+	if j != nil {
+		c.began(j)
+	}
 	a := t.book.Attach(c.at.Steady, j, h, task.AttemptName)
 	a.Adopted = true
 	if j != nil && j.Spec.Kind == protocol.Gang && task.State != protocol.Exited {
--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -39,6 +39,7 @@
 	CheckpointEveryS *float64 `toml:"checkpoint_every_s" json:"snapshotEveryS"`
 	CheckpointS      *float64 `toml:"checkpoint_s" json:"snapshotS"`
 	DeadlineS        *float64 `toml:"deadline_s" json:"dueS"`
+	Awaits           []string `toml:"awaits" json:"awaits,omitempty"`
 }
 
 type rolloutFile struct {
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"strconv"
 
 	"github.com/valyala/fastjson"
@@ -37,6 +38,10 @@
 // MaxTasks is the largest number of tasks in a job.
 const MaxTasks = 100000
 
+// MaxAwaits is how many jobs one job may await. A job's record has to fit into a value of
+// the state service, also of one with low limits.
+const MaxAwaits = 64
+
 // JobSpec is what a user submits.
 type JobSpec struct {
 	Ref, Class, Team       string
@@ -50,8 +55,9 @@
 	Zone                   string   // "": any
 	OneZone, Spread, Spot  bool
 	Estimate               Micros
-	CheckpointEvery, Saves Micros // 0: never saves
-	Deadline               Micros // from submission; 0: none
+	CheckpointEvery, Saves Micros   // 0: never saves
+	Deadline               Micros   // from submission; 0: none
+	Awaits                 []string // jobs that have to be done before any task starts, each once
 }
 
 // Durable reports whether tasks can save progress.
@@ -256,9 +262,43 @@
 			s.Deadline = 1
 		}
 	}
+	s.Awaits = f.awaits(s.Ref)
 	return s, f.err
 }
 
+// awaits reads the jobs that a job awaits. One that is named twice counts once.
+func (f *fields) awaits(ref string) []string {
+	const name = "awaits"
+	v := f.optional(name)
+	if v == nil {
+		return nil
+	}
+	list, err := v.Array()
+	if err != nil {
+		f.fail(name, "invalid")
+		return nil
+	}
+	if len(list) > MaxAwaits {
+		f.fail(name, fmt.Sprintf("more than %d jobs", MaxAwaits))
+		return nil
+	}
+	var refs []string
+	for _, item := range list {
+		awaited := string(item.GetStringBytes())
+		switch {
+		case !ValidRef(awaited):
+			f.fail(name, "invalid")
+			return nil
+		case awaited == ref:
+			f.fail(name, "the job itself")
+			return nil
+		case !slices.Contains(refs, awaited):
+			refs = append(refs, awaited)
+		}
+	}
+	return refs
+}
+
 // AppendJob writes a job in the form of the interface, which is also the form
 // in which it is kept.
 func AppendJob(b []byte, s *JobSpec) []byte {
@@ -294,6 +334,9 @@
 	if s.Deadline > 0 {
 		span("dueS", s.Deadline)
 	}
+	if len(s.Awaits) > 0 {
+		b = append(appendList(appendName(b, "awaits"), s.Awaits, AppendQuoted), ',')
+	}
 	b = append(b, `"snapshotS":`...)
 	b = appendSeconds(b, s.Saves)
 	return append(b, '}')
@@ -347,6 +390,13 @@
 	return append(b, '}')
 }
 
+// AwaitingAnswer is a JobAnswer of a queued job that awaits others still, with their names.
+func AwaitingAnswer(ref string, awaiting []string) []byte {
+	b := JobAnswer(ref, Queued, 0, 0)
+	b = appendName(append(b[:len(b)-1], ','), "awaiting")
+	return append(appendList(b, awaiting, AppendQuoted), '}')
+}
+
 // ErrorBody is the body of an answer that reports a problem.
 func ErrorBody(text string) []byte {
 	return append(AppendQuoted([]byte(`{"error":`), text), '}')
