--- /dev/null
+++ b/internal/rehearsal/chains.go
@@ -0,0 +1,156 @@
+package rehearsal
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/protocol"
+)
+
+// What the stand-ins know of jobs that await others, and the rules for them: no task starts
+// before all that its job awaits is done, and no job is called queued or running long after
+// a user was told that one before it is cancelled.
+
+// awaitedBy lists the jobs that a job awaits, as far as their users submitted them.
+func (w *World) awaitedBy(j *userJob) []*userJob {
+	var list []*userJob
+	for _, ref := range j.spec.Awaits {
+		if o := w.jobs[ref]; o != nil {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// before lists all jobs that a job needs, directly or through others.
+func (w *World) before(j *userJob) []*userJob {
+	var list []*userJob
+	seen := map[*userJob]bool{j: true}
+	for work := []*userJob{j}; len(work) > 0; {
+		for _, o := range w.awaitedBy(work[0]) {
+			if !seen[o] {
+				seen[o] = true
+				list, work = append(list, o), append(work, o)
+			}
+		}
+		work = work[1:]
+	}
+	return list
+}
+
+// checkEarly checks, from what the machines did, that a task does not start before all that
+// its job awaits is done.
+func (w *World) checkEarly(j *userJob, task string) {
+	for _, o := range w.awaitedBy(j) {
+		for i, done := range o.results {
+			if !done {
+				w.broken("too_early: %s starts before %s/%d is done", task, o.spec.Ref, i)
+				return
+			}
+		}
+	}
+}
+
+// checkOrphaned checks a phase that a user was told of.
+func (w *World) checkOrphaned(j *userJob, phase string) {
+	if phase != "queued" && phase != "running" {
+		return
+	}
+	for _, o := range w.before(j) {
+		if o.toldCancelled > 0 && w.now > o.toldCancelled+w.Platform.Cancel {
+			w.broken("orphaned: %s is %s, %s was cancelled at %.2f", j.spec.Ref, phase, o.spec.Ref, o.toldCancelled.Seconds())
+		}
+	}
+}
+
+// askedToCancel reports whether the user of a job, or of one that it needs, asked to cancel.
+func (w *World) askedToCancel(j *userJob) bool {
+	for _, o := range w.before(j) {
+		if o.asked {
+			return true
+		}
+	}
+	return j.asked
+}
+
+// nameable reports whether a user may name all the jobs that a job awaits: they were
+// accepted, and none is a service.
+func (w *World) nameable(j *userJob) bool {
+	for _, ref := range j.spec.Awaits {
+		if o := w.jobs[ref]; o == nil || !o.accepted || o.spec.Kind == protocol.Service {
+			return false
+		}
+	}
+	return true
+}
+
+// checkChained checks the answer to the submission of a job that awaits others. nameable
+// says whether it could name them when it was submitted.
+func (w *World) checkChained(j *userJob, nameable bool, status int, body []byte) {
+	if len(j.spec.Awaits) == 0 {
+		return
+	}
+	switch status {
+	case 200, 201:
+		if !w.nameable(j) && !nameable {
+			w.broken("invented: %s was accepted and awaits a job that was not", j.spec.Ref)
+		}
+		// An answer that is not final may have crossed with a later one.
+		if phase := fastjson.GetString(body, "phase"); phase == "cancelled" || phase == "done" {
+			w.heard(j, phase)
+		} else if j.toldAt == 0 {
+			w.checkOrphaned(j, phase)
+		}
+	case 422:
+		if nameable {
+			w.broken("refused: %s, all that it awaits was accepted", j.spec.Ref)
+		}
+	}
+}
+
+// actChains does what a line of a trace says of chains.
+func (w *World) actChains(words []string) error {
+	switch words[0] {
+	case "chain": // chain COUNT FIRST KIND ...: each awaits the one before and is submitted once that is accepted
+		count, err := strconv.Atoi(words[1])
+		first, err2 := strconv.Atoi(strings.TrimPrefix(words[2], "req-"))
+		if err != nil || err2 != nil {
+			return fmt.Errorf("chain COUNT FIRST KIND")
+		}
+		return w.submitChain(count, first, words[3:], nil)
+	case "resubmit": // resubmit REF: its user repeats the submission
+		j := w.jobs[words[1]]
+		if j == nil {
+			return fmt.Errorf("no such job")
+		}
+		j.status = 0
+		w.submit(j)
+		return nil
+	}
+	return fmt.Errorf("unknown word %s", words[0])
+}
+
+// submitChain submits the next job of a chain and the others after it.
+func (w *World) submitChain(left, number int, words []string, last *userJob) error {
+	if left == 0 {
+		return nil
+	}
+	if last != nil && !last.accepted {
+		if last.status != 400 && last.status != 422 {
+			w.after(100*protocol.Millisecond, func() { _ = w.submitChain(left, number, words, last) })
+		}
+		return nil
+	}
+	ref := fmt.Sprintf("req-%06d", number)
+	line := append([]string{"submit", ref}, words...)
+	if last != nil {
+		line = append(line, "awaits="+last.spec.Ref)
+	}
+	if err := w.actSubmit(line); err != nil {
+		return err
+	}
+	return w.submitChain(left-1, number+1, words, w.jobs[ref])
+}
--- a/internal/rehearsal/machines.go
+++ b/internal/rehearsal/machines.go
@@ -259,6 +259,7 @@
 	s := t.job.spec
 	name := fmt.Sprintf("%s/%d", s.Ref, t.index)
 	w.note("%s starts on %s", name, m.name)
+	w.checkEarly(t.job, name)
 	typ := w.typeOf(m)
 	if !s.AllowsType(m.typ) || s.Zone != "" && s.Zone != m.zone || m.spot && !s.Spot || !typ.Offer.Holds(s.Need) {
 		w.broken("wrong_place: %s on %s", name, m.name)
--- a/internal/rehearsal/trace.go
+++ b/internal/rehearsal/trace.go
@@ -168,6 +168,12 @@
 			return err
 		}
 		w.Platform.ValueBytes = n
+	case "txn-changes": // that a transaction of the state service may carry
+		n, err := strconv.Atoi(words[1])
+		if err != nil {
+			return err
+		}
+		w.Platform.TxnOps = n
 	case "no-capacity":
 		w.noCapacity = true
 	case "changes": // of the configuration are on
@@ -405,7 +411,7 @@
 	case "expect":
 		return w.expect(words[1:])
 	default:
-		return fmt.Errorf("unknown word %s", words[0])
+		return w.actChains(words)
 	}
 	return nil
 }
@@ -483,6 +489,9 @@
 		Image: text("image", "img-1"), ImageSize: thousandths(number(o, "size", 2)), Zone: o["zone"], OneZone: has("one-zone"), Spread: has("spread"), Spot: has("spot"),
 		Estimate: protocol.FromSeconds(number(o, "estimate", run.Seconds())), CheckpointEvery: protocol.FromSeconds(number(o, "checkpoint", 0)),
 		Deadline: protocol.FromSeconds(number(o, "deadline", 0))}
+	if has("awaits") {
+		s.Awaits = strings.Split(o["awaits"], ",")
+	}
 	if has("types") {
 		s.Types = strings.Split(o["types"], ",")
 	}
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -640,8 +640,10 @@
 
 func (w *World) submit(j *userJob) {
 	w.jobs[j.spec.Ref] = j
-	w.insist("submit", string(j.body), func(status int, _ []byte) bool {
+	nameable := w.nameable(j)
+	w.insist("submit", string(j.body), func(status int, body []byte) bool {
 		j.status = status
+		w.checkChained(j, nameable, status, body)
 		switch status {
 		case 200, 201:
 			if w.copies > 0 && !j.accepted {
@@ -749,6 +751,7 @@
 	if phase != j.phase {
 		w.note("%s is %s", ref, phase)
 	}
+	w.checkOrphaned(j, phase)
 	j.phase = phase
 	if j.toldAt == 0 && (phase == "done" || phase == "cancelled") {
 		j.toldAt = w.now
@@ -762,7 +765,7 @@
 			}
 		}
 	case "cancelled":
-		if !j.asked {
+		if !w.askedToCancel(j) {
 			w.broken("went_back: nobody cancelled %s", ref)
 		}
 		if j.toldCancelled == 0 {
