--- a/internal/rehearsal/chains.go
+++ b/internal/rehearsal/chains.go
@@ -121,6 +121,17 @@
 			return fmt.Errorf("chain COUNT FIRST KIND")
 		}
 		return w.submitChain(count, first, words[3:], nil)
+	case "submit-after": // as submit, once all that the job awaits is accepted; never if one was refused
+		return w.submitAfter(words)
+	case "cancel-known", "resubmit-known", "expect-over-known": // as without -known, if the job was submitted
+		j := w.jobs[words[1]]
+		switch {
+		case j == nil || !j.accepted:
+			return nil
+		case words[0] == "expect-over-known":
+			return w.expect([]string{"over", words[1]})
+		}
+		return w.act([]string{strings.TrimSuffix(words[0], "-known"), words[1]})
 	case "resubmit": // resubmit REF: its user repeats the submission
 		j := w.jobs[words[1]]
 		if j == nil {
@@ -154,3 +165,20 @@
 	}
 	return w.submitChain(left-1, number+1, words, w.jobs[ref])
 }
+
+// submitAfter submits a job as soon as the jobs that it awaits are accepted.
+func (w *World) submitAfter(words []string) error {
+	if len(words) < 3 {
+		return fmt.Errorf("submit-after REF KIND")
+	}
+	if awaits := options(words[3:])["awaits"]; awaits != "" {
+		for _, ref := range strings.Split(awaits, ",") {
+			o := w.jobs[ref]
+			if o == nil || !o.accepted {
+				w.after(200*protocol.Millisecond, func() { _ = w.submitAfter(words) })
+				return nil
+			}
+		}
+	}
+	return w.actSubmit(append([]string{"submit"}, words[1:]...))
+}
