Chained jobs: rank and deadline go back through the chain

A job is served by the highest rank of those that need it, and as if it had to be done by when they have to start to meet their deadlines: estimates, and a fetch of the image. It is no guest then, and makes room as they would.

--- a/internal/bookkeeping/job.go
+++ b/internal/bookkeeping/job.go
@@ -67,11 +67,13 @@
 	Stamp         uint64 // of its record
 	SubmittedWall micros
 	Submitted     micros
-	Free          micros   // since when it may start: its submission, or the end of the last job that it awaits
-	Awaiting      []string // jobs that it awaits and that are not known to be done
-	Unsure        bool     // one of them, or one that they await, may be cancelled and durably so
-	Doomed        bool     // one of them, or one that they await, is durably cancelled: so is this job
-	CancelledWall micros   // time of day at which its user asked to cancel it, as recorded
+	Free          micros        // since when it may start: its submission, or the end of the last job that it awaits
+	Rank          protocol.Rank // its own, or the highest of the jobs that need it
+	NeededBy      micros        // when it has to be done for one that needs it to meet its deadline, 0: none has one
+	Awaiting      []string      // jobs that it awaits and that are not known to be done
+	Unsure        bool          // one of them, or one that they await, may be cancelled and durably so
+	Doomed        bool          // one of them, or one that they await, is durably cancelled: so is this job
+	CancelledWall micros        // time of day at which its user asked to cancel it, as recorded
 	Tasks         []Task
 	Done          int
 	Queued        int // tasks that wait for a place
@@ -130,7 +132,7 @@
 
 // NewJob makes a job from its specification. It waits if it awaits others.
 func NewJob(spec *protocol.JobSpec) *Job {
-	j := &Job{Spec: spec, Tasks: make([]Task, spec.Tasks), Queued: spec.Tasks}
+	j := &Job{Spec: spec, Rank: spec.Rank, Tasks: make([]Task, spec.Tasks), Queued: spec.Tasks}
 	if len(spec.Awaits) > 0 {
 		j.State = JobWaiting
 		j.Awaiting = slices.Clone(spec.Awaits)
--- a/internal/coordination/chains.go
+++ b/internal/coordination/chains.go
@@ -45,6 +45,7 @@
 	}
 	// Jobs that await it may have entered before.
 	for _, d := range g.dependants[j.Spec.Ref] {
+		c.lend(d, j)
 		if j.Doomed || j.State == bookkeeping.JobCancelled {
 			c.doom(d)
 		} else {
@@ -70,6 +71,8 @@
 			c.wantAwaited(ref)
 		case o.Doomed || o.State == bookkeeping.JobCancelled:
 			doomed = true
+		default:
+			c.lend(j, o)
 		}
 	}
 	switch {
@@ -252,3 +255,57 @@
 		})
 	})
 }
+
+// lend has a job be served as one that needs it: with its rank, if that is higher, and so
+// that it is done by when the other has to start to meet its deadline. So it goes back
+// through the chain, to whatever can start now.
+func (c *Controller) lend(from, to *bookkeeping.Job) {
+	neededBy := c.startBy(from)
+	rises := from.Rank < to.Rank
+	hastens := neededBy > 0 && (to.NeededBy == 0 || neededBy < to.NeededBy)
+	if !rises && !hastens {
+		return
+	}
+	to.Rank = min(to.Rank, from.Rank)
+	if hastens {
+		to.NeededBy = neededBy
+	}
+	for _, a := range to.On() {
+		a.Host.Changed = true // others are planned around what runs by its rank
+	}
+	c.term.dirty = true
+	for _, ref := range to.Awaiting {
+		if o := c.term.book.Job(ref); o != nil {
+			c.lend(to, o)
+		}
+	}
+}
+
+// startBy is when a job has to be free to start for it, and those that need it, to meet
+// their deadlines: by its estimate, and a fetch of its image. 0: nobody has a deadline.
+func (c *Controller) startBy(j *bookkeeping.Job) micros {
+	due := deadlineOf(j)
+	if due == 0 || j.Spec.Kind == protocol.Service {
+		return 0
+	}
+	var fetch micros
+	for _, t := range c.types {
+		if j.Spec.AllowsType(t.Name) {
+			fetch = max(fetch, c.fetchTime(t, j.Spec.ImageSize))
+		}
+	}
+	return max(1, due-c.class(j.Spec.Class).length(j.Spec)-fetch)
+}
+
+// deadlineOf is when a job has to be done by its own deadline and those of the jobs that
+// need it, 0: there is none.
+func deadlineOf(j *bookkeeping.Job) micros {
+	var due micros
+	if j.Spec.Deadline > 0 {
+		due = j.Submitted + j.Spec.Deadline
+	}
+	if j.NeededBy > 0 && (due == 0 || j.NeededBy < due) {
+		due = j.NeededBy
+	}
+	return due
+}
--- a/internal/coordination/guests.go
+++ b/internal/coordination/guests.go
@@ -13,7 +13,7 @@
 // every machine busy that was ever rented, and had work of higher rank rent more.
 
 // guest reports whether a job's tasks give way to whatever else is placed.
-func guest(s *protocol.JobSpec) bool { return s.Rank == protocol.Low }
+func guest(j *bookkeeping.Job) bool { return j.Rank == protocol.Low }
 
 // frugalFor is how long a guest's job is content with what is spare. After that
 // it is served like others, only behind them: an accepted job must run.
@@ -22,7 +22,7 @@
 // frugal reports whether a job neither keeps a machine at the full price nor has
 // one rented.
 func (c *Controller) frugal(j *bookkeeping.Job) bool {
-	return guest(j.Spec) && j.Spec.Spot && c.at.Steady-j.Free < frugalFor
+	return guest(j) && j.Spec.Spot && c.at.Steady-j.Free < frugalFor
 }
 
 // held reports whether a machine has work for which it is to be kept.
@@ -45,7 +45,7 @@
 		}
 		s := a.Job.Spec
 		free = free.Add(s.Need, -1)
-		if guest(s) {
+		if guest(a.Job) {
 			lost := micros(0)
 			if a.Started > 0 {
 				lost = c.at.Steady - a.Started
--- a/internal/coordination/preempt.go
+++ b/internal/coordination/preempt.go
@@ -27,20 +27,22 @@
 	oneZone, spot bool
 }
 
-func (h *hopeless) covers(s *protocol.JobSpec, tasks int) bool {
-	return s.Need.Holds(h.need) && tasks >= h.tasks && s.Rank >= h.rank && (h.zone == "" || h.zone == s.Zone) &&
+func (h *hopeless) covers(j *bookkeeping.Job, tasks int) bool {
+	s := j.Spec
+	return s.Need.Holds(h.need) && tasks >= h.tasks && j.Rank >= h.rank && (h.zone == "" || h.zone == s.Zone) &&
 		(!h.oneZone || s.OneZone || tasks == 1) && (h.spot || !s.Spot) && slices.Equal(h.types, s.Types)
 }
 
 // giveUp remembers that no room can be made for some tasks of a job.
-func (p *pass) giveUp(s *protocol.JobSpec, tasks int) {
+func (p *pass) giveUp(j *bookkeeping.Job, tasks int) {
+	s := j.Spec
 	if len(p.hopeless) < 64 {
-		p.hopeless = append(p.hopeless, hopeless{s.Need, tasks, s.Rank, s.Zone, s.Types, s.OneZone && tasks > 1, s.Spot})
+		p.hopeless = append(p.hopeless, hopeless{s.Need, tasks, j.Rank, s.Zone, s.Types, s.OneZone && tasks > 1, s.Spot})
 	}
 }
 
-func (p *pass) isHopeless(s *protocol.JobSpec, tasks int) bool {
-	return slices.ContainsFunc(p.hopeless, func(h hopeless) bool { return h.covers(s, tasks) })
+func (p *pass) isHopeless(j *bookkeeping.Job, tasks int) bool {
+	return slices.ContainsFunc(p.hopeless, func(h hopeless) bool { return h.covers(j, tasks) })
 }
 
 // preempt makes room for a job of higher rank, where no place comes free soon:
@@ -49,7 +51,7 @@
 	at := c.at.Steady
 	j := w.job
 	s := j.Spec
-	if s.Rank > protocol.High || j.Suspect || w.request == nil || w.request.Limit < 1 || j.State != bookkeeping.JobLive || at < j.NoRoomUntil {
+	if j.Rank > protocol.High || j.Suspect || w.request == nil || w.request.Limit < 1 || j.State != bookkeeping.JobLive || at < j.NoRoomUntil {
 		return
 	}
 	need := makeRoom{within: c.startWithin(s.Class), taken: make(map[*bookkeeping.Host]bool)}
@@ -163,7 +165,7 @@
 	s := j.Spec
 	var best []*bookkeeping.Attempt
 	var bestLoss float64
-	if p.isHopeless(s, 1) {
+	if p.isHopeless(j, 1) {
 		return false
 	}
 	some := false
@@ -207,7 +209,7 @@
 	})
 	if best == nil {
 		if !some {
-			p.giveUp(s, 1)
+			p.giveUp(j, 1)
 		}
 		return false
 	}
@@ -254,7 +256,7 @@
 	}
 	zones := make(map[string][]room)
 	have := make(map[string]int)
-	if p.isHopeless(s, len(w.tasks)) {
+	if p.isHopeless(j, len(w.tasks)) {
 		j.NoRoomUntil = at + unviableFor
 		return false
 	}
@@ -318,7 +320,7 @@
 	}
 	if best == nil {
 		if !late && len(w.request.ZoneUsed) == 0 {
-			p.giveUp(s, len(w.tasks))
+			p.giveUp(j, len(w.tasks))
 		}
 		j.NoRoomUntil = at + unviableFor // nothing to be had, for a while
 		return false
@@ -348,7 +350,7 @@
 	sum, ok := p.yields[h]
 	if !ok {
 		for _, a := range h.Attempts() {
-			if a.State.Occupies() && a.Job != nil && (a.Stop || c.yields(a.Job.Spec)) {
+			if a.State.Occupies() && a.Job != nil && (a.Stop || c.yields(a.Job)) {
 				sum = sum.Add(a.Job.Spec.Need, 1)
 			}
 		}
@@ -359,8 +361,8 @@
 
 // yields reports whether a job's tasks may be stopped for one of the two upper
 // ranks.
-func (c *Controller) yields(s *protocol.JobSpec) bool {
-	return s.Rank > protocol.High && (s.Kind != protocol.Gang || s.Tasks == 1)
+func (c *Controller) yields(j *bookkeeping.Job) bool {
+	return j.Rank > protocol.High && (j.Spec.Kind != protocol.Gang || j.Spec.Tasks == 1)
 }
 
 // victims finds attempts of lower rank on a host whose end makes room for n
@@ -379,7 +381,7 @@
 			continue
 		}
 		s := a.Job.Spec
-		if s.Rank <= j.Spec.Rank || !c.yields(s) {
+		if a.Job.Rank <= j.Rank || !c.yields(a.Job) {
 			continue
 		}
 		ran := micros(0)
--- a/internal/coordination/rental.go
+++ b/internal/coordination/rental.go
@@ -449,7 +449,7 @@
 		}
 		anchored := false
 		for _, a := range h.Attempts() {
-			anchored = anchored || a.State.Occupies() && a.Job != nil && !c.yields(a.Job.Spec)
+			anchored = anchored || a.State.Occupies() && a.Job != nil && !c.yields(a.Job)
 		}
 		if !anchored && !h.Empty() {
 			k.yielding++
--- a/internal/coordination/rounds.go
+++ b/internal/coordination/rounds.go
@@ -184,7 +184,7 @@
 func (c *Controller) mayChoose(w *wanted) bool {
 	j := w.job
 	s := j.Spec
-	if s.Kind != protocol.Array || s.Rank < protocol.Standard || guest(s) || j.Suspect || len(j.Places) > 0 || s.ImageSize == 0 {
+	if s.Kind != protocol.Array || j.Rank < protocol.Standard || guest(j) || j.Suspect || len(j.Places) > 0 || s.ImageSize == 0 {
 		return false
 	}
 	var fetch micros
@@ -221,7 +221,7 @@
 	}
 	r := w.request
 	r.Limit = c.allowance(p, j, p.held[j.Spec.Team])
-	if r.Gang && r.Limit < r.Tasks && j.Spec.Rank <= protocol.High && !j.Suspect {
+	if r.Gang && r.Limit < r.Tasks && j.Rank <= protocol.High && !j.Suspect {
 		// Its team's limit leaves no room for all of its tasks at once.
 		// Without this, smaller jobs of the team would take what comes free,
 		// one task at a time, for as long as they last.
@@ -352,8 +352,8 @@
 		case s.Kind != protocol.Service:
 			till = max(at, a.ExpectedReady) + k.length(s)
 		}
-		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need, Guest: guest(s)})
-		if a.Stop || c.yields(s) {
+		m.Occupy(slottable.Span{From: at, To: till, Need: s.Need, Guest: guest(a.Job)})
+		if a.Stop || c.yields(a.Job) {
 			gives = gives.Add(s.Need, 1)
 		}
 		if a.State == bookkeeping.AttemptAssigned || a.State == bookkeeping.AttemptLaunched || a.State == bookkeeping.AttemptFetching {
@@ -403,8 +403,8 @@
 		if x.job.Suspect != y.job.Suspect {
 			return y.job.Suspect
 		}
-		if x.job.Spec.Rank != y.job.Spec.Rank {
-			return x.job.Spec.Rank < y.job.Spec.Rank
+		if x.job.Rank != y.job.Rank {
+			return x.job.Rank < y.job.Rank
 		}
 		if x.room != y.room {
 			return x.room
@@ -479,7 +479,7 @@
 	}
 	r := &slottable.Request{Tasks: len(w.tasks), Need: s.Need, Gang: s.Kind == protocol.Gang, Image: s.Image, ImageSize: s.ImageSize,
 		Types: s.Types, Zone: s.Zone, OneZone: s.OneZone, ZoneUsed: used, Spot: s.Spot, Length: c.class(s.Class).length(s),
-		Guest: guest(s), Frugal: c.frugal(j)}
+		Guest: guest(j), Frugal: c.frugal(j)}
 	w.request = r
 	if r.Gang && s.OneZone {
 		r.Stay = j.Zone
@@ -487,8 +487,8 @@
 	if s.Spread {
 		r.ZoneCap = (s.Tasks + 1) / 2
 	}
-	if s.Deadline > 0 {
-		r.Deadline = j.Submitted + s.Deadline - c.operator.DeadlineMargin
+	if due := deadlineOf(j); due > 0 {
+		r.Deadline = due - c.operator.DeadlineMargin
 		r.NoBooking = at < j.UnviableUntil
 	}
 	if j.Suspect && s.Kind != protocol.Gang {
@@ -550,6 +550,9 @@
 // overload each late job would make the next one late too.
 func (c *Controller) missed(j *bookkeeping.Job) bool {
 	due := c.dueOf(j)
+	if j.NeededBy > 0 && (due == 0 || j.NeededBy < due) {
+		due = j.NeededBy
+	}
 	if due == 0 {
 		return false
 	}
@@ -640,7 +643,7 @@
 	if h.Find(name) != nil {
 		return // the host still knows this attempt: it would ignore the launch
 	}
-	if !guest(j.Spec) {
+	if !guest(j) {
 		c.clearGuests(h, j.Spec.Need)
 	}
 	a := t.book.Attach(c.at.Steady, j, h, name)
--- a/internal/coordination/service.go
+++ b/internal/coordination/service.go
@@ -35,7 +35,7 @@
 	at := c.at.Steady
 	due, toEnd := c.askedBy(j)
 	switch {
-	case due == 0 || due < c.term.led || guest(j.Spec):
+	case due == 0 || due < c.term.led || guest(j):
 		j.Counted = true
 		return
 	case toEnd && j.Done == len(j.Tasks), !toEnd && j.Running+j.Done >= len(j.Tasks):
@@ -72,7 +72,7 @@
 	}
 	t := c.term
 	name := j.Spec.Class
-	if 2*j.Spec.Tasks < c.class(name).most || guest(j.Spec) || j.Free+beginWithin < t.led {
+	if 2*j.Spec.Tasks < c.class(name).most || guest(j) || j.Free+beginWithin < t.led {
 		j.BeginCounted = true
 		return
 	}
