--- a/cmd/mapleslip/user.go
+++ b/cmd/mapleslip/user.go
@@ -208,10 +208,26 @@
 		fmt.Fprintln(out, string(answer))
 		return nil
 	}
-	fmt.Fprintf(out, "%s %s, %d done, %d running\n", fastjson.GetString(answer, "ref"), fastjson.GetString(answer, "phase"), fastjson.GetInt(answer, "done"), fastjson.GetInt(answer, "running"))
+	v, err := fastjson.ParseBytes(answer)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s %s, %d done, %d running%s\n", v.GetStringBytes("ref"), v.GetStringBytes("phase"), v.GetInt("done"), v.GetInt("running"), awaiting(v))
 	return nil
 }
 
+// awaiting says what a queued job waits for.
+func awaiting(v *fastjson.Value) string {
+	var refs []string
+	for _, ref := range v.GetArray("awaiting") {
+		refs = append(refs, string(ref.GetStringBytes()))
+	}
+	if len(refs) == 0 {
+		return ""
+	}
+	return ", waits for " + strings.Join(refs, ", ")
+}
+
 func (u *users) startRollout(cmd *cobra.Command, args []string) error {
 	r, err := load(args[0], protocol.ParseRolloutFile, drawnID())
 	if err != nil {
--- /dev/null
+++ b/internal/coordination/chains_test.go
@@ -0,0 +1,117 @@
+package coordination
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+)
+
+// chained makes a job that awaits others; mend says what else it is.
+func chained(c *Controller, ref string, mend func(*protocol.JobSpec), awaits ...string) *bookkeeping.Job {
+	s := &protocol.JobSpec{Ref: ref, Class: "stage", Team: "team-1", Kind: protocol.Array, Rank: protocol.Low, Tasks: 2,
+		Need: protocol.Resources{CPU: 1000, Mem: 1000}, Image: "img-1", ImageSize: 400, Estimate: 20 * protocol.Second, Awaits: awaits}
+	if mend != nil {
+		mend(s)
+	}
+	j := bookkeeping.NewJob(s)
+	j.SubmittedWall = c.at.Wall
+	return j
+}
+
+// The rank and the deadline of the last job of a chain go back to all that it needs, in
+// whatever order the leader comes to know them.
+func TestRankAndDeadlineGoBack(t *testing.T) {
+	for name, order := range map[string][]int{"as submitted": {0, 1, 2, 3}, "the last first": {3, 2, 1, 0}, "mixed": {2, 0, 3, 1}} {
+		t.Run(name, func(t *testing.T) {
+			c := busyLeader(t, 8, 0)
+			jobs := []*bookkeeping.Job{
+				chained(c, "req-900001", nil),
+				chained(c, "req-900002", nil, "req-900001"),
+				chained(c, "req-900003", nil, "req-900001"),
+				chained(c, "req-900004", func(s *protocol.JobSpec) { s.Rank, s.Deadline = protocol.High, 300*protocol.Second },
+					"req-900002", "req-900003"),
+			}
+			for _, i := range order {
+				c.enter(jobs[i])
+			}
+			// A stage takes 20 s, and a fetch of 0.4 GB one more.
+			due := c.at.Steady + 300*protocol.Second
+			want := []micros{due - 42*protocol.Second, due - 21*protocol.Second, due - 21*protocol.Second, 0}
+			for i, j := range jobs {
+				if j.Rank != protocol.High || j.NeededBy != want[i] {
+					t.Errorf("%s: rank %d, needed by %.1f s before the deadline, want %.1f", j.Spec.Ref, j.Rank, (due - j.NeededBy).Seconds(), (due - want[i]).Seconds())
+				}
+			}
+		})
+	}
+}
+
+// A job that waits is in no plan and counts for no guarantee.
+func TestWaitingJobIsInNoPlan(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	first, second := chained(c, "req-900001", nil), chained(c, "req-900002", nil, "req-900001")
+	c.enter(first)
+	c.enter(second)
+	planned := func(j *bookkeeping.Job) bool {
+		return slices.ContainsFunc(c.wanted(), func(w *wanted) bool { return w.job == j })
+	}
+	if !planned(first) || planned(second) {
+		t.Errorf("first planned %v, second %v", planned(first), planned(second))
+	}
+	if c.request(&wanted{job: second}) {
+		t.Error("a request was made for a job that waits")
+	}
+	c.at.Steady += 50 * protocol.Second
+	c.remember("req-900001", final{protocol.Done, 2})
+	if !planned(second) || second.Free != c.at.Steady {
+		t.Errorf("planned %v, free since %v at %v", planned(second), second.Free, c.at.Steady)
+	}
+}
+
+// What a new leader has not read of an awaited job may be a cancellation that users were
+// told of: until it is read, nothing is said from memory of the jobs after it.
+func TestUnreadFinal(t *testing.T) {
+	for _, phase := range []protocol.Phase{protocol.Done, protocol.Cancelled} {
+		c := busyLeader(t, 8, 0)
+		second, third := chained(c, "req-900002", nil, "req-900001"), chained(c, "req-900003", nil, "req-900002")
+		c.enter(third)
+		c.enter(second)
+		if !ending(second) || !ending(third) {
+			t.Errorf("said from memory before the final is read: %v %v", !ending(second), !ending(third))
+		}
+		c.remember("req-900001", final{phase, 2})
+		if ending(second) || ending(third) {
+			t.Errorf("%s: still to be read", phase)
+		}
+		cancelled := phase == protocol.Cancelled
+		if second.Doomed != cancelled || third.Doomed != cancelled || (second.State == bookkeeping.JobLive) == cancelled || third.State == bookkeeping.JobLive {
+			t.Errorf("%s: %v %v, doomed %v %v", phase, second.State, third.State, second.Doomed, third.Doomed)
+		}
+	}
+}
+
+// The end of a job costs what awaits it, however many jobs wait and are over.
+func BenchmarkAwaitedOver(b *testing.B) {
+	for _, waiting := range []int{100, 10_000} {
+		b.Run(fmt.Sprint(waiting, " wait"), func(b *testing.B) {
+			c := busyLeader(b, 8, 0)
+			for i := range 25_000 {
+				c.finals[fmt.Sprintf("req-%06d", i)] = final{protocol.Done, 1}
+			}
+			for i := range waiting {
+				c.enter(chained(c, fmt.Sprintf("req-%06d", 200_000+i), nil, fmt.Sprintf("req-%06d", 100_000+i)))
+			}
+			j := chained(c, "req-900002", nil, "req-900001")
+			c.enter(j)
+			b.ResetTimer()
+			for b.Loop() {
+				c.remember("req-900001", final{protocol.Done, 2})
+				j.State, j.Awaiting = bookkeeping.JobWaiting, append(j.Awaiting, "req-900001")
+				c.term.chains.dependants["req-900001"] = []*bookkeeping.Job{j}
+			}
+		})
+	}
+}
--- a/internal/coordination/rollouts.go
+++ b/internal/coordination/rollouts.go
@@ -61,7 +61,7 @@
 		return rollout.Job{}
 	}
 	out := rollout.Job{Life: rollout.Live, Settled: j.Settled(), Service: j.Spec.Kind == protocol.Service, Spec: j.Spec}
-	if j.State != bookkeeping.JobLive {
+	if j.State != bookkeeping.JobLive && j.State != bookkeeping.JobWaiting {
 		out.Life = rollout.Cancelled
 	}
 	if each == nil {
--- /dev/null
+++ b/internal/protocol/awaits_test.go
@@ -0,0 +1,90 @@
+package protocol
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func awaiting(list string) string {
+	return strings.Replace(goodJob, `"dueS":900.0`, `"dueS":900.0,"awaits":`+list, 1)
+}
+
+func TestParseAwaits(t *testing.T) {
+	for _, c := range []struct {
+		list string
+		want []string
+	}{
+		{`["req-000398","req-000405"]`, []string{"req-000398", "req-000405"}},
+		{`["req-000405","req-000398","req-000405"]`, []string{"req-000405", "req-000398"}}, // each once
+		{`[]`, nil},
+		{`null`, nil},
+	} {
+		s, err := ParseJob([]byte(awaiting(c.list)))
+		if err != nil {
+			t.Fatalf("%s: %v", c.list, err)
+		}
+		if d := cmp.Diff(c.want, s.Awaits); d != "" {
+			t.Errorf("%s: %s", c.list, d)
+		}
+		again, err := ParseJob(AppendJob(nil, s))
+		if err != nil || !cmp.Equal(s, again) {
+			t.Errorf("kept and read again: %+v %v", again, err)
+		}
+	}
+}
+
+func TestParseAwaitsRefuses(t *testing.T) {
+	long := make([]string, MaxAwaits+1)
+	for i := range long {
+		long[i] = fmt.Sprintf(`"req-%06d"`, i+1000)
+	}
+	tooMany := "[" + strings.Join(long, ",") + "]"
+	for _, list := range []string{`"req-000398"`, `{}`, `7`, `true`, `[7]`, `[null]`, `["job-1"]`, `["req-1"]`, `["req-00x398"]`, `[["req-000398"]]`,
+		`["req-000412"]`, `["req-000398","req-000412"]`, tooMany} {
+		if _, err := ParseJob([]byte(awaiting(list))); err == nil {
+			t.Errorf("%s was taken", list)
+		}
+	}
+	if _, err := ParseJob([]byte(awaiting("[" + strings.Join(long[1:], ",") + "]"))); err != nil {
+		t.Errorf("%d jobs: %v", MaxAwaits, err)
+	}
+}
+
+// A job that awaits none is written as before there were such jobs.
+func TestAwaitsAreLeftOut(t *testing.T) {
+	s, err := ParseJob([]byte(goodJob))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if b := AppendJob(nil, s); strings.Contains(string(b), "awaits") {
+		t.Errorf("%s", b)
+	}
+	_, spec, err := ParseJobFile([]byte(goodJobFile), "req-000001")
+	if err != nil || spec.Awaits != nil {
+		t.Errorf("%+v %v", spec, err)
+	}
+}
+
+func TestJobFileAwaits(t *testing.T) {
+	body, spec, err := ParseJobFile([]byte(goodJobFile+`awaits = ["req-000398"]`), "req-000001")
+	if err != nil || !cmp.Equal(spec.Awaits, []string{"req-000398"}) {
+		t.Errorf("%s %+v %v", body, spec, err)
+	}
+	if _, _, err := ParseJobFile([]byte(goodJobFile+`awaits = ["job-1"]`), "req-000001"); err == nil || !strings.Contains(err.Error(), "awaits") {
+		t.Errorf("%v", err)
+	}
+}
+
+// What a user hears of a job that awaits as many as it may fits into a line.
+func TestAwaitingAnswerIsBounded(t *testing.T) {
+	refs := make([]string, MaxAwaits)
+	for i := range refs {
+		refs[i] = fmt.Sprintf("req-%020d", i)
+	}
+	if b := AwaitingAnswer("req-000001", refs); len(b) >= 2048 {
+		t.Errorf("%d bytes", len(b))
+	}
+}
