--- a/internal/coordination/chains_test.go
+++ b/internal/coordination/chains_test.go
@@ -115,3 +115,17 @@
 		})
 	}
 }
+
+// A result that a machine still reports is proof that an earlier leader saw all that the
+// job awaits done, also before this one has read that.
+func TestResultIsProofOfWhatWasAwaited(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	j := chained(c, "req-900002", nil, "req-900001")
+	c.enter(j)
+	report := protocol.TaskReport{AttemptName: protocol.AttemptName{TaskName: protocol.TaskName{Job: j.Spec.Ref, Index: 1}, Number: 7},
+		State: protocol.Exited, Reason: protocol.ExitDone}
+	c.observe(c.adopt(c.term.book.Hosts()[0], report), report)
+	if j.State != bookkeeping.JobLive || j.Done != 1 || j.Tasks[1].State != bookkeeping.TaskDone {
+		t.Errorf("it is %v, %d done", j.State, j.Done)
+	}
+}
--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -89,6 +89,7 @@
 	Running  map[string]int                          // tasks, by class
 	Due      map[served.Kind]map[string]served.Count // jobs that had what is asked of their class, or were too late, by class and by team
 	Longest  map[string]micros                       // for which a largest job of a class has waited to begin, by class
+	Awaiting int                                     // jobs that await others
 	Unproven int                                     // recorded hosts that have not been heard of in this epoch
 	Rollouts map[string]int                          // by state; nil where they are off
 }
@@ -125,6 +126,9 @@
 		}
 	}
 	for _, j := range c.term.book.Line() {
+		if j.State == bookkeeping.JobWaiting {
+			s.Awaiting++
+		}
 		if j.State != bookkeeping.JobLive {
 			continue
 		}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -75,6 +75,7 @@
 	descLongest  = prometheus.NewDesc("mapleslip_largest_wait_seconds", "Longest time for which one of the largest jobs of a class has waited to begin in this term.", []string{"class"}, nil)
 	descHosts    = prometheus.NewDesc("mapleslip_hosts", "Machines that the leader knows, by state.", []string{"state"}, nil)
 	descUnproven = prometheus.NewDesc("mapleslip_hosts_unproven", "Recorded machines not heard of in this epoch.", nil, nil)
+	descAwaiting = prometheus.NewDesc("mapleslip_jobs_awaiting", "Jobs that await other jobs.", nil, nil)
 	descWaiting  = prometheus.NewDesc("mapleslip_jobs_waiting", "Jobs with tasks that wait for a place, by class.", []string{"class"}, nil)
 	descConfig   = prometheus.NewDesc("mapleslip_config_revision", "Newest revision of the configuration that the node knows.", nil, nil)
 	descHolds    = prometheus.NewDesc("mapleslip_config_held", "1 while the node may go by its revision, 0 while it goes by none.", nil, nil)
@@ -89,7 +90,7 @@
 // Describe is part of prometheus.Collector.
 func (s *standing) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{descRole, descEpoch, descTaken, descRounds, descPasses, descRows, descCuts, descRefused, descMal,
-		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descWaiting, descRunning,
+		descTakeOver, descLost, descChecks, descDisputed, descRollouts, descDue, descLongest, descHosts, descUnproven, descAwaiting, descWaiting, descRunning,
 		descConfig, descHolds, descDamaged, descInForce, descLag, descMade, descOutdated} {
 		ch <- d
 	}
@@ -152,6 +153,7 @@
 		gauge(descRollouts, float64(n), state)
 	}
 	gauge(descUnproven, float64(st.Unproven))
+	gauge(descAwaiting, float64(st.Awaiting))
 	for kind, counts := range st.Due {
 		inTime, late := make(map[string]int, len(counts)), make(map[string]int, len(counts))
 		for name, n := range counts {
