--- a/internal/coordination/chains.go
+++ b/internal/coordination/chains.go
@@ -149,6 +149,7 @@
 			j.CancelledWall = c.at.Wall
 		}
 		j.Doomed, j.Unsure = true, false
+		c.takeBack(j)
 		if !j.Closing {
 			g.doomed = append(g.doomed, j)
 		}
@@ -188,6 +189,7 @@
 // closing notes that the final record of a cancelled job is on its way.
 func (c *Controller) closing(j *bookkeeping.Job) {
 	j.Closing = true
+	c.takeBack(j)
 	for _, d := range c.term.chains.dependants[j.Spec.Ref] {
 		c.updateUnsure(d)
 	}
@@ -270,10 +272,7 @@
 	if hastens {
 		to.NeededBy = neededBy
 	}
-	for _, a := range to.On() {
-		a.Host.Changed = true // others are planned around what runs by its rank
-	}
-	c.term.dirty = true
+	c.servedAnew(to)
 	for _, ref := range to.Awaiting {
 		if o := c.term.book.Job(ref); o != nil {
 			c.lend(to, o)
@@ -281,6 +280,36 @@
 	}
 }
 
+// servedAnew has the next round plan with a job's new rank, and around what runs of it.
+func (c *Controller) servedAnew(j *bookkeeping.Job) {
+	for _, a := range j.On() {
+		a.Host.Changed = true
+	}
+	c.term.dirty = true
+}
+
+// takeBack ends what a job lends that is being cancelled: those that it awaits are served by
+// the others that need them.
+func (c *Controller) takeBack(j *bookkeeping.Job) {
+	for _, ref := range j.Awaiting {
+		o := c.term.book.Job(ref)
+		if o == nil {
+			continue
+		}
+		rank, neededBy := o.Rank, o.NeededBy
+		o.Rank, o.NeededBy = o.Spec.Rank, 0
+		for _, d := range c.term.chains.dependants[ref] {
+			if d.State == bookkeeping.JobWaiting {
+				c.lend(d, o)
+			}
+		}
+		if o.Rank != rank || o.NeededBy != neededBy {
+			c.servedAnew(o)
+			c.takeBack(o)
+		}
+	}
+}
+
 // startBy is when a job has to be free to start for it, and those that need it, to meet
 // their deadlines: by its estimate, and a fetch of its image. 0: nobody has a deadline.
 func (c *Controller) startBy(j *bookkeeping.Job) micros {
--- a/internal/coordination/chains_test.go
+++ b/internal/coordination/chains_test.go
@@ -129,3 +129,33 @@
 		t.Errorf("it is %v, %d done", j.State, j.Done)
 	}
 }
+
+// What a job lends ends with it: those that it awaits are served by the others that need
+// them, or by themselves.
+func TestRankAndDeadlineAreTakenBack(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	urgent := func(rank protocol.Rank, deadline micros) func(*protocol.JobSpec) {
+		return func(s *protocol.JobSpec) { s.Rank, s.Deadline = rank, deadline }
+	}
+	first, second := chained(c, "req-900001", nil), chained(c, "req-900002", nil, "req-900001")
+	high := chained(c, "req-900003", urgent(protocol.High, 200*protocol.Second), "req-900002")
+	standard := chained(c, "req-900004", urgent(protocol.Standard, 400*protocol.Second), "req-900002")
+	for _, j := range []*bookkeeping.Job{first, second, high, standard} {
+		c.enter(j)
+	}
+	check := func(when string, rank protocol.Rank, within micros) {
+		t.Helper()
+		var want micros
+		if within > 0 {
+			want = c.at.Steady + within
+		}
+		if first.Rank != rank || first.NeededBy != want {
+			t.Errorf("%s: rank %d, needed by %d; want %d, %d", when, first.Rank, first.NeededBy, rank, want)
+		}
+	}
+	check("both need it", protocol.High, 158*protocol.Second)
+	c.cancel(Address{}, "req-900003")
+	check("the high one is cancelled", protocol.Standard, 358*protocol.Second)
+	c.cancel(Address{}, "req-900004")
+	check("both are", protocol.Low, 0)
+}
