--- a/cmd/mapleslip/user.go
+++ b/cmd/mapleslip/user.go
@@ -29,11 +29,13 @@
 	server string
 	json   bool
 	wait   bool
+	awaits []string
 }
 
 func (u *users) commands() []*cobra.Command {
 	submit := &cobra.Command{Use: "submit FILE", Short: "Submit a job", Args: cobra.ExactArgs(1), RunE: u.submit}
 	submit.Flags().BoolVar(&u.wait, "wait", false, "wait until the job is done or cancelled")
+	submit.Flags().StringSliceVar(&u.awaits, "awaits", nil, "jobs that have to be done before, `REF[,REF]`, besides those in the file")
 	status := &cobra.Command{Use: "status REF", Short: "Say how a job stands", Args: cobra.ExactArgs(1), RunE: u.status}
 	cancel := &cobra.Command{Use: "cancel REF", Short: "Cancel a job", Args: cobra.ExactArgs(1), RunE: u.cancel}
 	roll := &cobra.Command{Use: "rollout", Short: "Roll out a new version of a service"}
@@ -151,7 +153,10 @@
 }
 
 func (u *users) submit(cmd *cobra.Command, args []string) error {
-	job, err := load(args[0], protocol.ParseJobFile, drawnRef())
+	parse := func(text []byte, ref string) ([]byte, *protocol.JobSpec, error) {
+		return protocol.ParseJobFile(text, ref, u.awaits...)
+	}
+	job, err := load(args[0], parse, drawnRef())
 	if err != nil {
 		return err
 	}
--- a/internal/protocol/awaits_test.go
+++ b/internal/protocol/awaits_test.go
@@ -73,6 +73,9 @@
 	if err != nil || !cmp.Equal(spec.Awaits, []string{"req-000398"}) {
 		t.Errorf("%s %+v %v", body, spec, err)
 	}
+	if _, spec, err = ParseJobFile([]byte(goodJobFile+`awaits = ["req-000398"]`), "req-000001", "req-000399"); err != nil || !cmp.Equal(spec.Awaits, []string{"req-000398", "req-000399"}) {
+		t.Errorf("%+v %v", spec, err)
+	}
 	if _, _, err := ParseJobFile([]byte(goodJobFile+`awaits = ["job-1"]`), "req-000001"); err == nil || !strings.Contains(err.Error(), "awaits") {
 		t.Errorf("%v", err)
 	}
--- a/internal/protocol/files.go
+++ b/internal/protocol/files.go
@@ -88,14 +88,15 @@
 }
 
 // ParseJobFile reads a job's file into the body of a submission. A job without a ref
-// gets the one given.
-func ParseJobFile(text []byte, ref string) (body []byte, spec *JobSpec, err error) {
+// gets the one given. It awaits those that the file says, and those given.
+func ParseJobFile(text []byte, ref string, awaits ...string) (body []byte, spec *JobSpec, err error) {
 	var f jobFile
 	if err := decodeLines(text, &f); err != nil {
 		return nil, nil, err
 	}
 	f.defaults()
 	def(&f.Ref, ref)
+	f.Awaits = append(f.Awaits, awaits...)
 	def(&f.Kind, "array")
 	def(&f.Tasks, 1)
 	def(&f.CheckpointEveryS, 0)
