--- a/internal/coordination/stats.go
+++ b/internal/coordination/stats.go
@@ -22,6 +22,7 @@
 	refusedAlone      = "this node hears nobody"
 	refusedNotInForce = "the revision is not in force everywhere yet"
 	refusedLevel      = "this version does not serve the active feature level"
+	refusedFeature    = "not every controller has the version for this yet"
 	refusedStops      = "tasks of the job may still be on machines"
 )
 
@@ -90,6 +91,7 @@
 	Running  map[string]int                          // tasks, by class
 	Due      map[served.Kind]map[string]served.Count // jobs that had what is asked of their class, or were too late, by class and by team
 	Longest  map[string]micros                       // for which a largest job of a class has waited to begin, by class
+	Awaiting int                                     // jobs that await others
 	Unproven int                                     // recorded hosts that have not been heard of in this epoch
 	Rollouts map[string]int                          // by state; nil where they are off
 }
@@ -127,6 +129,9 @@
 		}
 	}
 	for _, j := range c.term.book.Line() {
+		if j.State == bookkeeping.JobWaiting {
+			s.Awaiting++
+		}
 		if j.State != bookkeeping.JobLive {
 			continue
 		}
--- a/internal/coordination/term.go
+++ b/internal/coordination/term.go
@@ -65,6 +65,8 @@
 	calling int                 // direct commands on their way
 	probes  prober
 
+	chains chains // jobs that await others
+
 	orphans  []string // keys to be dropped
 	dropping bool
 
@@ -83,6 +85,7 @@
 		submits: make(map[string][]Address), cancels: make(map[string][]Address), gone: make(map[string]micros),
 		classes: make(map[string]*class), others: make(map[string]stand), cutSeen: make(map[string]micros), rows: make(map[*bookkeeping.Host]*slottable.Machine)}
 	t.rental.init()
+	t.chains = newChains()
 	t.probes.init()
 	t.hostPages = c.newPages(bookkeeping.HostPages, c.hostRecord)
 	t.bookingPages = c.newPages(bookkeeping.BookingPages, c.bookingRecord)
@@ -342,6 +345,7 @@
 	if j == nil || h == nil || l.Name.Index >= len(j.Tasks) {
 		return // over, or gone with its host
 	}
+	c.began(j)
 	a := t.book.Attach(c.at.Steady, j, h, l.Name)
 	a.Adopted, a.Recorded = true, true
 	j.BeginCounted = true // by an earlier leader, which knew whether it began in time
@@ -468,6 +472,9 @@
 		c.pin(launches[name])
 	}
 	for _, j := range slices.Clone(t.book.Line()) {
+		if j.Done > 0 {
+			c.began(j)
+		}
 		c.checkFinished(j)
 	}
 	c.log.Info("leading", "epoch", t.epoch, "jobs", len(t.book.Line()), "hosts", len(t.book.Hosts()), "load_ms", int64((c.at.Steady-t.started)/protocol.Millisecond))
@@ -513,7 +520,7 @@
 func (c *Controller) readFinals(t *term) {
 	c.list(prioNormal, bookkeeping.FinalPrefix, func(e protocol.Entry) {
 		if p, n, err := bookkeeping.DecodeFinal(e.Value); err == nil && !c.finals.full() {
-			c.finals.keep(strings.TrimPrefix(e.Key, bookkeeping.FinalPrefix), final{p, n})
+			c.remember(strings.TrimPrefix(e.Key, bookkeeping.FinalPrefix), final{p, n})
 		}
 	}, func(_ uint64, ok bool) {
 		if !ok && c.term == t {
@@ -601,11 +608,15 @@
 	t := c.term
 	j.Submitted = min(c.at.Steady, c.steadyOf(j.SubmittedWall))
 	t.book.AddJob(j)
+	c.link(j)
 	// An attempt of a job that was not known yet may have been reported.
 	for _, a := range t.book.Rebind(c.at.Steady, j) {
+		c.began(j)
 		c.recordLaunch(a, c.at.Steady)
 	}
-	c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	if len(j.Spec.Awaits) == 0 {
+		c.class(j.Spec.Class).arrived(c.at.Steady, j)
+	}
 	c.log.Debug("job", "ref", j.Spec.Ref, "class", j.Spec.Class, "team", j.Spec.Team, "tasks", j.Spec.Tasks, "rank", int(j.Spec.Rank),
 		"cpus", float64(j.Spec.Need.CPU)/1000, "gpus", float64(j.Spec.Need.GPU)/1000, "mem_gb", float64(j.Spec.Need.Mem)/1000, "saves", j.Spec.Checkpoints(), "estimate_ms", int64(j.Spec.Estimate/protocol.Millisecond))
 	t.dirty = true
@@ -636,6 +647,7 @@
 	}
 	c.pulseConfig(t)
 	c.pulseLevel(t)
+	c.stepChains()
 	if sweep {
 		c.enforce()
 		c.recordImages()
@@ -996,7 +1008,7 @@
 // over notes that a job's final record is durable.
 func (c *Controller) over(j *bookkeeping.Job, p protocol.Phase) {
 	t := c.term
-	c.finals.keep(j.Spec.Ref, final{p, len(j.Tasks)})
+	c.remember(j.Spec.Ref, final{p, len(j.Tasks)})
 	if p == protocol.Done {
 		if j.State == bookkeeping.JobFinishing {
 			j.To(bookkeeping.JobDone)
@@ -1005,6 +1017,7 @@
 		j.To(bookkeeping.JobClosed)
 		c.log.Debug("cancelled", "ref", j.Spec.Ref, "asked_ms_ago", int64((c.at.Wall-j.CancelledWall)/protocol.Millisecond), "told", len(t.cancels[j.Spec.Ref]))
 	}
+	delete(t.chains.writing, j)
 	for i := range j.Tasks {
 		j.Tasks[i].Durable = true
 	}
@@ -1015,6 +1028,13 @@
 	t.dirty = true
 }
 
+// remember keeps the last phase of a job that is durably over, and takes it to the jobs
+// that await it.
+func (c *Controller) remember(ref string, f final) {
+	c.finals.keep(ref, f)
+	c.awaitedOver(ref, f.phase)
+}
+
 // closeJobs lets go of jobs that are over and of which no attempt is left.
 func (c *Controller) closeJobs() {
 	t := c.term
@@ -1032,7 +1052,7 @@
 			c.keepAsk(j)
 		case bookkeeping.JobCancelled: // by an earlier version
 			if j.Settled() && t.recovered && !j.Closing && len(t.cancels[j.Spec.Ref]) == 0 {
-				j.Closing = true
+				c.closing(j)
 				c.finish(j)
 			}
 		}
