--- a/internal/coordination/upgrade_test.go
+++ b/internal/coordination/upgrade_test.go
@@ -135,7 +135,7 @@
 	if types, later, err := bookkeeping.DecodeTypes(value); err != nil || !later || !fits || len(types) != 1 {
 		t.Errorf("%s, %v, %v", value, fits, err)
 	}
-	c.platform.ValueBytes = 100
+	c.limits.target.valueBytes = 100
 	value, fits = c.typesRecord(1)
 	if _, later, err := bookkeeping.DecodeTypes(value); err == nil || !later || fits || len(value) > 100 {
 		t.Errorf("%s, %v, %v", value, fits, err)
--- a/internal/rehearsal/closelooks.go
+++ b/internal/rehearsal/closelooks.go
@@ -103,7 +103,7 @@
 	switch {
 	case t.over > 0 && over && phase != t.phase, t.over > 0 && t.over < sent && phase != t.phase:
 		w.broken("went_back: %s was %s and is %s, %s at %s", ref, t.phase, phase, what, n.name)
-	case phase == "cancelled" && j != nil && !j.asked:
+	case phase == "cancelled" && j != nil && !w.askedToCancel(j):
 		w.broken("went_back: nobody cancelled %s, %s at %s", ref, what, n.name)
 	}
 	if t.accepted == 0 {
