--- /dev/null
+++ b/internal/rehearsal/drawn_jobs_test.go
@@ -0,0 +1,121 @@
+package rehearsal
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// When the troubles of drawn jobs begin and end, and when all has to be over.
+const (
+	jobTroublesFrom = 18
+	jobTroublesTo   = 130
+	jobsCounted     = 165
+	jobsOver        = 700
+)
+
+// drawJobs draws jobs of all kinds and ranks: bound to a zone, or with all tasks in one,
+// of teams with and without a limit, with images that take long to fetch.
+func (h *history) drawJobs(t *rapid.T) (cancelled []string) {
+	for i := range rapid.IntRange(4, 14).Draw(t, "jobs") {
+		ref := fmt.Sprintf("req-%06d", i+1)
+		kind := rapid.SampledFrom([]string{"array", "array", "gang", "gang", "service"}).Draw(t, "kind")
+		line := fmt.Sprintf("submit %s %s tasks=%d gpus=%d run=%d team=%s rank=%s size=%g image=img-%d", ref, kind,
+			rapid.IntRange(1, 5).Draw(t, "tasks"), rapid.IntRange(1, 2).Draw(t, "gpus"), rapid.SampledFrom([]int{8, 30, 60}).Draw(t, "run"),
+			rapid.SampledFrom([]string{"red", "blue"}).Draw(t, "team"), rapid.SampledFrom([]string{"critical", "high", "standard", "low"}).Draw(t, "rank"),
+			rapid.SampledFrom([]float64{1, 6}).Draw(t, "size"), rapid.IntRange(1, 4).Draw(t, "image"))
+		if rapid.Bool().Draw(t, "in one zone") {
+			line += " one-zone"
+		}
+		if zone := rapid.SampledFrom([]string{"", "", "a", "b", "c"}).Draw(t, "zone"); zone != "" {
+			line += " zone=" + zone
+		}
+		h.at(4+float64(rapid.IntRange(0, 80).Draw(t, "submitted")), "%s", line)
+		if kind == "service" || rapid.IntRange(0, 3).Draw(t, "cancelled") == 0 {
+			cancelled = append(cancelled, ref)
+			h.at(86+float64(rapid.IntRange(0, 30).Draw(t, "cancel")), "cancel %s", ref)
+			h.at(jobsCounted+60, "cancel %s", ref) // a user who gave up asks once more
+		}
+	}
+	return cancelled
+}
+
+// drawJobTroubles draws what meets them: mute machines and zones, machines that die, hang
+// or don't hear, a zone cut off, outages, leaders that end, or are refused or away.
+func (h *history) drawJobTroubles(t *rapid.T, machines int) {
+	trouble := func(name string, one, most int, begins, ends string) {
+		if rapid.IntRange(0, one-1).Draw(t, name) > 0 {
+			return
+		}
+		from := jobTroublesFrom + float64(rapid.IntRange(0, 80).Draw(t, name+" from"))
+		h.at(from, "%s", begins)
+		if ends != "" {
+			h.at(min(jobTroublesTo, from+float64(rapid.IntRange(1, most).Draw(t, name+" for"))), "%s", ends)
+		}
+	}
+	mute := rapid.SampledFrom([]string{"all", "zone=a", "zone=b", "n-000002"}).Draw(t, "who is mute")
+	trouble("mute", 2, 80, "mute "+mute, "unmute all")
+	trouble("cut", 3, 80, "cut-zone a", "heal-zone")
+	trouble("outage", 3, 45, "state down", "state up")
+	trouble("cloud", 3, 60, "cloud down", "cloud up")
+	trouble("slow", 3, 60, "state-slow 0.8", "state-slow 0")
+	trouble("away", 3, 60, "if-leads away", "back all")
+	trouble("refused", 3, 60, "if-leads deny", "admit all")
+	trouble("old reports", 3, 60, "late-reports every=2 by=10 to=leader", "late-reports every=0")
+	for range rapid.IntRange(0, 4).Draw(t, "restarts") {
+		who := rapid.SampledFrom([]string{"leader", "leader", "all"}).Draw(t, "who ends")
+		trouble("restart", 1, 1, fmt.Sprintf("restart %s after=%g", who, rapid.SampledFrom([]float64{0.1, 3, 25}).Draw(t, "back")), "")
+	}
+	for range rapid.IntRange(0, 5).Draw(t, "machines in trouble") {
+		what := rapid.SampledFrom([][2]string{{"die"}, {"hang", "wake"}, {"hang", "wake"}, {"deaf", "hears"}, {"hold-calls", "deliver-calls"}}).Draw(t, "what")
+		machine := fmt.Sprintf("if-here n-%06d ", rapid.IntRange(1, machines).Draw(t, "machine"))
+		ends := ""
+		if what[1] != "" {
+			ends = machine + what[1]
+		}
+		trouble("machine", 1, 50, machine+what[0], ends)
+	}
+}
+
+// drawJobHistory makes the text of a trace. The cloud has what is needed once it is up.
+func drawJobHistory(t *rapid.T) string {
+	scene := fmt.Sprintf("nodes %d a b c a b\nworkers cancel=30\n%s\nteam blue gpus=4\ntype big cpus=8 gpus=2 mem=64 boot=8 fetch=%g zones=a,b,c\n",
+		rapid.SampledFrom([]int{3, 5}).Draw(t, "nodes"), rapid.SampledFrom([]string{"team red", "team red gpus=6 max=10"}).Draw(t, "team"),
+		rapid.SampledFrom([]float64{1, 0.3}).Draw(t, "fetch"))
+	machines := 0
+	for _, z := range []string{"a", "b", "c"} {
+		n := rapid.IntRange(3, 6).Draw(t, "machines in "+z)
+		machines += n
+		scene += fmt.Sprintf("fleet %d big %s\n", n, z)
+	}
+	h := &history{}
+	h.at(1, "balance")
+	cancelled := h.drawJobs(t)
+	h.drawJobTroubles(t, machines)
+	h.at(jobsCounted, "count")
+	for _, ref := range cancelled {
+		h.at(jobsOver, "expect over %s", ref)
+	}
+	for _, what := range []string{"nothing-stuck", "unanswered 75", "waits-beside-room 90"} {
+		h.at(jobsOver, "expect %s", what)
+	}
+	sort.SliceStable(h.lines, func(a, b int) bool { return h.lines[a].at < h.lines[b].at })
+	for _, l := range h.lines {
+		scene += fmt.Sprintf("at %g %s\n", l.at, l.text)
+	}
+	return scene
+}
+
+// Jobs of all kinds meet troubles at random. No rule is broken; once all is well each job's
+// user is answered, none waits beside room, and whatever was accepted ends.
+func TestDrawnJobs(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := drawJobHistory(t)
+		if w, err := RunTrace(text, nil); err != nil {
+			t.Fatalf("%v\nthe trace:\n%s\nwhat happened:\n%s", err, text, strings.Join(w.Log, "\n"))
+		}
+	})
+}
