--- a/internal/coordination/finals_test.go
+++ b/internal/coordination/finals_test.go
@@ -30,7 +30,7 @@
 func TestReadingFinalsForgetsNoLatest(t *testing.T) {
 	f := newFinals()
 	f.keep("req-900000", final{protocol.Cancelled, 1})
-	for i := 0; !f.full(); i++ {
+	for i := 0; i < mostFinals && !f.full(); i++ {
 		f.keep(fmt.Sprintf("req-%06d", i), final{protocol.Done, 1})
 	}
 	f.keep("req-900001", final{protocol.Cancelled, 1})
