--- a/internal/transport/fair_test.go
+++ b/internal/transport/fair_test.go
@@ -141,6 +141,21 @@
 				t.Errorf("one of %d waits behind %d: %v", light, heavy, order)
 			}
 		}
+		// Nothing is saved up by not asking.
+		order = nil
+		for range 40 {
+			add(light)
+		}
+		m.Run(13 * protocol.Second)
+		passed := 0
+		for _, p := range order[:10] {
+			if p == heavy {
+				passed++
+			}
+		}
+		if passed < 4 {
+			t.Errorf("%d of the next ten are of %d: %v", passed, heavy, order)
+		}
 	}
 }
 
