--- a/internal/transport/fair_test.go
+++ b/internal/transport/fair_test.go
@@ -141,6 +141,23 @@
 				t.Errorf("one of %d waits behind %d: %v", light, heavy, order)
 			}
 		}
+		// Nothing is saved up by not asking.
+		order = nil
+		for range 40 {
+			add(light)
+		}
+		for at := 10 * protocol.Second; at < 13*protocol.Second; at += protocol.Second / 20 {
+			m.Run(at)
+		}
+		passed := 0
+		for _, p := range order {
+			if p == heavy {
+				passed++
+			}
+		}
+		if len(order) < 20 || passed < len(order)/2-1 {
+			t.Errorf("%d of the next %d are of %d: %v", passed, len(order), heavy, order)
+		}
 	}
 }
 
