--- a/internal/rehearsal/history_test.go
+++ b/internal/rehearsal/history_test.go
@@ -70,6 +70,9 @@
 	for i, at := range d.meetings {
 		d.meet(i, at)
 	}
+	if d.oneIn(5, "old session") {
+		d.oldSession(44 + float64(d.number("old session at", 0, 400))/10)
+	}
 	d.at(1, "balance")
 	d.at(settled, "count")
 	d.at(standsTo-0.1, "expect leader some")
@@ -426,3 +429,26 @@
 		d.cancelNear(at + float64(d.number("cancelled from there", 0, 80))/10)
 	}
 }
+
+// oldSession has machines of a zone lose their session, and then launches that are held up
+// on their way as the leader ends; the next one hears copies of the earlier session's
+// reports first. See testdata/meet_old_session.trace.
+func (d *drawing) oldSession(at float64) {
+	zone := pick(d, "old session's zone", d.zones...)
+	in := func(at float64, word string) { d.at(at, "in-zone %s %s", zone, word) }
+	in(at-29, "lose-answers")
+	d.at(at-29, "late-reports every=1 by=2 to=next on=%s", pick(d, "old reports come", "leading", "both"))
+	d.at(at-11, "late-reports every=0")
+	in(at-5, "pass-answers") // it is heard, and counts as deaf no more
+	in(at-0.2, "hold-calls")
+	in(at-0.1, "lose-answers")
+	d.at(at, "submit req-000060 array tasks=%d gpus=2 team=blue run=50", d.number("old session's tasks", 2, 8))
+	ended := at + float64(d.number("ends in old session", 8, 40))/10
+	d.at(ended, "if-leads %s", pick(d, "how it ends", "kill", "freeze"))
+	in(ended, "hold-reports")
+	in(ended+float64(d.number("reports again", 30, 90))/10, "deliver-reports")
+	in(ended+float64(d.number("calls again", 60, 160))/10, "deliver-calls")
+	in(ended+17, "pass-answers")
+	d.at(ended+20, "thaw all")
+	d.at(troublesTo, "start all")
+}
--- a/internal/rehearsal/troubles.go
+++ b/internal/rehearsal/troubles.go
@@ -27,7 +27,7 @@
 }
 
 // keptReport is a copy of a worker's report that the next leader gets as it begins.
-type keptReport struct{ body string }
+type keptReport struct{ body, on string }
 
 // mostKept bounds the copies for the next leader.
 const mostKept = 300
@@ -152,31 +152,26 @@
 // keepReport keeps a copy of a report for the next leader.
 func (w *World) keepReport(body string) {
 	if len(w.keptReports) < mostKept {
-		w.keptReports = append(w.keptReports, keptReport{body})
+		w.keptReports = append(w.keptReports, keptReport{body, w.lateReports.on})
 	}
 }
 
 // roleChanged delivers what was kept for the next leader, to all controllers.
 func (w *World) roleChanged(role coordination.Role) {
-	on := w.lateReports.on
-	switch {
-	case len(w.keptReports) == 0:
-		return
-	case role == coordination.Loading && (on == "" || on == "loading" || on == "both"):
-	case role == coordination.Leading && (on == "leading" || on == "both"):
-	default:
-		return
-	}
-	kept := w.keptReports
-	if on != "both" || role == coordination.Leading {
-		w.keptReports = nil
-	}
-	w.note("%d old reports arrive", len(kept))
-	for _, r := range kept {
+	var rest []keptReport
+	for _, r := range w.keptReports {
+		now := role == coordination.Loading && r.on != "leading" || role == coordination.Leading && r.on != "loading"
+		if !now || role == coordination.Loading && r.on == "both" {
+			rest = append(rest, r)
+		}
+		if !now {
+			continue
+		}
 		for _, n := range w.nodes {
 			w.after(w.delay(), func() { w.copyReport(n, false, r.body) })
 		}
 	}
+	w.keptReports = rest
 }
 
 // holdCommand takes a direct command that comes late; nobody hears what became of it.
