The leader tries for all of the published rate of changes

Cause: the leader's part is three quarters of the rate, the other controllers mostly write nothing, and after all controllers began users waited for what nobody used. Change: while nothing is refused the leader's rate rises by a twentieth a second until its part is all of the published one; a 429 lowers it at once, and what was refused is sent again. Mutation: limits.go:probeRate, most left at the published rate -> TestLeaderTriesForAllOfTheRate fails.

--- a/internal/coordination/limits.go
+++ b/internal/coordination/limits.go
@@ -120,11 +120,17 @@
 
 // probe tries a higher rate after a while: the other controllers may leave theirs, or the
 // limit may have been another's burst. It reports whether it does.
-func (l *stateLimits) probe(at micros) bool {
-	if l.rate >= l.published || at < l.probeAt {
+//
+// most is the highest rate that is tried.
+func (l *stateLimits) probe(at micros, most float64) bool {
+	if l.rate > most {
+		l.rate = most
+		return true
+	}
+	if l.rate == most || at < l.probeAt {
 		return false
 	}
-	l.rate = min(l.published, l.rate*rateUp)
+	l.rate = min(most, l.rate*rateUp)
 	l.probeAt = at + l.probeEvery
 	return true
 }
@@ -194,7 +200,12 @@
 
 // probeRate tries a higher rate where it is time for that.
 func (c *Controller) probeRate() {
-	if c.limits.probe(c.at.Steady) {
+	most := c.limits.published
+	if leads(c.role) {
+		// Its part of that is all there is: the others mostly write nothing.
+		most /= WriteShare(len(c.platform.Siblings)+1, true)
+	}
+	if c.limits.probe(c.at.Steady, most) {
 		c.log.Debug("more changes are tried", "a_second", c.limits.rate)
 		c.emit(WriteRate{PerSecond: c.limits.rate})
 	}
--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -1,6 +1,7 @@
 package coordination
 
 import (
+	"math"
 	"testing"
 
 	"mapleslip/internal/protocol"
@@ -52,10 +53,10 @@
 	if l.crowded(at+protocol.Second/2) || l.rate != 24 {
 		t.Fatalf("%g: it was sent before the rate was lowered", l.rate)
 	}
-	if l.probe(at + protocol.Second/2); l.rate != 24 {
+	if l.probe(at + protocol.Second/2, 35); l.rate != 24 {
 		t.Fatalf("%g: tried too soon", l.rate)
 	}
-	if !l.probe(at+2*protocol.Second) || l.rate <= 24 || l.rate > 26 {
+	if !l.probe(at+2*protocol.Second, 35) || l.rate <= 24 || l.rate > 26 {
 		t.Fatalf("%g tried", l.rate)
 	}
 	was := l.probeEvery
@@ -66,7 +67,7 @@
 		t.Fatalf("%g: less than announced", l.rate)
 	}
 	for s := micros(6); s < 2000; s++ {
-		l.probe(at + s*protocol.Second)
+		l.probe(at + s*protocol.Second, 35)
 	}
 	if l.rate != 35 {
 		t.Fatalf("%g after half an hour", l.rate)
@@ -119,3 +120,25 @@
 		t.Fatalf("ended %v", ended)
 	}
 }
+
+// A leader tries for all of the published rate, of which its part is the larger one, since
+// the others mostly write nothing; one that leads no more keeps to its part.
+func TestLeaderTriesForAllOfTheRate(t *testing.T) {
+	c := busyLeader(t, 8, 0)
+	c.role, c.seat.until = Leading, c.at.Steady+1000*protocol.Second
+	c.platform.Siblings = make([]protocol.Sibling, 2)
+	part := WriteShare(3, true)
+	for range 60 {
+		c.at.Steady += 2 * protocol.Second
+		c.probeRate()
+	}
+	if got := c.limits.rate * part; math.Abs(got-c.limits.published) > 1e-6 {
+		t.Errorf("%g a second of %g", got, c.limits.published)
+	}
+	c.effects = nil
+	c.role = Following
+	c.probeRate()
+	if c.limits.rate != c.limits.published || len(c.effects) != 1 {
+		t.Errorf("%g of %g, then %v", c.limits.rate, c.limits.published, c.effects)
+	}
+}
