--- a/internal/coordination/limits_test.go
+++ b/internal/coordination/limits_test.go
@@ -53,7 +53,7 @@
 	if l.crowded(at+protocol.Second/2) || l.rate != 24 {
 		t.Fatalf("%g: it was sent before the rate was lowered", l.rate)
 	}
-	if l.probe(at + protocol.Second/2, 35); l.rate != 24 {
+	if l.probe(at+protocol.Second/2, 35); l.rate != 24 {
 		t.Fatalf("%g: tried too soon", l.rate)
 	}
 	if !l.probe(at+2*protocol.Second, 35) || l.rate <= 24 || l.rate > 26 {
@@ -67,7 +67,7 @@
 		t.Fatalf("%g: less than announced", l.rate)
 	}
 	for s := micros(6); s < 2000; s++ {
-		l.probe(at + s*protocol.Second, 35)
+		l.probe(at+s*protocol.Second, 35)
 	}
 	if l.rate != 35 {
 		t.Fatalf("%g after half an hour", l.rate)
