--- /dev/null
+++ b/internal/served/main_test.go
@@ -0,0 +1,16 @@
+package served
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// The same ones are drawn at every run, unless others are asked for:
+//
+//	go test ./internal/served -args -rapid.seed=7 -rapid.checks=10000
+func TestMain(m *testing.M) {
+	flag.Set("rapid.seed", "1")
+	flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
