--- /dev/null
+++ b/internal/coordination/completions.go
@@ -0,0 +1,137 @@
+package coordination
+
+import (
+	"mapleslip/internal/bookkeeping"
+	"mapleslip/internal/protocol"
+	"slices"
+	"sort"
+)
+
+// Completions of large arrays, which have records of their own.
+
+// chunkWriter batches the records of arrays' completed tasks. Each write depends on the
+// record's own stamp: one that got no answer and is carried out after the next one would
+// take back completions that are durable, and that their workers were told to forget.
+type chunkWriter struct {
+	dirty   map[chunkKey]bool
+	lost    map[chunkKey]bool // a write of it may have been applied or not: its stamp has to be read
+	writing bool
+	next    micros
+}
+
+type chunkKey struct {
+	ref   string
+	chunk int
+}
+
+// Completions of arrays up to this size share records; larger ones have some
+// for themselves. They are let come together for a while.
+const (
+	sharedTasks = 2048
+	doneEvery   = 700 * protocol.Millisecond
+)
+
+func (c *Controller) markChunk(j *bookkeeping.Job, index int) {
+	if len(j.Tasks) <= sharedTasks {
+		size := len(j.Spec.Ref) + 8 + (len(j.Tasks)+23)/24*4 + 2
+		c.term.donePages.put(j.Spec.Ref, size, c.room(), c.at.Steady+doneEvery, true)
+		return
+	}
+	w := &c.term.chunks
+	if w.dirty == nil {
+		w.dirty = make(map[chunkKey]bool)
+	}
+	if len(w.dirty) == 0 && w.next < c.at.Steady {
+		w.next = c.at.Steady + 700*protocol.Millisecond // let some more come together
+	}
+	w.dirty[chunkKey{j.Spec.Ref, index / bookkeeping.ChunkTasks}] = true
+}
+
+func (c *Controller) writeChunks() {
+	t := c.term
+	w := &t.chunks
+	if w.writing || len(w.dirty) == 0 || c.at.Steady < w.next {
+		return
+	}
+	keys := make([]chunkKey, 0, len(w.dirty))
+	for k := range w.dirty {
+		keys = append(keys, k)
+	}
+	sort.Slice(keys, func(a, b int) bool {
+		return keys[a].ref < keys[b].ref || keys[a].ref == keys[b].ref && keys[a].chunk < keys[b].chunk
+	})
+	var when []protocol.Condition
+	var then []protocol.Change
+	type covered struct {
+		j     *bookkeeping.Job
+		chunk int
+		tasks []int
+	}
+	var batch []covered
+	for _, k := range keys {
+		j := t.book.Job(k.ref)
+		if j == nil || j.State != bookkeeping.JobLive {
+			delete(w.dirty, k) // its final record covers it
+			continue
+		}
+		if len(then) == c.limits.target.changes {
+			break
+		}
+		if w.lost[k] {
+			c.restampChunk(j, k)
+			return
+		}
+		cv := covered{j: j, chunk: k.chunk, tasks: j.Undurable(k.chunk*bookkeeping.ChunkTasks, (k.chunk+1)*bookkeeping.ChunkTasks)}
+		batch = append(batch, cv)
+		when = append(when, protocol.Condition{Key: bookkeeping.JobPrefix + k.ref, Stamp: j.Stamp}, protocol.Condition{Key: k.record(), Stamp: j.Chunks[k.chunk]})
+		then = append(then, protocol.Change{Key: k.record(), Value: bookkeeping.EncodeChunk(j, k.chunk)})
+	}
+	for _, cv := range batch {
+		delete(w.dirty, chunkKey{cv.j.Spec.Ref, cv.chunk})
+	}
+	if len(then) == 0 {
+		return
+	}
+	w.writing = true
+	c.lead(prioUrgent, when, then, func(o txnOutcome, r protocol.TxnResult) {
+		w.writing = false
+		w.next = c.at.Steady + 500*protocol.Millisecond
+		for _, cv := range batch {
+			if o == txnApplied {
+				cv.j.KeepChunk(cv.chunk, r.Stamp)
+				for _, i := range cv.tasks {
+					cv.j.Tasks[i].Durable = true
+				}
+				continue
+			}
+			k := chunkKey{cv.j.Spec.Ref, cv.chunk}
+			if cv.j.State == bookkeeping.JobLive {
+				w.dirty[k] = true
+			}
+			if o == txnUnknown || o == txnRefused && slices.Contains(r.Failed, k.record()) {
+				if w.lost == nil {
+					w.lost = make(map[chunkKey]bool)
+				}
+				w.lost[k] = true
+			}
+		}
+	})
+}
+
+// restampChunk reads the stamp of a record of completions after a write without an answer.
+func (c *Controller) restampChunk(j *bookkeeping.Job, k chunkKey) {
+	t := c.term
+	t.chunks.writing = true
+	c.get(prioUrgent, k.record(), func(e protocol.Entry, found, ok bool) {
+		if c.term != t {
+			return
+		}
+		t.chunks.writing = false
+		if !ok {
+			t.chunks.next = c.at.Steady + 300*protocol.Millisecond
+			return
+		}
+		delete(t.chunks.lost, k)
+		j.KeepChunk(k.chunk, e.Stamp) // 0 where there is none
+	})
+}
