--- a/cmd/mapleslip/demo.go
+++ b/cmd/mapleslip/demo.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -79,25 +80,44 @@
 timeout_s = 0.3
 `
 
+// step is a part of what is played on a deployment.
+type step struct {
+	what string
+	do   func(context.Context) error
+}
+
+func newDemo(d *dev, out io.Writer) (*demo, error) {
+	c, err := client.New(strings.Join(d.clients, ","))
+	if err != nil {
+		return nil, err
+	}
+	return &demo{d: d, c: c, out: out, began: time.Now()}, nil
+}
+
 // runDemo plays it; the error says what did not hold. It is over within limit.
 func runDemo(ctx context.Context, d *dev, limit time.Duration, out io.Writer) error {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	c, err := client.New(d.clients[0] + "," + d.clients[1] + "," + d.clients[2])
+	m, err := newDemo(d, out)
 	if err != nil {
 		return err
 	}
-	m := &demo{d: d, c: c, out: out, began: time.Now()}
-	steps := []struct {
-		what string
-		do   func(context.Context) error
-	}{
+	err = m.play(ctx, limit, []step{
 		{"a leader is elected", m.election},
 		{"an array, a gang and a service run", m.jobs},
 		{"the leader is killed and the work goes on", m.killLeader},
 		{"a healthy roll-out completes", m.goodRollout},
 		{"a faulty roll-out is reverted", m.badRollout},
+	})
+	if err == nil {
+		m.say("all held; a deployment to try things on: mapleslip dev")
 	}
+	return err
+}
+
+// play takes the steps one after the other, and prints what was checked; the error says
+// what did not hold. It is over within limit.
+func (m *demo) play(ctx context.Context, limit time.Duration, steps []step) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	var failed error
 	for _, s := range steps {
 		m.say("== %s", s.what)
@@ -113,13 +133,13 @@
 			break
 		}
 	}
-	if err := d.live.Err(); err != nil {
+	if err := m.d.live.Err(); err != nil {
 		m.check("the protocol's rules hold", false, "%s", err)
 	} else {
 		m.check("the protocol's rules hold", true, "no task ran twice, in a wrong place or beyond a limit")
 	}
-	fmt.Fprintln(out)
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(m.out)
+	w := tabwriter.NewWriter(m.out, 0, 0, 2, ' ', 0)
 	for _, r := range m.rows {
 		verdict := "held"
 		if !r.held {
@@ -131,11 +151,7 @@
 		fmt.Fprintf(w, "%s\t%s\t%s\n", verdict, r.what, r.seen)
 	}
 	w.Flush()
-	if failed != nil {
-		return failed
-	}
-	m.say("all held; a deployment to try things on: mapleslip dev")
-	return nil
+	return failed
 }
 
 // until asks again and again until done says that it is enough.
@@ -175,8 +191,8 @@
 	})
 }
 
-func (m *demo) submit(ctx context.Context, ref, kind string, tasks int, image string, run float64) error {
-	body, _, err := protocol.ParseJobFile(fmt.Appendf(nil, demoJob, ref, kind, tasks, image, run), "")
+func (m *demo) submit(ctx context.Context, ref, kind string, tasks int, image string, run float64, awaits ...string) error {
+	body, _, err := protocol.ParseJobFile(fmt.Appendf(nil, demoJob, ref, kind, tasks, image, run), "", awaits...)
 	if err != nil {
 		return err
 	}
--- a/cmd/mapleslip/dev.go
+++ b/cmd/mapleslip/dev.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,9 +24,10 @@
 
 // devSettings are the flags of mapleslip dev.
 type devSettings struct {
-	port  int
-	demo  bool
-	limit time.Duration
+	port     int
+	demo     bool
+	limit    time.Duration
+	rollFrom string // program of an earlier version, "": nothing is upgraded
 }
 
 func devCommand() *cobra.Command {
@@ -43,6 +45,13 @@
 			if s.port < 1024 || s.port > 65000 {
 				return fmt.Errorf("--port: must be from 1024 to 65000")
 			}
+			if cmd.Flags().Changed("roll-from") {
+				program, err := earlierProgram(cmd.Context(), s.rollFrom)
+				if err != nil {
+					return fmt.Errorf("--roll-from: %w", err)
+				}
+				s.rollFrom = program
+			}
 			ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 			defer stop()
 			d, err := startDev(ctx, s)
@@ -61,6 +70,9 @@
 			if s.demo {
 				return keep(runDemo(ctx, d, s.limit, out))
 			}
+			if s.rollFrom != "" {
+				return keep(runUpgrade(ctx, d, out))
+			}
 			fmt.Fprintf(out, "controllers: %s\n  export %s=%s\n", strings.Join(d.clients, ", "), serverVariable, strings.Join(d.clients, ","))
 			fmt.Fprintf(out, "teams: red (8 GPUs guaranteed, 64 at most), blue (the same)\nmachine types: small (8 cores), big (32 cores, 8 GPUs), zones a, b, c\n")
 			fmt.Fprintf(out, "address of a service's instance, for its check: %s\nlogs: %s\nCtrl-C ends it\n", rehearsal.InstanceAt, d.dir)
@@ -70,6 +82,8 @@
 	cmd.Flags().IntVar(&s.port, "port", 7400, "first of the `PORTS` on 127.0.0.1 that are used, 8 in a row")
 	cmd.Flags().BoolVar(&s.demo, "demo", false, "play a demonstration, and end")
 	cmd.Flags().DurationVar(&s.limit, "demo-limit", 85*time.Second, "a demonstration that takes longer has failed")
+	cmd.Flags().StringVar(&s.rollFrom, "roll-from", "", "start with the program of an earlier version at `PATH`, upgrade under load, and end")
+	cmd.MarkFlagsMutuallyExclusive("demo", "roll-from")
 	return cmd
 }
 
@@ -81,6 +95,7 @@
 	dir           string
 	names         []string
 	clients       []string
+	programs      []string // that the controllers run when they are started next
 	files         []string // of the controllers' settings
 	rollout       string
 	configuration string
@@ -113,11 +128,19 @@
 }
 
 func startDev(ctx context.Context, s devSettings) (_ *dev, err error) {
+	program, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if s.rollFrom != "" {
+		program = s.rollFrom
+	}
 	addr := func(n int) string { return fmt.Sprintf("127.0.0.1:%d", s.port+n) }
 	d := &dev{procs: make(map[string]*exec.Cmd), ended: make(chan string, 16)}
 	var cluster []string
 	for n := range 3 {
 		d.names = append(d.names, fmt.Sprintf("node-%d", n))
+		d.programs = append(d.programs, program)
 		d.clients, cluster = append(d.clients, addr(2+n)), append(cluster, addr(5+n))
 	}
 	for _, a := range append(append([]string{addr(0), addr(1)}, d.clients...), cluster...) {
@@ -177,16 +200,12 @@
 // start starts a controller.
 func (d *dev) start(n int) error {
 	name := d.names[n]
-	self, err := os.Executable()
-	if err != nil {
-		return err
-	}
 	log, err := os.OpenFile(filepath.Join(d.dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	cmd := exec.Command(self, "--config", d.files[n], "--operator", filepath.Join(d.dir, "operator.toml"), "--rollout", d.rollout, "--configuration", d.configuration)
+	cmd := exec.Command(d.programs[n], "--config", d.files[n], "--operator", filepath.Join(d.dir, "operator.toml"), "--rollout", d.rollout, "--configuration", d.configuration)
 	cmd.Stderr = log
 	// It ends with this process, however that ends, and Ctrl-C is for this one alone.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
@@ -241,6 +260,21 @@
 	}
 }
 
+// logged reports whether a controller's log has a line with all of the words.
+func (d *dev) logged(name string, words ...string) (bool, error) {
+	text, err := os.ReadFile(filepath.Join(d.dir, name+".log"))
+	if err != nil {
+		return false, err
+	}
+	for line := range strings.Lines(string(text)) {
+		missing := func(word string) bool { return !strings.Contains(line, word) }
+		if !slices.ContainsFunc(words, missing) {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
 // lastLine is the last line of a controller's log.
 func (d *dev) lastLine(name string) string {
 	text, err := os.ReadFile(filepath.Join(d.dir, name+".log"))
