--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -571,7 +571,7 @@
 	nobody := func(int, string) {}
 	switch c.Target {
 	case coordination.ToState:
-		w.store.serve(c.Method, c.Path, c.Body, nobody)
+		w.store.serveCopy(c.Method, c.Path, c.Body)
 	case coordination.ToCloud:
 		w.serveCloud(c.Method, c.Path, c.Body)
 	case coordination.ToPeer:
