--- a/internal/rehearsal/upgrade_in_trouble_test.go
+++ b/internal/rehearsal/upgrade_in_trouble_test.go
@@ -30,7 +30,7 @@
 	}
 
 	roll := &rolling{T: t}
-	roll.upgrade(nodes, 45)
+	roll.upgrade(nodes, 8, 45)
 	chains := &chainDraw{t: t, h: roll.history, from: roll.to}
 	if rapid.Bool().Draw(t, "once the level is active") {
 		chains.submitOn = "when set:level"
@@ -55,9 +55,9 @@
 // jobsBefore draws jobs that run when the upgrade begins: many small tasks on each machine,
 // so that records are larger than the lower limits allow.
 func (d *chainDraw) jobsBefore() {
-	count := rapid.IntRange(1, 8).Draw(d.t, "jobs before")
+	count := rapid.IntRange(4, 8).Draw(d.t, "jobs before")
 	d.h.at(1, "burst %d req-000901 array tasks=30 cpus=1 mem=1 gpus=0 run=%d size=1", count,
-		rapid.SampledFrom([]int{8, 40, 100}).Draw(d.t, "run before"))
+		rapid.SampledFrom([]int{20, 60, 100}).Draw(d.t, "run before"))
 }
 
 // limitsFall has the limits of the state service fall before, in or after an upgrade, and
@@ -67,7 +67,7 @@
 	var at float64
 	switch rapid.SampledFrom([]string{"before", "in", "after"}).Draw(d.t, "limits fall") {
 	case "before":
-		at = max(2, from-d.between("fall before", 0, 20))
+		at = max(8, from-d.between("fall before", 0, 20)) // the jobs run by then
 	case "in":
 		at = from + (to-from)*d.between("fall in", 0, 10)/10
 	case "after":
--- a/internal/rehearsal/versions_test.go
+++ b/internal/rehearsal/versions_test.go
@@ -23,9 +23,9 @@
 	old := rapid.IntRange(1, nodes).Draw(t, "production")
 	lines := strings.Split(strings.TrimSuffix(history, "\n"), "\n")
 	lines = slices.Insert(lines, 1, fmt.Sprintf("production %d", old))
-	h := &rolling{T: t}
-	h.upgrade(old, 50)
-	for _, l := range h.lines {
+	r := &rolling{T: t}
+	r.upgrade(old, 2, 50)
+	for _, l := range r.lines {
 		lines = append(lines, fmt.Sprintf("at %g %s", l.at, l.text))
 	}
 	lines = append(lines, fmt.Sprintf("at %g expect level 1", over))
@@ -41,15 +41,15 @@
 }
 
 // upgrade has the first so many controllers, which run the version in production, get this
-// one, beginning by some time: in any order, a few at a time or close together; some end
+// one, beginning between two times: in any order, a few at a time or close together; some end
 // before their turn and come back old.
-func (r *rolling) upgrade(old, beginsBy int) {
+func (r *rolling) upgrade(old, beginsFrom, beginsBy int) {
 	var nodes []int
 	for i := range old {
 		nodes = append(nodes, i)
 	}
 	order := rapid.Permutation(nodes).Draw(r.T, "order")
-	at := float64(rapid.IntRange(2, beginsBy).Draw(r.T, "upgrade from"))
+	at := float64(rapid.IntRange(beginsFrom, beginsBy).Draw(r.T, "upgrade from"))
 	pace := rapid.SampledFrom([]float64{0.2, 3, 8}).Draw(r.T, "pace")
 	r.from = at
 	for _, i := range order {
