--- a/internal/rehearsal/upgrade_in_trouble_test.go
+++ b/internal/rehearsal/upgrade_in_trouble_test.go
@@ -49,6 +49,7 @@
 	h.at(upgradeOver, "expect nothing-stuck")
 	h.at(upgradeOver, "expect unanswered 80")
 	h.at(upgradeOver, "expect fits 2048")
+	h.at(upgradeOver, "expect unfit 8")
 	return h.text(scene)
 }
 
--- a/internal/rehearsal/versions.go
+++ b/internal/rehearsal/versions.go
@@ -113,7 +113,11 @@
 	}
 	for _, c := range then {
 		value := c.Get("data")
-		switch key := string(c.GetStringBytes("set")); key {
+		key := string(c.GetStringBytes("set"))
+		if strings.HasPrefix(key, bookkeeping.JobPrefix) && len(value.GetArray("job", "awaits")) > 0 && v.active < upgrade.ChainedJobs.From {
+			w.broken("%s awaits others at feature level %d", key, v.active)
+		}
+		switch key {
 		case bookkeeping.KeyEpoch:
 			if e, err := bookkeeping.DecodeEpoch(value.MarshalTo(nil)); err != nil || e.Level != v.active {
 				w.broken("the epoch's record is %s at feature level %d", value, v.active)
