Stand-in: sending a refused transaction again is judged when it is sent

What the network holds up is no longer taken for a second try, and a controller that sends what was refused is noticed at the sending. The rest of the package was not run with this change.

--- a/internal/rehearsal/limits.go
+++ b/internal/rehearsal/limits.go
@@ -16,7 +16,7 @@
 	protocol.StateLimits
 	alarm   func(format string, args ...any)
 	refused map[string]bool // transactions that got 400
-	copied  bool            // what comes now is a copy that the network made: nobody sent it
+	copied  bool            // what comes now the network copied or held up: it was not sent now
 	count   int
 }
 
@@ -43,7 +43,8 @@
 	return problem
 }
 
-// serveCopy carries out a copy of a request that the network made.
+// serveCopy carries out a request that the network copied or held up: what was refused since
+// may come so. Whether it is sent again is judged when it is sent, see checkSends.
 func (s *store) serveCopy(method, path string, body []byte) {
 	if s.fallen != nil {
 		s.fallen.copied = true
--- a/internal/rehearsal/versions.go
+++ b/internal/rehearsal/versions.go
@@ -142,8 +142,12 @@
 	}
 }
 
-// checkSends holds that it neither goes to lead nor to accept by itself.
+// checkSends holds that it neither goes to lead nor to accept by itself, and that nobody
+// sends a transaction that was refused for its size.
 func (w *World) checkSends(n *node, c coordination.Call) {
+	if fallen := w.store.fallen; fallen != nil && c.Target == coordination.ToState && fallen.refused[string(c.Body)] {
+		w.broken("%s sends a transaction that was refused", n.name)
+	}
 	if n.runs.serves() < w.versions.active && c.Target == coordination.ToState && c.Path == "/commit" &&
 		(strings.Contains(string(c.Body), `"set":"`+bookkeeping.JobPrefix) || strings.Contains(string(c.Body), `"set":"`+bookkeeping.KeyLeader)) {
 		w.broken("%s serves up to %d and writes at feature level %d: %s", n.name, n.runs.serves(), w.versions.active, c.Body)
--- a/internal/rehearsal/world.go
+++ b/internal/rehearsal/world.go
@@ -511,7 +511,7 @@
 				}
 				w.note("a transaction of %s is held up", n.name)
 				w.after(by, func() {
-					w.cross(n.zone, "", func() { w.store.serve(c.Method, c.Path, c.Body, func(int, string) {}) })
+					w.cross(n.zone, "", func() { w.store.serveCopy(c.Method, c.Path, c.Body) })
 				})
 				return
 			}
