--- a/internal/rehearsal/versions.go
+++ b/internal/rehearsal/versions.go
@@ -113,7 +113,11 @@
 	}
 	for _, c := range then {
 		value := c.Get("data")
-		switch key := string(c.GetStringBytes("set")); key {
+		key := string(c.GetStringBytes("set"))
+		if strings.HasPrefix(key, bookkeeping.JobPrefix) && len(value.GetArray("job", "awaits")) > 0 && v.active < upgrade.ChainedJobs.From {
+			w.broken("%s awaits others at feature level %d", key, v.active)
+		}
+		switch key {
 		case bookkeeping.KeyEpoch:
 			if e, err := bookkeeping.DecodeEpoch(value.MarshalTo(nil)); err != nil || e.Level != v.active {
 				w.broken("the epoch's record is %s at feature level %d", value, v.active)
@@ -138,8 +142,12 @@
 	}
 }
 
-// checkSends holds that it neither goes to lead nor to accept by itself.
+// checkSends holds that it neither goes to lead nor to accept by itself, and that nobody
+// sends a transaction that was refused for its size.
 func (w *World) checkSends(n *node, c coordination.Call) {
+	if fallen := w.store.fallen; fallen != nil && c.Target == coordination.ToState && fallen.refused[string(c.Body)] {
+		w.broken("%s sends a transaction that was refused", n.name)
+	}
 	if n.runs.serves() < w.versions.active && c.Target == coordination.ToState && c.Path == "/commit" &&
 		(strings.Contains(string(c.Body), `"set":"`+bookkeeping.JobPrefix) || strings.Contains(string(c.Body), `"set":"`+bookkeeping.KeyLeader)) {
 		w.broken("%s serves up to %d and writes at feature level %d: %s", n.name, n.runs.serves(), w.versions.active, c.Body)
