A gang's end is recorded once none of its tasks can be on a machine

A gang is complete with its first task that is; a machine of another one hung with its room taken. The final record was written, the leader ended, and the next one found the job among those that are over, counted nothing for it, and started work of the team above its limit. Change: the final record of a gang waits until each of its attempts is proven gone, as that of a cancelled job does. Its user is told that much later, where a machine of it can't be reached; otherwise all tasks of a gang leave with it.

--- a/internal/coordination/jobend.go
+++ b/internal/coordination/jobend.go
@@ -58,6 +58,12 @@
 	if j.State != bookkeeping.JobLive || j.Done < len(j.Tasks) {
 		return
 	}
+	if j.Spec.Kind == protocol.Gang && !j.Settled() {
+		// A gang is complete with its first task that is, and a machine of another one may
+		// hang with its room taken. A new leader would find the job among those that are
+		// over and not count it: its team came above the limit.
+		return
+	}
 	j.To(bookkeeping.JobFinishing)
 	c.finish(j)
 }
--- a/internal/coordination/workers.go
+++ b/internal/coordination/workers.go
@@ -298,7 +298,7 @@
 	j, h := a.Job, a.Host
 	t.dirty = true
 	c.log.Debug("exited", "task", a.Name.TaskName.String(), "host", h.Name, "why", string(task.Reason), "saved", task.Saved)
-	if j != nil && j.State == bookkeeping.JobLive {
+	if j != nil && j.State == bookkeeping.JobLive && j.Done < len(j.Tasks) {
 		switch task.Reason {
 		case protocol.ExitDone:
 			c.completed(a)
@@ -364,6 +364,7 @@
 	t.book.Move(c.at.Steady, a, bookkeeping.AttemptGone)
 	if j != nil {
 		c.settle(j)
+		c.checkFinished(j)
 	}
 	c.touchIdle(h)
 	t.dirty = true
