--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -66,7 +66,23 @@
 
 func foldrengesTypes(small, large int) []*machineType {
 	return []*machineType{
-		{label: "tisza-small", cores: 12, gpus: 2, memory: 48, cache: 100, fetch: 1, hourly: 4.24, spot: 1.67, ready: 25, zones: []string{"szeged-annex", "budapest-hall", "sopron-vault"}, capacity: small},
-		{label: "duna-large", cores: 32, gpus: 4, memory: 128, cache: 150, fetch: 1, hourly: 11.39, spot: 4.69, ready: 35, zones: []string{"budapest-hall"}, capacity: large},
+		{label: "tisza-small", cores: 12, gpus: 2, memory: 48, cache: 80, fetch: 0.4, hourly: 4.24, spot: 1.67, ready: 25, zones: []string{"szeged-annex", "budapest-hall", "sopron-vault"}, capacity: small},
+		{label: "duna-large", cores: 32, gpus: 4, memory: 128, cache: 100, fetch: 0.4, hourly: 11.39, spot: 4.69, ready: 35, zones: []string{"budapest-hall"}, capacity: large},
+	}
+}
+
+// wing is the deployment of hso-infrasound-wing.toml at its small size.
+func wing() settings {
+	return settings{
+		zones:  []string{"tata-quarry-rack", "eger-hillroom", "pecs-cellar"},
+		report: 2.5, lease: 16, gangWait: 40, gangPeer: 4, cancel: 46,
+		stateRPS: 80, writeRPS: 20, valueKB: 8, txnOps: 12, cloudRPS: 4, listLag: 5,
+		cpu: 0.36, memoryMB: 125, connections: 1500, restart: 5, teams: team("infrasound-desk", 8, 24),
+	}
+}
+
+func wingTypes(capacity int) []*machineType {
+	return []*machineType{
+		{label: "balaton-gpu12", cores: 12, gpus: 2, memory: 48, cache: 100, fetch: 0.2, hourly: 6.01, spot: 2.17, ready: 25, zones: []string{"tata-quarry-rack", "eger-hillroom", "pecs-cellar"}, capacity: capacity},
 	}
 }
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -374,13 +374,10 @@
 	t := &task{attempt: id, phase: "fetching", job: k.w.job(id.shard)}
 	k.tasks[id] = t
 	busy := false
-	var cores, gpus, memory float64
 	for _, o := range k.order {
-		if o.phase != "exited" {
-			busy = busy || o.shard == id.shard
-			cores, gpus, memory = cores+o.job.Cores, gpus+o.job.Gpus, memory+o.job.MemoryGb
-		}
+		busy = busy || o.phase != "exited" && o.shard == id.shard
 	}
+	cores, gpus, memory := k.used()
 	k.order = append(k.order, t)
 	k.changed()
 	const slack = 1e-6
@@ -401,6 +398,16 @@
 	}
 }
 
+// used returns the resources that tasks take. The caller holds the lock.
+func (k *worker) used() (cores, gpus, memory float64) {
+	for _, o := range k.order {
+		if o.phase != "exited" {
+			cores, gpus, memory = cores+o.job.Cores, gpus+o.job.Gpus, memory+o.job.MemoryGb
+		}
+	}
+	return cores, gpus, memory
+}
+
 // after calls f with the lock held unless the task has ended by then.
 func (k *worker) after(d time.Duration, t *task, f func(*task)) {
 	time.AfterFunc(d, func() {
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -66,13 +66,13 @@
 
 	RunS float64 `json:"-"` // true run time of a task
 
-	mu          sync.Mutex
-	acceptedAt  time.Time
-	doneAt      time.Time
-	begins      int // starts of tasks
-	completions int
-	killed      int
-	on          map[string]string // machine by task
+	mu         sync.Mutex
+	acceptedAt time.Time
+	doneAt     time.Time
+	begins     int             // starts of tasks
+	completed  map[string]bool // tasks that have run to completion
+	killed     int
+	on         map[string]string // machine by task
 }
 
 // world is a deployment on loopback addresses.
@@ -329,7 +329,10 @@
 	}
 	switch why {
 	case "done":
-		j.completions++
+		if j.completed == nil {
+			j.completed = map[string]bool{}
+		}
+		j.completed[t.shard] = true
 	case "killed":
 		j.killed++
 	}
@@ -552,3 +555,50 @@
 	}
 	return true
 }
+
+func newCopy(j *job, ref string) *job {
+	return &job{Ref: ref, Jobclass: j.Jobclass, Owner: j.Owner, Shape: j.Shape, Rank: j.Rank, Shards: j.Shards, Cores: j.Cores, Gpus: j.Gpus,
+		MemoryGb: j.MemoryGb, Bundle: j.Bundle, SizeGb: j.SizeGb, ExpectS: j.ExpectS, RunS: j.RunS}
+}
+
+// allCompleted reports whether each task of an array has run to completion.
+func (j *job) allCompleted() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.completed) == j.Shards
+}
+
+// begun returns how many tasks were started.
+func (j *job) begun() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.begins
+}
+
+// setFailing makes every machine fail every task that it starts from now on, or ends that.
+func (w *world) setFailing(on bool) {
+	if on {
+		w.logf("TROUBLE machines fail every task that they start")
+	}
+	w.cloud.each(func(k *worker) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		if k.failing && !on {
+			w.logf("TROUBLE machine %s fails no tasks any more", k.m.name)
+		}
+		k.failing = on
+	})
+}
+
+// hasRoom reports whether a machine has room for a task of a job.
+func (w *world) hasRoom(j *job) bool {
+	room := false
+	w.cloud.each(func(k *worker) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		cores, gpus, memory := k.used()
+		t := k.m.typ
+		room = room || cores+j.Cores <= t.cores && gpus+j.Gpus <= t.gpus && memory+j.MemoryGb <= t.memory
+	})
+	return room
+}
