--- a/review/standin/extra.go
+++ b/review/standin/extra.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -72,12 +73,17 @@
 		return &job{Ref: ref, Jobclass: class, Owner: "duty-analysts-00", Shape: shape, Rank: rank, Shards: tasks, Cores: cores, Gpus: gpus,
 			MemoryGb: memory, Bundle: "img-07", SizeGb: 0.2, ExpectS: 5, RunS: 5}
 	}
+	var services []*job
 	for i := range 5 {
-		j := make(fmt.Sprintf("req-00040%d", i), "live-picker", "daemon", "critical", min(2, 9-2*i), 4, 1, 14)
-		if !w.submit(j) || !w.await("the service runs", 30, func() bool { return w.allRun(j) }) {
-			return w.cannotRun("the services do not run")
+		services = append(services, make(fmt.Sprintf("req-00040%d", i), "live-picker", "daemon", "critical", min(2, 9-2*i), 4, 1, 14))
+		if !w.submit(services[i]) {
+			return w.cannotRun("a service is not accepted")
 		}
 	}
+	allRun := func() bool { return !slices.ContainsFunc(services, func(j *job) bool { return !w.allRun(j) }) }
+	if !w.await("the services run", 20, allRun) {
+		return w.cannotRun("the services do not run")
+	}
 	if trouble {
 		w.logf("TROUBLE a gang that does not fit beside the services")
 		w.submit(make("req-000412", "locator-training", "ensemble", "high", 1, 28, 4, 100))
@@ -93,7 +99,7 @@
 	}
 	submitted := time.Now()
 	told := status{}
-	for time.Since(submitted) < 95*time.Second && told.Phase != "done" {
+	for time.Since(submitted) < 91*time.Second && told.Phase != "done" {
 		time.Sleep(5 * time.Second)
 		_, told = w.ask(w.pick(1), j.Ref)
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -5,9 +5,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"sync/atomic"
+	"syscall"
 )
 
+// current is the deployment that is running.
+var current atomic.Pointer[world]
+
 var cases = map[string]func(recordPath string, trouble bool) int{}
 
 func main() {
@@ -21,6 +27,15 @@
 			os.Exit(2)
 		}
 	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stop
+		if w := current.Load(); w != nil {
+			w.cannotRun("it was stopped")
+		}
+		os.Exit(2)
+	}()
 	os.Exit(cases[os.Args[1]](os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -139,6 +139,7 @@
 	dir, err := os.MkdirTemp("", "review")
 	check(err)
 	w := &world{set: set, dir: dir, root: root, began: time.Now(), out: f}
+	current.Store(w)
 	w.gangs.members, w.gangs.running = map[string][]member{}, map[string][]member{}
 	w.state = newStateService(set)
 	w.cloud = newCloud(w, types)
