--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,7 +3,7 @@
 # case could not run. TROUBLE=0 plays it without the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mapleslip ] && [ -x target/review/standin ] || { echo "build first: the command of deploy/service.toml, then review/build.sh"; exit 2; }
-timeout -k 1 118 target/review/standin held-limit review/3/record.txt
+timeout -k 1 118 target/review/standin failed-once review/3/record.txt
 rc=$?
 [ "$rc" -le 2 ] || rc=2
 exit "$rc"
--- a/review/standin/state.go
+++ b/review/standin/state.go
@@ -26,7 +26,8 @@
 	set     settings
 	reqs    bucket
 	writes  bucket
-	refuse  map[int]bool // by controller: answer 503
+	refuse  map[int]bool  // by controller: answer 503
+	slow    time.Duration // by which transactions are answered after they were carried out
 	outage  bool
 }
 
@@ -162,10 +163,21 @@
 	}
 	s.mu.Lock()
 	status, v := s.execute(node, r, body)
+	slow := s.slow
 	s.mu.Unlock()
+	if r.URL.Path == "/commit" {
+		time.Sleep(slow)
+	}
 	answer(w, status, v)
 }
 
+// setSlow sets by how much transactions are answered after they were carried out.
+func (s *stateService) setSlow(by time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.slow = by
+}
+
 func (s *stateService) execute(node int, r *http.Request, body []byte) (int, any) {
 	if s.outage || s.refuse[node] {
 		return 503, obj{"error": "unavailable"}
--- a/review/standin/worker.go
+++ b/review/standin/worker.go
@@ -35,6 +35,7 @@
 	failing  bool          // every task that it starts fails
 	hung     chan struct{} // not nil while the machine hangs; closed when it goes on
 	sent     [][]byte      // its reports
+	fetch    float64       // GB per second, within a third of the type's rate
 	refused  int           // reports of the current session that got another status than 200 and 421
 	expired  int           // sessions that ended
 	lost     int           // tasks killed with them
@@ -72,7 +73,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	check(err)
 	k := &worker{w: w, m: m, addr: l.Addr().String(), l: l, tenure: 1, began: time.Now(), tasks: map[attempt]*task{}, images: map[string]time.Time{},
-		dirty: make(chan struct{}, 1), http: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2},
+		fetch: m.typ.fetch * w.set.fetchFactor, dirty: make(chan struct{}, 1), http: &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 	go func() { _ = http.Serve(l, http.HandlerFunc(k.handle)) }()
 	go k.reports()
@@ -143,6 +144,13 @@
 	return nil
 }
 
+// setFetch sets the rate at which the machine fetches images, as a factor of its type's.
+func (k *worker) setFetch(factor float64) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.fetch = k.m.typ.fetch * factor
+}
+
 // runs reports whether a task runs on the machine.
 func (k *worker) runs(shard string) bool {
 	k.mu.Lock()
@@ -391,7 +399,7 @@
 	default:
 		ready, ok := k.images[j.Bundle]
 		if !ok {
-			ready = time.Now().Add(time.Duration(j.SizeGb / k.m.typ.fetch * float64(time.Second)))
+			ready = time.Now().Add(time.Duration(j.SizeGb / k.fetch * float64(time.Second)))
 			k.images[j.Bundle] = ready
 		}
 		k.after(time.Until(ready), t, k.begin)
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -28,7 +28,7 @@
 	connections                               int
 	restart                                   float64 // seconds until an ended controller is back
 	teams                                     string  // TOML
-	objectives                                string  // TOML
+	fetchFactor                               float64 // of the machines' rate of fetching images
 }
 
 // node is one controller.
@@ -63,11 +63,13 @@
 	SnapshotEveryS float64  `json:"snapshotEveryS"`
 	SnapshotS      float64  `json:"snapshotS"`
 	DueS           *float64 `json:"dueS"`
+	Awaits         []string `json:"awaits,omitempty"`
 
 	RunS float64 `json:"-"` // true run time of a task
 
 	mu         sync.Mutex
 	acceptedAt time.Time
+	told       status // in the answer to the submission
 	doneAt     time.Time
 	begins     int             // starts of tasks
 	completed  map[string]bool // tasks that have run to completion
@@ -140,6 +142,7 @@
 	check(err)
 	w := &world{set: set, dir: dir, root: root, began: time.Now(), out: f}
 	current.Store(w)
+	w.set.fetchFactor = 1
 	w.gangs.members, w.gangs.running = map[string][]member{}, map[string][]member{}
 	w.state = newStateService(set)
 	w.cloud = newCloud(w, types)
@@ -174,7 +177,7 @@
 		}
 	}
 	fmt.Fprintf(&b, "[services]\ncloud = %q\nstate = %q\n\n[facts]\nnodes = %d\nzones = [\"%s\"]\nclock_off_ms = 250.0\n\n", cloudAddr, stateAddr, len(w.nodes), strings.Join(s.zones, `", "`))
-	b.WriteString(s.teams + s.objectives)
+	b.WriteString(s.teams)
 	fmt.Fprintf(&b, "[facts.workers]\nreport_s = %.1f\nlease_s = %.1f\ngang_wait_s = %.1f\ngang_peer_s = %.1f\ncancel_s = %.1f\n\n", s.report, s.lease, s.gangWait, s.gangPeer, s.cancel)
 	fmt.Fprintf(&b, "[facts.state]\nrps = %.1f\nwrite_rps = %.1f\nvalue_kb = %d.0\ntxn_ops = %d\n\n[facts.cloud]\nrps = %.1f\nlist_lag_s = %.1f\n\n", s.stateRPS, s.writeRPS, s.valueKB, s.txnOps, s.cloudRPS, s.listLag)
 	fmt.Fprintf(&b, "[facts.quota]\ncpu = %.2f\nmemory_mb = %.1f\nmax_connections = %d\n", s.cpu, s.memoryMB, s.connections)
@@ -440,6 +443,7 @@
 		switch status {
 		case 200, 201:
 			j.acceptedAt = time.Now()
+			_ = json.Unmarshal(b, &j.told)
 			return true
 		case 400, 422:
 			return false
@@ -603,3 +607,19 @@
 	})
 	return room
 }
+
+// roomFor returns for how many more tasks of a job the machines have room.
+func (w *world) roomFor(j *job) int {
+	room := 0
+	w.cloud.each(func(k *worker) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		cores, gpus, memory := k.used()
+		n := int((k.m.typ.cores - cores) / j.Cores)
+		if j.Gpus > 0 {
+			n = min(n, int((k.m.typ.gpus-gpus)/j.Gpus))
+		}
+		room += min(n, int((k.m.typ.memory-memory)/j.MemoryGb))
+	})
+	return room
+}
