Controller: an old report of a gang task's exit does not prove that the task has ended

Callers saw a task of a gang run on two machines (ran_twice): after a change of leader, while the task's machine hung, a copy of an old report arrived in which the task had exited with "incomplete", and the new leader started the task elsewhere. The task had been launched again since, under the same attempt number, as all tasks of a gang have one number.

Cause: a leader orders reports against its own launches, but a launch that it knows from a record has no place in that order. A report that did not list such an attempt proved its end only if the worker had seen the new epoch; a report that listed it as exited proved it always.

Change: the exit of a gang's task counts only in a report of this epoch, from which on the worker drops earlier leaders' commands. For arrays and services it counts as before, since their numbers stand for one launch.

--- a/internal/controller/agents.go
+++ b/internal/controller/agents.go
@@ -185,14 +185,11 @@
 	for i := range hb.Tasks {
 		task := &hb.Tasks[i]
 		a := h.Find(task.AttemptName)
+		if !seenThisEpoch && !ag.isProvenByEarlierEpoch(a, *task) {
+			ag.observeUnprovenTask(hb, *task)
+			continue
+		}
 		if a == nil {
-			if completed := task.State == protocol.TaskExited && task.Reason == protocol.ExitDone; !seenThisEpoch && !ag.launchesUnrecorded && !completed {
-				// Every attempt that may be on a host is in a record, and this one is not: the
-				// worker sent the heartbeat before the attempt ended, and usually this is a delayed
-				// copy. If the task is still on the host, the next heartbeat lists it again. The
-				// result of a completed task is valid in any case.
-				continue
-			}
 			a = ag.adoptAttempt(h, *task)
 		}
 		a.LastHeartbeat = h.Agent.HeartbeatCount
--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -157,19 +157,25 @@
 		return // a replica never completes: it is started again
 	}
 	ag.updateRuntimeEstimates(a)
-	ag.faults.confirmHealthy(j)
 	if j.Spec.Kind == protocol.Gang {
-		for i := range j.Tasks { // the tasks of a gang complete together
-			j.Complete(i, false)
-		}
+		ag.completeGang(j)
 		return
 	}
+	ag.faults.confirmHealthy(j)
 	j.Complete(a.Name.Index, false)
 	if j.CompletedTasks < len(j.Tasks) {
 		ag.records.recordCompletion(j, a.Name.Index)
 	}
 }
 
+// completeGang marks all tasks of a gang as completed: they complete together.
+func (ag *agents) completeGang(j *state.Job) {
+	ag.faults.confirmHealthy(j)
+	for i := range j.Tasks {
+		j.Complete(i, false)
+	}
+}
+
 // updateRuntimeEstimates updates the run time estimates of the host and of the job's class from a
 // completed task.
 func (ag *agents) updateRuntimeEstimates(a *state.Attempt) {
--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -71,6 +71,13 @@
 	return &a.Job.Tasks[a.Name.Index]
 }
 
+// IsLaunchedOnce reports whether the attempt's name stands for one launch only, so that any
+// heartbeat that lists the name describes this attempt, however old it is. The tasks of a gang share
+// a number, and a task that ends before the gang is complete is launched again under the same name.
+func (a *Attempt) IsLaunchedOnce() bool {
+	return a.Job != nil && a.Job.Spec.Kind != protocol.Gang
+}
+
 // compareName compares the attempt's name with another one. Lists of attempts are sorted by task
 // index, attempt number and job.
 func (a *Attempt) compareName(name protocol.AttemptName) int {
