Controller: an old report does not date the launch of a gang's task

Cause: the leader does not know in which session an earlier leader launched an attempt. It took the session of the first report that listed the attempt, and a later session as the proof of its end. A gang's task may have been launched in both sessions, under the same attempt number.

Change: the session of a gang's launch is taken only from a report of this epoch, or from the answer to a direct command. So that no gang waits for ever for a worker that receives no answers, a report of an earlier epoch now proves that this leader has not renewed the lease: the worker reports only once it no longer waits for the answer before. When the lease of the beginning of the term has passed, earlier leaders' attempts there are gone. If another controller that may have answered the worker is gone too, the machine is released after the time for which machines behind a partition are kept.

--- a/internal/controller/agents.go
+++ b/internal/controller/agents.go
@@ -18,6 +18,7 @@
 	estimates    *machineEstimates
 	faults       *faultTracker
 	jobs         *jobManager
+	peers        *peerMonitor
 	prober       *prober
 	records      *recordStore
 	scheduler    *scheduler
@@ -94,8 +95,9 @@
 	ag.boundLease(h, hb)
 	ag.updateHost(h, hb)
 	ag.updateInterruption(h, hb)
-	ag.applyTasks(h, hb)
+	ag.applyTasks(h, hb, direct)
 	ag.loseMissingAttempts(h, hb, direct)
+	ag.loseEarlierAttempts(h, hb, direct)
 	ag.updateIdleSince(h)
 }
 
@@ -180,7 +182,7 @@
 }
 
 // applyTasks updates the attempts on a host from the tasks that a heartbeat lists.
-func (ag *agents) applyTasks(h *state.Host, hb *protocol.Heartbeat) {
+func (ag *agents) applyTasks(h *state.Host, hb *protocol.Heartbeat, direct bool) {
 	seenThisEpoch := hb.SeenEpoch == ag.epoch
 	for i := range hb.Tasks {
 		task := &hb.Tasks[i]
@@ -193,7 +195,7 @@
 			a = ag.adoptAttempt(h, *task)
 		}
 		a.LastHeartbeat = h.Agent.HeartbeatCount
-		if a.LaunchAgentEpoch == 0 {
+		if a.LaunchAgentEpoch == 0 && (seenThisEpoch || direct || a.IsLaunchedOnce()) {
 			a.LaunchAgentEpoch = hb.AgentEpoch // or an earlier agent epoch
 		}
 		if a.State == state.AttemptLaunched {
--- a/internal/controller/earlier_epoch.go
+++ b/internal/controller/earlier_epoch.go
@@ -48,3 +48,15 @@
 	ag.jobs.finishIfComplete(j)
 	ag.cycleNeeded = true
 }
+
+// loseEarlierAttempts marks the attempts of earlier leaders as gone if a heartbeat of an earlier
+// epoch shows that the lease has expired under which they ran. A worker that never receives this
+// leader's answers sends no heartbeat of this epoch, which would show what has ended. But it sends a
+// heartbeat only once it no longer waits for the answer to the one before, and an answer that it had
+// accepted would have shown it this epoch. So it has accepted none.
+func (ag *agents) loseEarlierAttempts(h *state.Host, hb *protocol.Heartbeat, direct bool) {
+	if direct || h.Reconciled || hb.SeenEpoch == ag.epoch || h.Empty() || !ag.peers.earlierLeaseExpired(h) {
+		return
+	}
+	ag.loseAttempts(h, "lease of an earlier epoch expired", func(a *state.Attempt) bool { return a.Adopted && a.State.MayRun() })
+}
--- a/internal/controller/host_monitor.go
+++ b/internal/controller/host_monitor.go
@@ -47,6 +47,7 @@
 	releaseSilent            = "silent"
 	releaseSilentCancelled   = "silent, and a cancelled task may be on it"
 	releaseIgnoringCancelled = "ignores commands, and a cancelled task may be on it"
+	releaseEarlierEpoch      = "receives nothing from this leader, and an earlier leader's task may be on it"
 )
 
 // silenceThreshold is the time without a message after which a host counts as silent: its next
@@ -229,8 +230,8 @@
 	}
 }
 
-// checkUnexpiredHost checks a silent host whose worker's lease may not have expired yet. It is
-// released once it neither sends heartbeats nor responds to probes.
+// checkUnexpiredHost checks a host whose worker's lease may not have expired yet, and that is silent
+// or has not seen this epoch. It is released once it neither sends heartbeats nor responds to probes.
 func (hm *hostMonitor) checkUnexpiredHost(h *state.Host, releaseAfter micros, mayRelease bool) {
 	silentFor := hm.silentFor(h)
 	sinceRecovery := hm.now.Steady - hm.recordsLoadedAt
@@ -243,6 +244,10 @@
 		hm.cloud.releaseHost(h, releaseSilent)
 	case hm.isSilent(h):
 		hm.probe(h)
+	case !h.Reconciled && !h.Empty() && sinceRecovery > hm.partitionRetention() && mayRelease:
+		// Only a release can prove that the earlier leader's tasks have ended if their worker's
+		// heartbeats stay at an earlier epoch and another controller's state is unknown.
+		hm.cloud.releaseHost(h, releaseEarlierEpoch)
 	}
 }
 
--- a/internal/controller/leader_term.go
+++ b/internal/controller/leader_term.go
@@ -117,7 +117,7 @@
 	t.agents.commands, t.agents.dependencies, t.agents.estimates = t.commands, t.dependencies, t.estimates
 	t.agents.faults, t.agents.jobs, t.agents.records = t.faults, t.jobs, t.records
 	t.agents.scheduler, t.agents.workload, t.agents.catalog = t.scheduler, t.workload, c.catalog
-	t.agents.election, t.agents.prober = c.election, t.prober
+	t.agents.election, t.agents.peers, t.agents.prober = c.election, t.peers, t.prober
 
 	t.commands.agents, t.commands.hosts, t.commands.scheduler, t.commands.election = t.agents, t.hosts, t.scheduler, c.election
 	t.prober.commands, t.prober.peers, t.prober.membership = t.commands, t.peers, c.membership
@@ -126,7 +126,7 @@
 	t.hosts.peers, t.hosts.prober, t.hosts.transfer = t.peers, t.prober, t.transfer
 	t.hosts.election, t.hosts.recovery = c.election, c.recovery
 
-	t.peers.handover, t.peers.membership = t.handover, c.membership
+	t.peers.handover, t.peers.election, t.peers.membership = t.handover, c.election, c.membership
 	t.transfer.hosts, t.transfer.peers = t.hosts, t.peers
 	t.transfer.election, t.transfer.features = c.election, c.features
 	t.handover.hosts, t.handover.records = t.hosts, t.records
--- a/internal/controller/peer_monitor.go
+++ b/internal/controller/peer_monitor.go
@@ -15,13 +15,14 @@
 // don't answer workers.
 type peerMonitor struct {
 	*termContext
+	election   *election
 	handover   *handoverWriter
 	membership *membership
 
 	statuses map[string]peerStatus // by controller
-	// quiesced is set when every other controller has reported that it does not answer workers
-	// under an earlier epoch.
-	quiesced bool
+	// quiescedAt is the time at which every other controller had reported that it does not answer
+	// workers under an earlier epoch, 0 before.
+	quiescedAt micros
 }
 
 const (
@@ -96,7 +97,7 @@
 // workers under an earlier epoch. From then on the expiry of leases proves that the tasks of hosts
 // that were recorded under earlier epochs have ended.
 func (pm *peerMonitor) checkPeersQuiesced() {
-	if pm.quiesced {
+	if pm.quiescedAt > 0 {
 		return
 	}
 	for _, p := range pm.platform.Peers {
@@ -104,7 +105,7 @@
 			return
 		}
 	}
-	pm.quiesced = true
+	pm.quiescedAt = pm.now.Steady
 	pm.log.Info("no other controller answers workers", "epoch", pm.epoch)
 	for _, h := range pm.cluster.Hosts() {
 		if h.Record.FromEarlierEpoch && !h.Reconciled {
@@ -116,8 +117,24 @@
 // leaseExpired reports whether a worker's lease has certainly expired: no controller can have
 // renewed it within its duration.
 func (pm *peerMonitor) leaseExpired(h *state.Host) bool {
+	return pm.notRenewedSince(h, h.Agent.LeaseRenewedAt)
+}
+
+// earlierLeaseExpired reports whether the lease that a worker had at the beginning of this term has
+// certainly expired, unless this leader has renewed it.
+func (pm *peerMonitor) earlierLeaseExpired(h *state.Host) bool {
+	renewedAt := pm.quiescedAt
+	if renewedAt == 0 {
+		renewedAt = pm.election.lease.predecessorAnswersUntil
+	}
+	// While it read the records, this controller answered workers without keeping their state.
+	return pm.notRenewedSince(h, max(renewedAt, pm.recordsLoadedAt))
+}
+
+// notRenewedSince reports whether a worker's lease has certainly expired if this leader and its
+// predecessors have not renewed it since a time: no other controller has either.
+func (pm *peerMonitor) notRenewedSince(h *state.Host, renewedAt micros) bool {
 	now, lease := pm.now.Steady, pm.platform.WorkerLease
-	renewedAt := h.Agent.LeaseRenewedAt
 	for _, p := range pm.platform.Peers {
 		if !pm.membership.mayAnswerZone(p.Zone, h.Zone) {
 			continue
