Tests: histories in which a gang's task is launched again under its number

TestOverlap found the old report of an exit only by chance. In a quarter of its histories a gang's task now waits for too long, exits and is launched again, and copies of the reports reach the next leader while machines hang, are deaf or are cut off.

--- a/internal/simulation/history_test.go
+++ b/internal/simulation/history_test.go
@@ -79,6 +79,9 @@
 	if d.oneIn(5, "old session") {
 		d.oldSession(44 + float64(d.number("old session at", 0, 400))/10)
 	}
+	if d.oneIn(4, "launched again") {
+		d.launchedAgain()
+	}
 	d.at(1, "balance")
 	d.at(settledAt, "count")
 	d.at(lastingFaultsTo-0.1, "expect leader some")
@@ -463,3 +466,27 @@
 	d.at(ended+20, "thaw all")
 	d.at(faultsTo, "start all")
 }
+
+// launchedAgain draws a gang of which one task exits because it has waited too long for the others,
+// and is launched again under the same attempt number. The next leader receives copies of the
+// reports of that exit while machines hang, or don't receive what the controllers send.
+func (d *historyDraw) launchedAgain() {
+	submitted := 4 + float64(d.number("launched again at", 0, 40))/10
+	// The fetch takes longer than a task of a gang waits, and one machine has the image already.
+	d.at(submitted, "submit req-000070 array tasks=1 gpus=2 image=img-9 size=45 run=1 team=blue")
+	d.at(submitted+50, "submit req-000071 gang tasks=%d gpus=2 image=img-9 size=45 run=60 team=blue", d.number("launched again tasks", 2, 3))
+	d.at(submitted+86, "old-reports keep with=%s", pick(d, "kept reports", "incomplete", "incomplete", "req-000071"))
+	ended := submitted + 94 + float64(d.number("ends after it was launched again", 0, 40))/10
+	d.at(ended-1, "old-reports stop")
+	d.at(ended-0.5, "old-reports deliver on=%s after=%g", pick(d, "kept reports come", "loading", "leading", "loading,leading"), pick(d, "kept reports come after", 0, 0.3, 2))
+	what := pick(d, "what machines miss then", [2]string{"hang", "resume"}, [2]string{"hang", "resume"}, [2]string{"drop-inbound", "allow-inbound"}, [2]string{"disconnect-machine", "reconnect-machine"})
+	for _, zone := range d.zones {
+		d.at(ended-0.1, "in-zone %s %s", zone, what[0])
+		d.at(ended+pick(d, "until they are back", 2.0, 6, 12), "in-zone %s %s", zone, what[1])
+	}
+	d.at(ended, "restart leader after=%g", pick(d, "back after it was launched again", 0.05, 0.4, 3))
+	if d.oneIn(3, "cancelled once launched again") {
+		d.at(ended+float64(d.number("cancelled so late", 0, 40))/10, "cancel req-000071")
+	}
+	d.at(faultsTo, "old-reports deliver on=none")
+}
