Scheduler: a gang of more than 256 tasks is placed

Users saw an accepted gang of 257 tasks that was never started while the machines had room for it.

Cause: a cycle takes at most 256 tasks of a job, and a gang got a request to the slot table only if these were all of its queued tasks. Without a request it was left out of preemption and rental too.

Change: the limit per cycle applies to arrays and services only.

Evidence: large_gang.trace failed before ("it is queued, done 0, running 0") and passes now.

--- a/internal/controller/placement_request.go
+++ b/internal/controller/placement_request.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxTasksPerCycle is the number of tasks of one job that a cycle tries to place.
+	// maxTasksPerCycle is the number of tasks of one array or service that a cycle tries to place.
 	maxTasksPerCycle = 256
 	// heldBookingDelay is the time that preempted tasks still get to end: a booking of the capacity
 	// that they free begins no sooner than this from now.
@@ -85,11 +85,15 @@
 }
 
 // queuedTasks returns the indices of a job's tasks that can be placed now, at most
-// maxTasksPerCycle.
+// maxTasksPerCycle unless the tasks have to start together.
 func (sc *scheduler) queuedTasks(j *state.Job) []int {
+	limit := j.QueuedTasks
+	if j.Spec.Kind != protocol.Gang {
+		limit = min(limit, maxTasksPerCycle)
+	}
 	firstQueued := -1
-	tasks := make([]int, 0, min(j.QueuedTasks, maxTasksPerCycle))
-	for i := j.FirstQueuedTask; i < len(j.Tasks) && len(tasks) < maxTasksPerCycle; i++ {
+	tasks := make([]int, 0, limit)
+	for i := j.FirstQueuedTask; i < len(j.Tasks) && len(tasks) < limit; i++ {
 		task := &j.Tasks[i]
 		if task.State != state.TaskQueued {
 			continue
