Scheduler: a job avoids a machine on which it failed for a minute, not for ever

Users saw a job wait beside a machine with room, for as long as one looked: its only task had failed there once, while the machine was faulty, and no other machine had room.

Cause: a job avoided each host on which it had failed until one of its tasks completed or it failed on a second host. Neither could happen.

Change: the host is avoided for 60 s after a failure. A host that runs the job after that has recovered and is not quarantined when the job proves to be sound.

Evidence: failed_once_no_other_machine.trace failed before ("it is queued, done 0, running 0" at 101 s) and passes now.

--- a/internal/controller/fault_tracker.go
+++ b/internal/controller/fault_tracker.go
@@ -23,6 +23,10 @@
 	maxFailureBackoff          = 60 * protocol.Second
 	maxFailureBackoffDoublings = 8
 
+	// hostExclusion is how long a job avoids a host after it has failed there. The host may have
+	// recovered by then, and there may be room on no other.
+	hostExclusion = 60 * protocol.Second
+
 	// Each quarantine of a host is longer than the previous one.
 	quarantineStep = 30 * protocol.Second
 	maxQuarantine  = 300 * protocol.Second
@@ -44,16 +48,26 @@
 // onTaskFailed handles a task that exited with an error.
 func (ft *faultTracker) onTaskFailed(a *state.Attempt) {
 	j, h := a.Job, a.Host
-	if j.Failures.ByHost == nil {
-		j.Failures.ByHost = make(map[string]int)
-	}
-	j.Failures.ByHost[h.Name]++
+	failures := ft.countFailure(j, h)
 	ft.rollouts.step(rollout.TaskFailed{Ref: j.Spec.Ref, Index: a.Name.Index})
 	ft.attributeFailure(j, h)
-	ft.log.Info("task failed", "task", a.Name.String(), "host", h.Name, "on_host", j.Failures.ByHost[h.Name],
+	ft.log.Info("task failed", "task", a.Name.String(), "host", h.Name, "on_host", failures.Count,
 		"hosts", len(j.Failures.ByHost), "suspect", j.Failures.Suspect)
 }
 
+// countFailure counts a failure of a job's task on a host, and excludes the host for the job for some
+// time.
+func (ft *faultTracker) countFailure(j *state.Job, h *state.Host) state.HostFailures {
+	if j.Failures.ByHost == nil {
+		j.Failures.ByHost = make(map[string]state.HostFailures)
+	}
+	failures := j.Failures.ByHost[h.Name]
+	failures.Count++
+	failures.ExcludedUntil = ft.now.Steady + hostExclusion
+	j.Failures.ByHost[h.Name] = failures
+	return failures
+}
+
 // attributeFailure attributes the failure of a job's task on a host. If the job is proven to run,
 // the host is faulty; if the job has failed on other hosts too, the job is suspect. Otherwise the
 // cause is still unknown, and the host is suspected.
@@ -107,8 +121,7 @@
 		if h == nil || !slices.Contains(h.Quarantine.SuspectedBy, j.Spec.Ref) {
 			continue
 		}
-		h.Quarantine.SuspectedBy = slices.DeleteFunc(h.Quarantine.SuspectedBy, func(ref string) bool { return ref == j.Spec.Ref })
-		h.Stale = true
+		dropSuspicion(h, j.Spec.Ref)
 		if h.Quarantine.OnSuspicion && len(h.Quarantine.SuspectedBy) < suspicionsToQuarantine {
 			h.Quarantine.Count--
 			h.Quarantine.Until, h.Quarantine.OnSuspicion = 0, false
@@ -116,16 +129,39 @@
 	}
 }
 
-// confirmHealthy records that a job can run. The hosts on which it failed before are faulty.
+// dropSuspicion removes a job's failures from the suspicions against a host.
+func dropSuspicion(h *state.Host, ref string) {
+	h.Quarantine.SuspectedBy = slices.DeleteFunc(h.Quarantine.SuspectedBy, func(by string) bool { return by == ref })
+	h.Stale = true
+}
+
+// confirmHealthy records that a job can run. The hosts on which it failed before are faulty, except
+// those on which it was started again since: they have recovered.
 func (ft *faultTracker) confirmHealthy(j *state.Job) {
-	for name := range j.Failures.ByHost {
-		if h := ft.cluster.Host(name); h != nil && ft.now.Steady >= h.Quarantine.Until {
-			h.Quarantine.SuspectedBy = nil
-			ft.quarantineHost(h)
-		}
+	if len(j.Failures.ByHost) > 0 {
+		ft.blameHosts(j)
 	}
 	if j.Failures.Suspect {
 		j.Failures.Suspect, j.Failures.Backoffs, j.Failures.BackoffUntil = false, 0, 0
 	}
 	j.Failures.ByHost = nil
 }
+
+// blameHosts quarantines the hosts on which a job has failed that is known to be able to run.
+func (ft *faultTracker) blameHosts(j *state.Job) {
+	inUse := make(map[string]bool)
+	for _, a := range j.ActiveAttempts() {
+		inUse[a.Host.Name] = true
+	}
+	for name, failures := range j.Failures.ByHost {
+		h := ft.cluster.Host(name)
+		switch {
+		case h == nil:
+		case inUse[name] && ft.now.Steady >= failures.ExcludedUntil:
+			dropSuspicion(h, j.Spec.Ref)
+		case ft.now.Steady >= h.Quarantine.Until:
+			h.Quarantine.SuspectedBy = nil
+			ft.quarantineHost(h)
+		}
+	}
+}
--- a/internal/controller/placement_request.go
+++ b/internal/controller/placement_request.go
@@ -132,7 +132,7 @@
 	}
 	if len(j.Failures.ByHost) > 0 && !j.Failures.Suspect {
 		failures := j.Failures.ByHost
-		r.Avoid = func(host string) bool { return failures[host] > 0 }
+		r.Avoid = func(host string) bool { return sc.now.Steady < failures[host].ExcludedUntil }
 	}
 	return r
 }
--- a/internal/simulation/machine_verbs.go
+++ b/internal/simulation/machine_verbs.go
@@ -31,6 +31,7 @@
 	"resume":          (*World).deliverCalls,
 	"fail":            (*World).failMachine,
 	"fail-tasks":      func(_ *World, m *machine) { m.failsTasks = true },
+	"stop-failing":    func(_ *World, m *machine) { m.failsTasks = false },
 	"drop-inbound":    func(_ *World, m *machine) { m.inboundCut = true },
 	"allow-inbound":   func(_ *World, m *machine) { m.inboundCut = false },
 	"lose-answers":    func(_ *World, m *machine) { m.answersLost = true },
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -141,10 +141,16 @@
 
 // Failures summarizes the failed attempts of a job.
 type Failures struct {
-	ByHost       map[string]int // number of failures by host
-	Suspect      bool           // it has failed on several hosts, and nothing shows that it can run
-	Backoffs     int            // number of backoffs since it became suspect
-	BackoffUntil micros         // no task of the job is placed before
+	ByHost       map[string]HostFailures
+	Suspect      bool   // it has failed on several hosts, and nothing shows that it can run
+	Backoffs     int    // number of backoffs since it became suspect
+	BackoffUntil micros // no task of the job is placed before
+}
+
+// HostFailures summarizes the failed attempts of a job on one host.
+type HostFailures struct {
+	Count         int
+	ExcludedUntil micros // no task of the job is placed on the host before
 }
 
 // Objectives contains the service-level objectives for which a job has been counted, or need not
