Admission: a job that awaits a cancelled one is not accepted as queued

Cause: a leader answers with the status of the job that it tracks only if that is the object with which the creation began. If the state service answers the transaction late, the watch has shown the record before, the leader tracks the job read from there, and the answer was queued.

Change: the leader answers with the job that it tracks under that name, and the creation begins with cancelled if a dependency is known to be.

--- a/internal/controller/job_admission.go
+++ b/internal/controller/job_admission.go
@@ -57,7 +57,7 @@
 		return
 	}
 	if sb.dependenciesKnown(spec) {
-		sb.admit(to, spec)
+		sb.admit(to, spec, sb.knownPhase(spec))
 	} else {
 		sb.admitAfterLookup(to, spec)
 	}
@@ -87,7 +87,7 @@
 	sb.users.leaderLookups++
 	term := sb.term
 	s := submission{to: to, spec: spec, finished: func() { sb.users.leaderLookups-- }}
-	sb.resolveDependencies(s, func(bool) {
+	sb.resolveDependencies(s, func(cancelled bool) {
 		s.finished()
 		if sb.term != term || !sb.election.mayActAsLeader() {
 			sb.refuse(to, refusalNoLeader)
@@ -97,14 +97,32 @@
 			sb.directory.replyActiveJob(to, j)
 			return
 		}
-		sb.admit(to, spec)
+		phase := sb.knownPhase(spec)
+		if cancelled {
+			phase = protocol.PhaseCancelled
+		}
+		sb.admit(to, spec, phase)
 	})
 }
 
-// admit accepts a job as the leader, within the submission rate limit. If writing the job's
-// record would take longer than users should wait, the submission is refused at once, with the
+// knownPhase returns the phase in which a job is accepted by this leader's state of its
+// dependencies: a job is cancelled if one of them is.
+func (sb *submissions) knownPhase(s *protocol.JobSpec) protocol.Phase {
+	for _, ref := range s.DependsOn {
+		if f, finished := sb.directory.finishedJobs.find(ref); finished && f.phase == protocol.PhaseCancelled {
+			return protocol.PhaseCancelled
+		}
+		if j := sb.term.cluster.Job(ref); j != nil && isDurablyCancelled(j) {
+			return protocol.PhaseCancelled
+		}
+	}
+	return protocol.PhaseQueued
+}
+
+// admit accepts a job as the leader, in a phase and within the submission rate limit. If writing the
+// job's record would take longer than users should wait, the submission is refused at once, with the
 // time after which to retry.
-func (sb *submissions) admit(to ReplyAddress, spec *protocol.JobSpec) {
+func (sb *submissions) admit(to ReplyAddress, spec *protocol.JobSpec, phase protocol.Phase) {
 	q, ref := sb.term.submitQueue, spec.Ref
 	if waiting, ok := q.pending[ref]; ok {
 		q.pending[ref] = append(waiting, to)
@@ -124,7 +142,7 @@
 	j := state.NewJob(spec)
 	j.SubmittedWall, j.LeaderEpoch = sb.now.Wall, sb.term.epoch
 	admitted := &admissionWrite{submissions: sb, term: sb.term, to: to, ref: ref, priority: priority, limiter: limiter}
-	sb.createRecord(jobCreation{to: to, job: j, phase: protocol.PhaseQueued, write: admitted.write, writeSkipped: admitted.abandon})
+	sb.createRecord(jobCreation{to: to, job: j, phase: phase, write: admitted.write, writeSkipped: admitted.abandon})
 }
 
 func (sb *submissions) logSubmitLimit(q *submissionQueue, limiter *admission.Limiter, wait micros) {
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -264,11 +264,20 @@
 	if sb.election.mayActAsLeader() && sb.term == term && term.cluster.Job(ref) == nil {
 		term.jobs.addJob(c.job)
 	}
-	body := protocol.JobStatusBody(ref, c.phase, 0, 0)
-	if len(c.job.Spec.DependsOn) > 0 && sb.directory.isTrackedByLeader(c.job) {
-		body = sb.directory.trackedJobStatus(c.job)
+	sb.reply(c.to, http.StatusCreated, sb.createdJobStatus(c))
+}
+
+// createdJobStatus returns the status of a job whose record was created. If the job depends on
+// others, a leader has a more recent one than that with which the creation began. The job that it
+// tracks may be another object: the watch may have shown the record before the write was answered.
+func (sb *submissions) createdJobStatus(c jobCreation) []byte {
+	ref := c.job.Spec.Ref
+	if len(c.job.Spec.DependsOn) > 0 && c.phase != protocol.PhaseCancelled && sb.election.mayActAsLeader() {
+		if j := sb.term.cluster.Job(ref); j != nil {
+			return sb.directory.trackedJobStatus(j)
+		}
 	}
-	sb.reply(c.to, http.StatusCreated, body)
+	return protocol.JobStatusBody(ref, c.phase, 0, 0)
 }
 
 // replyIfFound replies with the status of a job whose record exists already.
