Scheduler: nothing is held back for a gang that does not fit beside its team's services

Users saw jobs of a team wait beside machines with room and below the team's limit, for as long as a gang of the team waited for the limit.

Cause: all that a waiting gang needs is held back from the team's later jobs until running tasks of the team end. Services use part of the limit and don't end.

Change: nothing is held if the gang does not fit into the limit beside the team's services.

Evidence: limit_used_by_services.trace failed before (the array "is queued" at 40 s) and passes now; team_limit.trace still passes.

--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -66,10 +66,11 @@
 	}
 	j, r, team := pj.job, pj.request, pj.job.Spec.Team
 	r.Limit = sc.quotaAllowance(c, j, c.heldForTeam[team])
-	if r.Gang && r.Limit < r.Tasks && j.Priority <= protocol.PriorityHigh && !j.Failures.Suspect {
+	if r.Gang && r.Limit < r.Tasks && j.Priority <= protocol.PriorityHigh && !j.Failures.Suspect && sc.fitsBesideServices(c, j) {
 		// The team's limit does not allow all tasks of the gang at once. Resources are held for
 		// it: otherwise smaller jobs of the team would use every part of the limit that becomes
 		// available, one task at a time, and the gang would wait until those jobs have ended.
+		// Services don't end, so what they use never becomes available.
 		c.heldForTeam[team] = c.heldForTeam[team].Add(j.Spec.TaskResources, int64(r.Tasks))
 	}
 	pj.result = sc.slotTable.Schedule(r)
@@ -86,6 +87,21 @@
 	}
 }
 
+// fitsBesideServices reports whether a team's limit allows all tasks of a job beside the team's
+// services.
+func (sc *scheduler) fitsBesideServices(c *schedulingCycle, j *state.Job) bool {
+	if c.usedByServices == nil {
+		c.usedByServices = make(map[string]protocol.Resources)
+		for _, other := range sc.cluster.Jobs() {
+			if s := other.Spec; s.Kind == protocol.Service {
+				c.usedByServices[s.Team] = c.usedByServices[s.Team].Add(s.TaskResources, int64(other.AttemptCount))
+			}
+		}
+	}
+	team, _ := sc.config.team(j.Spec.Team)
+	return withinLimit(team.Limit, c.usedByServices[j.Spec.Team].Add(j.Spec.TaskResources, int64(j.Spec.Tasks)))
+}
+
 // bookPlaces replaces a job's booking by the places that this cycle booked.
 func (sc *scheduler) bookPlaces(pj *pendingJob) {
 	b := &pj.job.Booking
--- a/internal/controller/scheduler.go
+++ b/internal/controller/scheduler.go
@@ -44,6 +44,8 @@
 	pending     []*pendingJob
 	next        int                           // index of the stage's next job
 	heldForTeam map[string]protocol.Resources // held for gangs earlier in the queue, by team
+	// usedByServices contains what the tasks of services may use, by team; nil until it is needed.
+	usedByServices map[string]protocol.Resources
 	// unreconciled is the capacity of the hosts that have not reported in this term: tasks
 	// without a launch record may use it.
 	unreconciled  protocol.Resources
