Scheduler: a machine gets only as many tasks as fit into its worker's heartbeat

Users saw work lost again and again on a machine with 1,600 small tasks, a service's replica beside them too.

Cause: a heartbeat lists all tasks on the machine. Above 64 KiB every controller refuses it, and the worker's lease runs out. Nothing limited the number of tasks on one machine.

Change: at most 550 tasks that the worker reports, exited ones included, counted in the slot table. The simulation's controllers refuse larger heartbeats, as the transport does.

--- a/internal/controller/slot_table_sync.go
+++ b/internal/controller/slot_table_sync.go
@@ -112,7 +112,7 @@
 	default:
 		m.Blocked = true
 	}
-	m.Penalty = hostPenalty(h)
+	m.Penalty, m.Tasks, m.MaxTasks = hostPenalty(h), len(h.Attempts()), protocol.MaxHeartbeatTasks
 	m.OnlyOpportunistic = !h.Spot && !sc.hasRetainingWork(h)
 	for image := range h.Images {
 		sc.slotTable.AddImage(m, image, 0)
--- a/internal/controller/slottable/cost.go
+++ b/internal/controller/slottable/cost.go
@@ -12,7 +12,7 @@
 
 // placeNow returns the place for a task on a machine where it can start right away.
 func (t *Table) placeNow(r *Request, m *Machine) (candidate, bool) {
-	if !m.freeFor(r).Covers(r.Resources) || m.Blocked || m.AvailableFrom > t.Now {
+	if !m.freeFor(r).Covers(r.Resources) || m.Blocked || m.AvailableFrom > t.Now || !m.hasTaskSlot() {
 		return candidate{}, false
 	}
 	fetch := m.fetchTime(t.Now, r)
@@ -26,6 +26,9 @@
 // placeLater returns the earliest place for a task on a machine that does not begin before a given
 // time.
 func (t *Table) placeLater(r *Request, m *Machine, from micros) (candidate, bool) {
+	if !m.hasTaskSlot() {
+		return candidate{}, false
+	}
 	length := protocol.End(m.fetchTime(t.Now, r), r.Runtime)
 	at, ok := m.earliestRoom(r, from, length)
 	if !ok {
--- a/internal/controller/slottable/machine.go
+++ b/internal/controller/slottable/machine.go
@@ -33,6 +33,7 @@
 	FetchDone        micros                  // time at which the fetches in progress end
 	Penalty          micros                  // added to its ready times when places are compared
 	Blocked          bool                    // no new task may start; running ones take room
+	Tasks, MaxTasks  int                     // tasks that its worker reports, and their limit; 0: none
 
 	// OnlyOpportunistic reports that the machine costs the full price and no task on it is a reason
 	// to keep it: it is empty or has only opportunistic tasks.
@@ -236,6 +237,10 @@
 	return max(0, done-at)/2 + m.FetchTime(r.ImageSize)
 }
 
+// hasTaskSlot reports whether one more task may be put on the machine. Booked tasks count like those
+// that start at once.
+func (m *Machine) hasTaskSlot() bool { return m.MaxTasks == 0 || m.Tasks+len(m.marks) < m.MaxTasks }
+
 // hasUnindexedMarks reports whether marks were put on a row since it was last indexed. The row then
 // has as much free as the index records, or less, so it needs to be reindexed only if a search
 // visits it.
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -176,3 +176,7 @@
 
 // MaxCommands is the number of commands that fit into one message of 64 KiB.
 const MaxCommands = 500
+
+// MaxHeartbeatTasks is the number of tasks that fit into one heartbeat of 64 KiB, exited ones
+// included. A controller refuses a larger heartbeat, and the worker's lease would expire.
+const MaxHeartbeatTasks = 550
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -37,6 +37,9 @@
 // userTimeouts contains the time for which users wait for an answer, by kind of request.
 var userTimeouts = map[string]micros{"submit": 5 * protocol.Second, "query": 2 * protocol.Second, "cancel": 5 * protocol.Second}
 
+// maxRequestBody is the size limit of a request's body, in bytes.
+const maxRequestBody = 64 << 10
+
 // request sends a request of a kind to a controller and passes the answer to answer, with status 0
 // if none comes in time.
 func (w *World) request(n *node, kind, body string, answer func(int, []byte)) {
@@ -55,6 +58,11 @@
 	to := controller.ReplyAddress{Conn: conn}
 	switch kind {
 	case "hello":
+		if len(body) > maxRequestBody { // as the transport does
+			delete(w.answers, conn)
+			answer(413, nil)
+			return
+		}
 		w.step(n, controller.WorkerHeartbeat{Reply: to, Body: []byte(body)})
 	case "submit":
 		w.step(n, controller.UserRequest{Reply: to, Op: protocol.OpSubmit, Body: []byte(body)})
