--- a/internal/controller/earlier_epoch.go
+++ b/internal/controller/earlier_epoch.go
@@ -27,8 +27,7 @@
 	if !exited {
 		return ag.launchesUnrecorded
 	}
-	j := ag.cluster.Job(task.Job)
-	return task.Reason == protocol.ExitDone && j != nil && j.Spec.Kind != protocol.Gang
+	return task.Reason == protocol.ExitDone && ag.cluster.Job(task.Job).LaunchesNamesOnce()
 }
 
 // observeUnprovenTask handles a task whose state in a heartbeat of an earlier epoch can't be relied
--- a/internal/controller/host_monitor.go
+++ b/internal/controller/host_monitor.go
@@ -231,7 +231,8 @@
 }
 
 // checkUnexpiredHost checks a host whose worker's lease may not have expired yet, and that is silent
-// or has not seen this epoch. It is released once it neither sends heartbeats nor responds to probes.
+// or has not seen this epoch. It is released once it neither sends heartbeats nor responds to probes,
+// or has sent heartbeats of earlier epochs only for the time for which partitioned hosts are kept.
 func (hm *hostMonitor) checkUnexpiredHost(h *state.Host, releaseAfter micros, mayRelease bool) {
 	silentFor := hm.silentFor(h)
 	sinceRecovery := hm.now.Steady - hm.recordsLoadedAt
--- a/internal/controller/job_admission.go
+++ b/internal/controller/job_admission.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 
 	"mapleslip/internal/admission"
 	"mapleslip/internal/protocol"
@@ -57,7 +58,7 @@
 		return
 	}
 	if sb.dependenciesKnown(spec) {
-		sb.admit(to, spec, sb.knownPhase(spec))
+		sb.admit(to, spec, acceptedPhase(sb.dependencyCancelled(spec)))
 	} else {
 		sb.admitAfterLookup(to, spec)
 	}
@@ -97,26 +98,19 @@
 			sb.directory.replyActiveJob(to, j)
 			return
 		}
-		phase := sb.knownPhase(spec)
-		if cancelled {
-			phase = protocol.PhaseCancelled
-		}
-		sb.admit(to, spec, phase)
+		sb.admit(to, spec, acceptedPhase(cancelled || sb.dependencyCancelled(spec)))
 	})
 }
 
-// knownPhase returns the phase in which a job is accepted by this leader's state of its
-// dependencies: a job is cancelled if one of them is.
-func (sb *submissions) knownPhase(s *protocol.JobSpec) protocol.Phase {
-	for _, ref := range s.DependsOn {
-		if f, finished := sb.directory.finishedJobs.find(ref); finished && f.phase == protocol.PhaseCancelled {
-			return protocol.PhaseCancelled
-		}
-		if j := sb.term.cluster.Job(ref); j != nil && isDurablyCancelled(j) {
-			return protocol.PhaseCancelled
+// dependencyCancelled reports whether this leader knows that a job depends on a cancelled one.
+func (sb *submissions) dependencyCancelled(s *protocol.JobSpec) bool {
+	return slices.ContainsFunc(s.DependsOn, func(ref string) bool {
+		if f, finished := sb.directory.finishedJobs.find(ref); finished {
+			return f.phase == protocol.PhaseCancelled
 		}
-	}
-	return protocol.PhaseQueued
+		j := sb.term.cluster.Job(ref)
+		return j != nil && isDurablyCancelled(j)
+	})
 }
 
 // admit accepts a job as the leader, in a phase and within the submission rate limit. If writing the
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -154,7 +154,7 @@
 func (sc *scheduler) assignTask(pj *pendingJob, index int, place slottable.Place) {
 	j := pj.job
 	h := sc.cluster.Host(place.Machine.Name)
-	if h == nil || !sc.isSchedulable(h) || len(h.Attempts()) >= protocol.MaxHeartbeatTasks {
+	if h == nil || !sc.isSchedulable(h) {
 		return
 	}
 	name := protocol.AttemptName{TaskName: protocol.TaskName{Job: j.Spec.Ref, Index: index}, Number: sc.attemptNumber(j)}
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -120,14 +120,19 @@
 		return
 	}
 	sb.resolveDependencies(s, func(cancelled bool) {
-		phase := protocol.PhaseQueued
-		if cancelled {
-			phase = protocol.PhaseCancelled
-		}
-		sb.recordWithoutLeader(s, phase)
+		sb.recordWithoutLeader(s, acceptedPhase(cancelled))
 	})
 }
 
+// acceptedPhase returns the phase in which a job is accepted. It is cancelled if one of the jobs
+// that it depends on is.
+func acceptedPhase(dependencyCancelled bool) protocol.Phase {
+	if dependencyCancelled {
+		return protocol.PhaseCancelled
+	}
+	return protocol.PhaseQueued
+}
+
 // recordWithoutLeader creates a job's record. phase is the one in the reply to the user.
 func (sb *submissions) recordWithoutLeader(s submission, phase protocol.Phase) {
 	j := state.NewJob(s.spec)
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -9,6 +9,7 @@
 
 	"mapleslip/internal/controller"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/transport"
 )
 
 // userJob is a submitted job: the submission, how its tasks run, and what controllers reported
@@ -37,9 +38,6 @@
 // userTimeouts contains the time for which users wait for an answer, by kind of request.
 var userTimeouts = map[string]micros{"submit": 5 * protocol.Second, "query": 2 * protocol.Second, "cancel": 5 * protocol.Second}
 
-// maxRequestBody is the size limit of a request's body, in bytes.
-const maxRequestBody = 64 << 10
-
 // request sends a request of a kind to a controller and passes the answer to answer, with status 0
 // if none comes in time.
 func (w *World) request(n *node, kind, body string, answer func(int, []byte)) {
@@ -58,7 +56,7 @@
 	to := controller.ReplyAddress{Conn: conn}
 	switch kind {
 	case "hello":
-		if len(body) > maxRequestBody { // as the transport does
+		if len(body) > transport.MaxBody { // as the server does
 			delete(w.answers, conn)
 			answer(413, nil)
 			return
--- a/internal/state/attempt.go
+++ b/internal/state/attempt.go
@@ -72,10 +72,9 @@
 }
 
 // IsLaunchedOnce reports whether the attempt's name stands for one launch only, so that any
-// heartbeat that lists the name describes this attempt, however old it is. The tasks of a gang share
-// a number, and a task that ends before the gang is complete is launched again under the same name.
+// heartbeat that lists the name describes this attempt, however old it is.
 func (a *Attempt) IsLaunchedOnce() bool {
-	return a.Job != nil && a.Job.Spec.Kind != protocol.Gang
+	return a.Job.LaunchesNamesOnce()
 }
 
 // compareName compares the attempt's name with another one. Lists of attempts are sorted by task
--- a/internal/state/job.go
+++ b/internal/state/job.go
@@ -191,6 +191,11 @@
 // NoActiveAttempts reports whether no attempt of the job is assigned to a host or may be on one.
 func (j *Job) NoActiveAttempts() bool { return j.AttemptCount == 0 }
 
+// LaunchesNamesOnce reports whether each attempt name of the job is used for one launch only. The
+// tasks of a gang share a number, and a task that ends before the gang is complete is launched again
+// under the same name. It returns false if the job is nil, that is, not known.
+func (j *Job) LaunchesNamesOnce() bool { return j != nil && j.Spec.Kind != protocol.Gang }
+
 // Complete marks a task as done. durable reports whether its completion is recorded already.
 func (j *Job) Complete(index int, durable bool) {
 	t := &j.Tasks[index]
