Tests: a late copy of a command that was carried out starts its task again

The trace verb copy-commands delivers copies of direct commands, which duplicate-requests leaves out.

--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -17,6 +17,7 @@
 // the next leader or a worker late. The other faults are in late_messages.go.
 type faults struct {
 	lateCommands     lateness // direct commands that are carried out later and get no answer
+	copiedCommands   lateness // direct commands of which a copy arrives later
 	keptReports      []keptReport
 	cancelAtEnd      int      // every N-th job that ends is cancelled at that moment; 0: none
 	endedJobs        int      // jobs that ended while cancelAtEnd was set
@@ -43,6 +44,8 @@
 //	    to=leader: at the controller that leads then; to=next: the copies are kept until the
 //	    next leader reads the records (on=loading), leads (on=leading), or both (on=both)
 //	late-commands every=3 by=6: direct commands are carried out late and get no answer
+//	copy-commands every=3 by=6: direct commands are carried out and answered, and a copy of them
+//	    arrives late
 //
 // every=0 ends it.
 func (w *World) actLate(words []string) error {
@@ -58,6 +61,8 @@
 		w.lateReports = l
 	case "late-commands":
 		w.lateCommands = l
+	case "copy-commands":
+		w.copiedCommands = l
 	}
 	return nil
 }
@@ -186,7 +191,7 @@
 // holdCommand reports whether a direct command is to arrive late. If so, it delivers the command
 // later, and the controller gets no answer.
 func (w *World) holdCommand(n *node, m *machine, c controller.Call) bool {
-	late, by := w.lateCommands.next(c.Path == "/commands" && !strings.Contains(string(c.Body), `"orders":[]`), string(c.Body))
+	late, by := w.lateCommands.next(hasOrders(c), string(c.Body))
 	if !late {
 		return false
 	}
@@ -196,6 +201,11 @@
 	return true
 }
 
+// hasOrders reports whether a call is a direct command to a worker with at least one order.
+func hasOrders(c controller.Call) bool {
+	return c.Target == controller.ToWorker && c.Path == "/commands" && !strings.Contains(string(c.Body), `"orders":[]`)
+}
+
 // sendOddRequests has users send odd requests, called once a second: one submission of an
 // unfinished job is repeated, one job that is done or cancelled is cancelled, one invalid
 // submission is sent, and one of the invalid jobs is queried.
--- /dev/null
+++ b/internal/simulation/late_copies_test.go
@@ -0,0 +1,99 @@
+package simulation
+
+import (
+	"strings"
+	"testing"
+)
+
+// lateCopies are histories in which a copy of a direct command that was carried out and answered
+// arrives at the worker later, in the same session and under the same leader.
+var lateCopies = []struct{ name, trace string }{
+	{"the task failed and runs on another machine", `
+machine n-000001 small a
+machine n-000002 small a
+at 4 fail-tasks n-000001
+at 5 copy-commands every=1 by=4
+at 5.2 submit req-000001 array tasks=1 run=40
+at 60 expect req-000001 done
+at 60 expect starts 2
+`},
+	{"the task was cancelled", `
+machine n-000001 small a
+at 5 copy-commands every=1 by=6
+at 5.2 submit req-000001 array tasks=1 run=40
+at 8 cancel req-000001
+at 30 expect req-000001 cancelled
+at 30 expect starts 1
+`},
+	{"the task is done and its job still runs", `
+machine n-000001 small a
+at 5 copy-commands every=1 by=12
+at 5.2 submit req-000001 array tasks=4 run=5
+at 60 expect req-000001 done
+at 60 expect starts 4
+`},
+	{"the gang lost a machine and runs under a new number", `
+machine n-000001 small a
+machine n-000002 small a
+machine n-000003 small a
+at 5 copy-commands every=1 by=12
+at 5.2 submit req-000001 gang tasks=2 gpus=2 run=40
+at 8 fail n-000002
+at 30 expect req-000001 running running=2
+at 80 expect req-000001 done
+at 80 expect starts 4
+`},
+	{"the task of a gang was launched elsewhere under its number", `
+machine n-000001 small a
+machine n-000002 small a
+machine n-000003 small a
+machine n-000004 small a
+at 4 submit req-000001 array tasks=2 gpus=2 size=45 run=2
+at 5 submit req-000002 array tasks=1 gpus=2 size=2 image=img-2 run=60
+at 60 fail-tasks n-000001
+at 60 copy-commands every=1 by=8
+at 60 submit req-000003 gang tasks=3 gpus=2 size=45 run=100
+at 67 stop-failing n-000001
+at 400 expect req-000003 done
+`},
+	{"the task of a gang was launched again on its machine under its number, after a stop", `
+machine n-000001 small a
+machine n-000002 small a
+at 4 submit req-000001 array tasks=1 gpus=2 size=45 run=2
+at 5 submit req-000002 array tasks=1 gpus=2 size=2 image=img-2 run=60
+at 60 submit req-000003 gang tasks=2 gpus=2 size=45 run=100
+at 70 copy-commands every=1 by=6 with="stop"
+at 71 submit req-000004 array tasks=1 gpus=2 size=45 run=2 rank=critical
+at 260 expect req-000003 done
+`},
+	{"the leader ended and was back at once", `
+machine n-000001 small a
+machine n-000002 small a
+at 4 fail-tasks n-000001
+at 5 copy-commands every=1 by=2.9
+at 5.2 submit req-000001 array tasks=1 run=40
+at 8 stop-failing n-000001
+at 8.4 restart leader after=0.5
+at 60 expect req-000001 done
+at 60 expect starts 2
+`},
+}
+
+// A task starts once for each launch that the leader decided on, however often the command arrives.
+func TestLateCopyOfACommandStartsNoTask(t *testing.T) {
+	const deployment = `
+nodes 1
+team red gpus=8 max=8
+type small cpus=8 gpus=2 mem=64 boot=10 fetch=1 zones=a
+no-capacity
+`
+	for _, c := range lateCopies {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			w, err := playTrace(deployment+c.trace, nil)
+			if err != nil {
+				t.Errorf("%v\nevent log:\n%s", err, strings.Join(w.Log, "\n"))
+			}
+		})
+	}
+}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -93,6 +93,9 @@
 			w.after(w.copyDelay, deliverLate)
 		}
 	}
+	if copied, by := w.copiedCommands.next(hasOrders(c), string(c.Body)); copied {
+		w.after(by, func() { w.deliverCopy(c) })
+	}
 	w.after(w.delay(), func() {
 		switch c.Target {
 		case controller.ToState:
--- a/internal/simulation/service_verbs.go
+++ b/internal/simulation/service_verbs.go
@@ -69,6 +69,7 @@
 		"late-writes":   (*World).actLate,
 		"late-reports":  (*World).actLate,
 		"late-commands": (*World).actLate,
+		"copy-commands": (*World).actLate,
 		"in-zone":       (*World).actFault,
 		"link":          (*World).actLink,
 		"unlink":        (*World).actLink,
