--- a/internal/simulation/expectations.go
+++ b/internal/simulation/expectations.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/slo"
@@ -45,6 +46,10 @@
 	"kept":               (*World).expectKept,
 	"fits":               (*World).expectLimits,
 	"unfit":              (*World).expectLimits,
+	// answered STATUS [PHASE]: the answer to the last query-at.
+	"answered": func(w *World, words []string) error {
+		return checkEqual(w.lastAnswer, strings.Join(words[1:], " "))
+	},
 	// submitted REF STATUS: the status in the answer to the job's last submission.
 	"submitted": func(w *World, words []string) error {
 		return checkEqual(strconv.Itoa(w.jobs[words[1]].status), words[2])
--- a/internal/simulation/lost_answers_test.go
+++ b/internal/simulation/lost_answers_test.go
@@ -126,7 +126,7 @@
 3 submit req-000001 array tasks=8 gpus=1 run=10
 60 expect kept b/req-000501 no
 60 expect kept b/req-000520 no`},
-	{name: "all launches recorded", lost: `0 with="epoch":7}}]}`, setup: "record epoch 6\n", lines: `
+	{name: "all launches recorded", lost: `0 with="epoch":1048576}}]}`, setup: "record epoch 6\n", lines: `
 3 submit req-000001 array tasks=8 gpus=1 run=10`, expected: `starts 8`},
 }
 
--- a/internal/simulation/user_verbs.go
+++ b/internal/simulation/user_verbs.go
@@ -75,13 +75,17 @@
 	return nil
 }
 
-// actAskAt: query-at NODE REF: sends one query about a job to that node.
+// actAskAt: query-at NODE REF: sends one query about a job to that node, and keeps the answer for
+// "expect answered".
 func (w *World) actAskAt(words []string) error {
 	n := w.nodeNamed(words[1])
 	if n == nil {
 		return errNoSuchNode
 	}
-	w.request(n, "query", words[2], func(int, []byte) {})
+	w.lastAnswer = ""
+	w.request(n, "query", words[2], func(status int, body []byte) {
+		w.lastAnswer = strings.TrimSpace(strconv.Itoa(status) + " " + fastjson.GetString(body, "phase"))
+	})
 	return nil
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -45,6 +45,7 @@
 	copies            copies   // copies of messages that were delivered
 	bootFactor        float64  // factor on boot times; 0 if machines never finish booting
 	listLag           micros   // age below which the cloud doesn't list a machine
+	lastAnswer        string   // status and phase of the answer to the last query-at
 	unansweredQueries int      // queries of query bursts that got neither 200 nor 404
 	cutZones          []string // zones cut off from all others, but not from each other
 	heldMessages      []func() // messages held at the boundary of cutZones, in order
