Simulation and scale run: copies of messages arrive again in the rigs with real connections too

What the simulation draws, the rigs left out: the fakes of a scale run and the live deployment executed each request once. Now copies of direct commands, transactions, leases and rental requests arrive again there, and of every tenth heartbeat (a copy of each would double the load that a run measures). Copies do not count against the rates of the state service and the cloud, which a run measures with the original requests. The report of a run has copies_refused.

A cancellation no longer waits for the leader key of a controller that has just started, only a query does: a refused cancellation is repeated by its user, as before.

Evidence: TestCopyOfACommand plays a launch, a forget and a late copy at the worker of a scale run.

--- a/internal/controller/leader_forwarding.go
+++ b/internal/controller/leader_forwarding.go
@@ -27,7 +27,7 @@
 	// leader is free. Connections used for users' queries become free again quickly.
 	connectionWait  = 400 * protocol.Millisecond
 	connectionRetry = connectionWait / 8
-	// leaderKeyWait is how long a query or a cancellation waits for the first read of the leader key.
+	// leaderKeyWait is how long a query waits for the first read of the leader key.
 	// Users wait 2 s for the answer to a query.
 	leaderKeyWait = protocol.Second
 )
@@ -73,11 +73,11 @@
 	g.serveWithoutLeader(e, spec)
 }
 
-// awaitsLeaderKey reports whether a request waits because this controller has just started and
-// doesn't know yet who leads: a job's record does not show whether its tasks run.
+// awaitsLeaderKey reports whether a query waits because this controller has just started and doesn't
+// know yet who leads: a job's record does not show whether its tasks run.
 func (g *userGateway) awaitsLeaderKey(f forwardedRequest) bool {
 	unknown := !g.election.leaderKeyRead && g.election.leader.Controller == ""
-	return unknown && f.Op != protocol.OpSubmit && g.now.Steady-f.receivedAt < leaderKeyWait
+	return unknown && f.Op == protocol.OpQuery && g.now.Steady-f.receivedAt < leaderKeyWait
 }
 
 // lastLeaderContact returns when this controller last received a status request or an answer from
--- a/internal/scale/fakes/cloud.go
+++ b/internal/scale/fakes/cloud.go
@@ -1,13 +1,17 @@
 package fakes
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"net/url"
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
+	"mapleslip/internal/duplicate"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/wire"
@@ -57,8 +61,9 @@
 	lastID       uint64                     // ID of the latest release message
 	releases     map[uint64]*pendingRelease // releases that aren't confirmed, by message ID
 	tokens       float64                    // token bucket of the rate limit, as of tokensAt
-	tokensAt     int64                      // time of the latest request
-	rentedTotal  int                        // machines rented so far
+	duplicates   duplicate.Sequence
+	tokensAt     int64 // time of the latest request
+	rentedTotal  int   // machines rented so far
 }
 
 // pendingRelease is a release that the processes of the machines haven't confirmed.
@@ -113,6 +118,9 @@
 
 func (s *cloud) handle(c *httpconn.Conn, r *transport.Request) (int, []byte) {
 	c.Traffic = &s.traffic
+	if r.Method == http.MethodPost {
+		s.receiveCopyLater(r.Path, bytes.Clone(r.Body))
+	}
 	status, body, wait := s.serve(s.now(), r)
 	if wait != nil {
 		<-wait
@@ -121,6 +129,20 @@
 	return status, body
 }
 
+// receiveCopyLater carries out a copy of a request later. It does not count against the rate.
+func (s *cloud) receiveCopyLater(path string, body []byte) {
+	time.AfterFunc(time.Duration(s.duplicates.Next())*time.Microsecond, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		switch path {
+		case "/machines":
+			s.rent(s.now(), body)
+		case "/machines/release":
+			s.release(s.now(), body)
+		}
+	})
+}
+
 // serve computes the answer to a request. If wait isn't nil, the answer may be sent only after
 // wait is closed.
 func (s *cloud) serve(now int64, r *transport.Request) (status int, body []byte, wait <-chan struct{}) {
--- a/internal/scale/fakes/run.go
+++ b/internal/scale/fakes/run.go
@@ -3,6 +3,7 @@
 package fakes
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -10,12 +11,14 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"mapleslip/internal/duplicate"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/ipc"
@@ -137,6 +140,7 @@
 	// refusedUntil is the time until which requests get 503, by IP of the client or address of the
 	// server; "" is for all requests.
 	refusedUntil map[string]int64
+	duplicates   duplicate.Sequence
 	slowFactor   float64 // factor of the latency until slowUntil
 	slowUntil    int64
 }
@@ -186,6 +190,9 @@
 		s.store.Serve(r.Method, target, r.Body, func(status int, body string) { done <- result{status, body} })
 	}
 	s.mu.Unlock()
+	if r.Method != http.MethodGet {
+		s.receiveCopyLater(c, r.Method, target, bytes.Clone(r.Body))
+	}
 	a := <-done
 	for isWatch && a.status == 200 && s.refuses(c) {
 		time.Sleep(20 * time.Millisecond) // during an outage, an open watch isn't answered
@@ -195,6 +202,17 @@
 	return a.status, []byte(a.body)
 }
 
+// receiveCopyLater carries out a copy of a request later, unless the sender is refused then.
+func (s *state) receiveCopyLater(c net.Conn, method, target string, body []byte) {
+	time.AfterFunc(time.Duration(s.duplicates.Next())*time.Microsecond, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if !s.refusesLocked(c) {
+			s.store.ServeCopy(method, target, body)
+		}
+	})
+}
+
 // refusesLocked reports whether requests of a connection get 503 now. The caller holds the lock.
 func (s *state) refusesLocked(c net.Conn) bool {
 	now := wire.Now()
--- a/internal/scale/hollow/run.go
+++ b/internal/scale/hollow/run.go
@@ -20,6 +20,7 @@
 	"sync/atomic"
 	"time"
 
+	"mapleslip/internal/duplicate"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/ipc"
@@ -68,13 +69,16 @@
 	failedReports, redirects                        atomic.Int64 // counts of reports
 	droppedAnswers                                  atomic.Int64 // of an old epoch or session
 	leaseExpiries                                   atomic.Int64
-	maxReportLatency                                atomic.Int64 // since the last gauge, microseconds
+	refusedCopies                                   atomic.Int64        // of direct commands
+	duplicates                                      *duplicate.Sequence // nil for no copies
+	maxReportLatency                                atomic.Int64        // since the last gauge, microseconds
 }
 
 func run(pipe *ipc.Pipe) error {
 	p := &process{
 		config: pipe.Config, platform: pipe.Platform, types: make(map[string]*protocol.MachineType), timers: newTimers(), now: wire.Now,
 		workers: make(map[string]*worker), jobs: make(map[string]*job), gangs: make(map[string]map[*task]bool), outReady: make(chan struct{}, 1),
+		duplicates: &duplicate.Sequence{},
 	}
 	for _, t := range p.config.Types {
 		p.types[t.Name] = t
@@ -402,6 +406,7 @@
 		"hello_failed":    float64(p.failedReports.Load()),
 		"hello_redirects": float64(p.redirects.Load()),
 		"hello_dropped":   float64(p.droppedAnswers.Load()),
+		"copies_refused":  float64(p.refusedCopies.Load()),
 	}
 	for name, t := range map[string]*httpconn.Traffic{"hello": &p.heartbeatTraffic, "commands": &p.commandTraffic, "status": &p.statusTraffic} {
 		v[name] = float64(t.Messages.Load())
--- a/internal/scale/hollow/worker.go
+++ b/internal/scale/hollow/worker.go
@@ -1,6 +1,7 @@
 package hollow
 
 import (
+	"bytes"
 	"errors"
 	"math/rand/v2"
 	"strconv"
@@ -275,18 +276,55 @@
 	})
 }
 
-// sendReports sends a report for each signal of sendReport until that is closed.
+// reportsPerCopy is how many reports a worker sends for each copy of one. With a copy of each, the
+// controllers would have twice the load that a run measures.
+const reportsPerCopy = 10
+
+// sendReports sends a report for each signal of sendReport until that is closed. Now and then a copy
+// of the report before arrives first.
 func (w *worker) sendReports() {
-	for range w.sendReport {
-		addr, sent, session := w.composeReport()
-		if addr == "" {
+	var earlier []byte
+	for sent := 1; ; sent++ {
+		if _, open := <-w.sendReport; !open {
 			return
 		}
-		r, err := w.client.Post(addr, "/hello", w.body, time.Now().Add(time.Duration(reportTimeout)*time.Microsecond))
-		w.handleReportResult(sent, session, r, err)
+		if sent%reportsPerCopy == 0 {
+			w.sendCopy(earlier)
+		}
+		if !w.sendNextReport() {
+			return
+		}
+		if sent%reportsPerCopy == reportsPerCopy-1 {
+			earlier = append(earlier[:0], w.body...)
+		}
+	}
+}
+
+// sendNextReport sends a report and handles the answer. It returns false if the machine was removed.
+func (w *worker) sendNextReport() bool {
+	addr, sent, session := w.composeReport()
+	if addr == "" {
+		return false
+	}
+	r, err := w.post(addr, w.body)
+	w.handleReportResult(sent, session, r, err)
+	return true
+}
+
+// sendCopy sends a copy of an earlier report. Its answer has no effect.
+func (w *worker) sendCopy(body []byte) {
+	w.mu.Lock()
+	addr := w.process.config.Controllers[w.controller].Public[w.machine.Region]
+	w.mu.Unlock()
+	if _, err := w.post(addr, body); err != nil {
+		w.client.Close()
 	}
 }
 
+func (w *worker) post(addr string, body []byte) (*transport.Response, error) {
+	return w.client.Post(addr, "/hello", body, time.Now().Add(time.Duration(reportTimeout)*time.Microsecond))
+}
+
 // composeReport writes the next report and returns the address of the controller that receives
 // it. The address is empty if the machine was removed.
 func (w *worker) composeReport() (addr string, sent int64, session uint64) {
@@ -584,25 +622,43 @@
 		return 200, w.append(nil)
 	case r.Method == "POST" && r.Path == "/commands":
 		c.Traffic = &w.process.commandTraffic
-		parser := protocol.Parsers.Get()
-		defer protocol.Parsers.Put(parser)
-		v, err := parser.ParseBytes(r.Body)
-		if err != nil || v.Get("epoch") == nil || v.Get("tenure") == nil {
-			return 400, []byte(`{"error":"epoch and tenure are needed"}`)
-		}
-		epoch := v.GetUint64("epoch")
-		if epoch < w.epoch || v.GetUint64("tenure") != w.session {
-			return 409, w.append(nil)
-		}
 		now := w.process.now()
-		if epoch > w.epoch {
-			w.raiseEpoch(now, epoch)
-			w.scheduleReport(now)
-		}
-		for _, c := range v.GetArray("orders") {
-			w.execute(now, string(c.GetStringBytes("verb")), string(c.GetStringBytes("shard")), c.GetUint64("try"), c.GetFloat64("drainS"))
-		}
-		return 200, w.append(nil)
+		w.receiveCopyLater(now, bytes.Clone(r.Body))
+		return w.executeCommands(now, r.Body)
 	}
 	return 404, []byte(`{"error":"unknown"}`)
 }
+
+// executeCommands executes a direct command. The caller holds the lock.
+func (w *worker) executeCommands(now int64, body []byte) (status int, answer []byte) {
+	parser := protocol.Parsers.Get()
+	defer protocol.Parsers.Put(parser)
+	v, err := parser.ParseBytes(body)
+	if err != nil || v.Get("epoch") == nil || v.Get("tenure") == nil {
+		return 400, []byte(`{"error":"epoch and tenure are needed"}`)
+	}
+	epoch := v.GetUint64("epoch")
+	if epoch < w.epoch || v.GetUint64("tenure") != w.session {
+		return 409, w.append(nil)
+	}
+	if epoch > w.epoch {
+		w.raiseEpoch(now, epoch)
+		w.scheduleReport(now)
+	}
+	for _, c := range v.GetArray("orders") {
+		w.execute(now, string(c.GetStringBytes("verb")), string(c.GetStringBytes("shard")), c.GetUint64("try"), c.GetFloat64("drainS"))
+	}
+	return 200, w.append(nil)
+}
+
+// receiveCopyLater executes a copy of a direct command later. Its answer reaches nobody.
+func (w *worker) receiveCopyLater(now int64, body []byte) {
+	if w.process.duplicates == nil {
+		return
+	}
+	w.schedule(now+int64(w.process.duplicates.Next()), func(now int64) {
+		if status, _ := w.executeCommands(now, body); status == 409 {
+			w.process.refusedCopies.Add(1)
+		}
+	})
+}
--- a/internal/scale/hollow/worker_test.go
+++ b/internal/scale/hollow/worker_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"mapleslip/internal/duplicate"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/wire"
@@ -176,6 +177,34 @@
 	return addr
 }
 
+// A copy of a direct command is executed later if its epoch and session still match: it starts the
+// attempt again that the worker was told to forget.
+func TestCopyOfACommand(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		forgetEpoch int
+		want        string
+	}{
+		{"forgotten under the same epoch", 5, "1 000011/0#1:fetching"},
+		{"forgotten under a higher epoch", 6, "1"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := newWorkerTest(t)
+			r.p.duplicates = &duplicate.Sequence{}
+			r.runTimes["req-000011"] = second / 100
+			r.p.duplicates.Next() // the copy arrives at the delay after the first
+			r.sendCommands(5, 1, launch("000011/0", 1))
+			r.p.duplicates = nil
+			r.sendCommands(5, 1, stop("000011/0", 1, 0))
+			r.sendCommands(test.forgetEpoch, 1, forget("000011/0", 1))
+			r.advanceTo(1.6)
+			if _, states := r.sendCommands(test.forgetEpoch, 1); states != test.want {
+				t.Errorf("states %q, want %q", states, test.want)
+			}
+		})
+	}
+}
+
 func TestCommands(t *testing.T) {
 	r := newWorkerTest(t)
 	r.runTimes["req-000011"], r.runTimes["req-000031"], r.runTimes["req-000012"] = 10*second, 10*second, 10*second
--- a/internal/simulation/live.go
+++ b/internal/simulation/live.go
@@ -49,6 +49,7 @@
 	l := &Live{w: NewWorld(0), startTime: time.Now(), names: s.Names, clients: s.Clients, network: s.Network, httpClient: http.Client{Timeout: 4 * time.Second}, servers: make(map[string]*http.Server), machineIPs: make(map[string]string)}
 	l.w.Platform, l.w.Types, l.w.quiet, l.w.live = s.Platform, s.Types, true, l
 	l.w.listLag = protocol.Second
+	l.w.copies.mixed = true
 	context.AfterFunc(ctx, l.close)
 	for _, a := range []struct {
 		what, addr string
@@ -90,6 +91,9 @@
 		}
 		done := make(chan result, 1)
 		l.mu.Lock()
+		if r.Method != http.MethodGet {
+			l.copyRequest(func() { serve(r.Method, r.URL.RequestURI(), body, func(int, string) {}) })
+		}
 		serve(r.Method, r.URL.RequestURI(), body, func(status int, text string) {
 			select {
 			case done <- result{status, text}:
@@ -107,6 +111,14 @@
 	}
 }
 
+// copyRequest carries out a copy of a request later. The caller holds the lock, as does the World
+// when it carries out the copy.
+func (l *Live) copyRequest(serve func()) {
+	if delay, ok := l.w.copies.next(); ok {
+		l.w.after(delay, serve)
+	}
+}
+
 func (l *Live) listen(addr string, h http.Handler) error {
 	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
--- a/internal/simulation/lost_answers_test.go
+++ b/internal/simulation/lost_answers_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 )
 
@@ -126,7 +127,7 @@
 3 submit req-000001 array tasks=8 gpus=1 run=10
 60 expect kept b/req-000501 no
 60 expect kept b/req-000520 no`},
-	{name: "all launches recorded", lost: `0 with="epoch":1048576}}]}`, setup: "record epoch 6\n", lines: `
+	{name: "all launches recorded", lost: fmt.Sprintf(`0 with="epoch":%d}}]}`, leadership.NextEpoch(6)), setup: "record epoch 6\n", lines: `
 3 submit req-000001 array tasks=8 gpus=1 run=10`, expected: `starts 8`},
 }
 
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -355,6 +355,7 @@
 			m.inFlight = false
 			w.handleHeartbeatReply(m, session, sent, status, resp)
 		})
+		w.live.copyRequest(func() { w.live.sendHeartbeat(m.nodeIndex, body, func(int, []byte) {}) })
 		w.after(4*protocol.Second, fail)
 		return
 	}
--- a/internal/simulation/state_service.go
+++ b/internal/simulation/state_service.go
@@ -37,6 +37,14 @@
 	}
 }
 
+// ServeCopy carries out a request again that the network copied. The copy does not count against the
+// rates, which are measured with the load of the original requests.
+func (s *StateService) ServeCopy(method, target string, body []byte) {
+	requests, writes := s.store.requests, s.store.writes
+	s.Serve(method, target, body, func(int, string) {})
+	s.store.requests, s.store.writes = requests, writes
+}
+
 // Tick ends expired leases and watches. It has to be called every 50 ms.
 func (s *StateService) Tick() { s.store.tick() }
 
