Controller: log lines and metrics that would have shown the incident

Log: a leader that a controller observes, with epoch, first token, the revision of the leader key and where it was read; the decision to stop an attempt; the source of each state of a job that a user was told.

Metrics: raised tokens, forgotten attempts, exited attempts that are not forgotten, commands refused by workers, attempts that were on their machine again after their end, and answers by source.

--- a/internal/controller/command_fencing.go
+++ b/internal/controller/command_fencing.go
@@ -52,6 +52,16 @@
 	}
 }
 
+// logStopRequest logs that the leader decided to stop an attempt.
+func (cs *commandSender) logStopRequest(a *state.Attempt, grace micros) {
+	jobState := ""
+	if a.Job != nil {
+		jobState = a.Job.State.String()
+	}
+	cs.log.Debug("stop requested", "task", a.Name.String(), "try", a.Name.Number, "host", a.Host.Name, "state", a.State.String(),
+		"job_state", jobState, "grace_ms", int64(grace/protocol.Millisecond), "epoch", cs.epoch)
+}
+
 // Ways in which commands are sent, for the log.
 const (
 	sentDirectly    = "direct command"
--- a/internal/controller/command_sender.go
+++ b/internal/controller/command_sender.go
@@ -37,6 +37,8 @@
 	case a.State.MayRun():
 		if a.StopRequested {
 			grace = min(grace, a.StopGrace)
+		} else {
+			cs.logStopRequest(a, grace)
 		}
 		a.StopRequested, a.StopGrace = true, grace
 		a.Host.Stale = true
--- a/internal/controller/election.go
+++ b/internal/controller/election.go
@@ -122,10 +122,18 @@
 	}
 	if l.Epoch > el.leader.Epoch {
 		el.leaderSuspectUntil = 0
+		el.logLeader(l, "leader key", e.Revision)
 	}
 	el.leader = l
 }
 
+// logLeader logs a leader that this controller did not know before. revision is that of the leader
+// key, 0 if the leader itself showed that it leads.
+func (el *election) logLeader(l records.Leader, source string, revision uint64) {
+	el.log.Info("leader observed", "leader", l.Controller, "epoch", l.Epoch, "first_token", leadership.TokensOf(l.Epoch).First,
+		"source", source, "key_revision", revision, "lease", l.Lease, "role", el.role.String())
+}
+
 // recheckLeader reads the leader's record again. It is called when the known leader reports that
 // it does not lead, or does not answer, since the watch of the leader key may be slow or lost.
 func (el *election) recheckLeader() {
--- a/internal/controller/job_directory.go
+++ b/internal/controller/job_directory.go
@@ -129,7 +129,7 @@
 	if f.phase == protocol.PhaseDone {
 		done = f.tasks
 	}
-	d.reply(to, http.StatusOK, protocol.JobStatusBody(ref, f.phase, done, 0))
+	d.replyStatus(to, ref, answerFinalRecord, protocol.JobStatusBody(ref, f.phase, done, 0))
 }
 
 // replyActiveJob replies with the status of a job that has no final record. Unless this leader
@@ -137,17 +137,17 @@
 func (d *jobDirectory) replyActiveJob(to ReplyAddress, j *state.Job) {
 	certain := d.isTrackedByLeader(j) && !j.Dependencies.Uncertain
 	if certain || len(j.Spec.DependsOn) == 0 || j.State == state.JobCancelledLegacy {
-		d.reply(to, http.StatusOK, d.activeJobStatus(j))
+		d.replyActiveStatus(to, j)
 		return
 	}
 	d.checkDependencies(priorityUrgent, j.Spec.DependsOn, func(status dependencyStatus) {
 		switch {
 		case status.cancelled:
-			d.reply(to, http.StatusOK, protocol.JobStatusBody(j.Spec.Ref, protocol.PhaseCancelled, 0, 0))
+			d.replyStatus(to, j.Spec.Ref, answerFinalRecord, protocol.JobStatusBody(j.Spec.Ref, protocol.PhaseCancelled, 0, 0))
 		case status.inconclusive:
 			d.refuse(to, refusalStateService)
 		default:
-			d.reply(to, http.StatusOK, d.activeJobStatus(j))
+			d.replyActiveStatus(to, j)
 		}
 	})
 }
@@ -157,16 +157,18 @@
 	return d.election.mayActAsLeader() && d.term.cluster.Job(j.Spec.Ref) == j
 }
 
-// activeJobStatus returns the status of an active job by the leader's cluster state if this
+// replyActiveStatus replies with the status of an active job by the leader's cluster state if this
 // controller leads, and by the job's record otherwise.
-func (d *jobDirectory) activeJobStatus(j *state.Job) []byte {
+func (d *jobDirectory) replyActiveStatus(to ReplyAddress, j *state.Job) {
+	ref := j.Spec.Ref
 	switch {
 	case d.isTrackedByLeader(j):
-		return d.trackedJobStatus(j)
+		d.replyStatus(to, ref, answerLeaderMemory, d.trackedJobStatus(j))
 	case j.State == state.JobCancelledLegacy:
-		return protocol.JobStatusBody(j.Spec.Ref, protocol.PhaseCancelled, 0, 0)
+		d.replyStatus(to, ref, answerRecord, protocol.JobStatusBody(ref, protocol.PhaseCancelled, 0, 0))
+	default:
+		d.replyStatus(to, ref, answerRecord, protocol.JobStatusBody(ref, protocol.PhaseQueued, 0, 0))
 	}
-	return protocol.JobStatusBody(j.Spec.Ref, protocol.PhaseQueued, 0, 0)
 }
 
 // trackedJobStatus returns the status of a job in the cluster state.
--- a/internal/controller/leader_forwarding.go
+++ b/internal/controller/leader_forwarding.go
@@ -176,6 +176,9 @@
 		finished()
 		if m, ok := g.membership.parsePeerResponse(r); ok {
 			g.membership.leaderAnsweredAt = g.now.Steady
+			if e.Op == protocol.OpQuery && m.Status == http.StatusOK {
+				g.directory.observeAnswer(e.Ref, answerFromLeader, m.Body)
+			}
 			g.replyAfter(e.Reply, int(m.Status), m.Body, m.RetryAfter)
 			return
 		}
--- a/internal/controller/membership.go
+++ b/internal/controller/membership.go
@@ -157,6 +157,7 @@
 		// controller's reads.
 		*leader = records.Leader{Controller: e.From, Epoch: e.Epoch, HeartbeatGrace: leader.HeartbeatGrace}
 		mb.election.leaderSuspectUntil = 0
+		mb.election.logLeader(*leader, "status request", 0)
 	}
 }
 
--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -20,6 +20,7 @@
 	RowsByStage      [stageCount]uint64 // visited rows of the slot table, by cycle stage
 	CutStepsByStage  [stageCount]uint64 // scheduling steps that reached their limit, by stage
 	Refused          map[string]uint64  // refused requests, by reason
+	Answers          map[string]uint64  // jobs' states told to users, by source
 	Malformed        uint64             // messages that did not follow the protocol
 	Failovers        uint64
 	LostTasks        uint64            // tasks that ended with their host
@@ -44,6 +45,7 @@
 	LongestStartWait  map[string]micros                 // longest waits of large jobs, by class
 	BlockedJobs       int                               // jobs that wait for other jobs
 	UnreconciledHosts int                               // recorded hosts, silent in this term
+	ExitedAttempts    int                               // attempts that have exited and are not forgotten
 	Rollouts          map[string]int                    // by state; nil if roll-outs are disabled
 }
 
@@ -57,6 +59,7 @@
 	s.Config = c.config.configStats()
 	s.Features = c.features.featureStats()
 	s.Refused, s.Checks = maps.Clone(c.stats.Refused), maps.Clone(c.stats.Checks)
+	s.Answers = maps.Clone(c.stats.Answers)
 	if c.term != nil {
 		c.term.addLeaderStats(&s)
 	}
@@ -84,6 +87,11 @@
 		if h.Record.FromEarlierEpoch && !h.Reconciled {
 			s.UnreconciledHosts++
 		}
+		for _, a := range h.Attempts() {
+			if a.State == state.AttemptExited {
+				s.ExitedAttempts++
+			}
+		}
 	}
 }
 
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -78,6 +78,12 @@
 	descMalformed      = prometheus.NewDesc("mapleslip_malformed_total", "Messages that do not follow the protocol.", nil, nil)
 	descTakeOvers      = prometheus.NewDesc("mapleslip_take_overs_total", "Take-overs that this node finished.", nil, nil)
 	descTasksLost      = prometheus.NewDesc("mapleslip_tasks_lost_total", "Tasks that ended with their machine.", nil, nil)
+	descTokenRaises    = prometheus.NewDesc("mapleslip_worker_token_raises_total", "Fencing tokens raised for one worker, so that copies of earlier commands have no effect.", nil, nil)
+	descForgotten      = prometheus.NewDesc("mapleslip_attempts_forgotten_total", "Commands to a worker to forget an attempt that has exited.", nil, nil)
+	descRefusedOrders  = prometheus.NewDesc("mapleslip_commands_refused_total", "Direct commands that a worker refused by token or session.", nil, nil)
+	descRevived        = prometheus.NewDesc("mapleslip_attempts_revived_total", "Attempts of this term that were on their machine again after their end.", nil, nil)
+	descAnswers        = prometheus.NewDesc("mapleslip_answers_total", "States of jobs told to users, by where the state came from.", []string{"source"}, nil)
+	descExited         = prometheus.NewDesc("mapleslip_attempts_exited", "Attempts that have exited and that their worker still reports.", nil, nil)
 	descChecks         = prometheus.NewDesc("mapleslip_checks_total", "Checks of instances that this node asked for as the leader, by outcome.", []string{"outcome"}, nil)
 	descChecksDisputed = prometheus.NewDesc("mapleslip_checks_disputed_total", "Checks that failed where another controller saw nothing wrong.", nil, nil)
 	descRollouts       = prometheus.NewDesc("mapleslip_rollouts", "Services with a roll-out on record, by its state.", []string{"state"}, nil)
@@ -105,7 +111,7 @@
 func (s *snapshotCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		descRole, descEpoch, descSnapshotTime, descRounds, descPasses, descRows, descCutRounds, descRefused, descMalformed,
-		descTakeOvers, descTasksLost, descChecks, descChecksDisputed, descRollouts, descJobsDue, descLargestWait, descHosts, descHostsUnproven, descJobsAwaiting, descJobsWaiting, descTasksRunning,
+		descTakeOvers, descTasksLost, descTokenRaises, descForgotten, descRefusedOrders, descRevived, descAnswers, descExited, descChecks, descChecksDisputed, descRollouts, descJobsDue, descLargestWait, descHosts, descHostsUnproven, descJobsAwaiting, descJobsWaiting, descTasksRunning,
 		descConfigRevision, descConfigHeld, descConfigDamaged, descConfigInForce, descConfigLag, descConfigChanges, descConfigOutdated, descFeatureLevel, descFeatureLevelServed, descFeatureLevelWaits,
 	} {
 		ch <- d
@@ -171,6 +177,13 @@
 	c.counter(descMalformed, st.Malformed)
 	c.counter(descTakeOvers, st.Failovers)
 	c.counter(descTasksLost, st.LostTasks)
+	c.counter(descTokenRaises, st.TokenRaises)
+	c.counter(descForgotten, st.ForgottenAttempts)
+	c.counter(descRefusedOrders, st.RefusedCommands)
+	c.counter(descRevived, st.RevivedAttempts)
+	for source, n := range st.Answers {
+		c.counter(descAnswers, n, source)
+	}
 	for outcome, n := range st.Checks {
 		c.counter(descChecks, n, outcome)
 	}
@@ -210,6 +223,7 @@
 	c.gauges(descHosts, st.Hosts)
 	c.gauges(descRollouts, st.Rollouts)
 	c.gauge(descHostsUnproven, float64(st.UnreconciledHosts))
+	c.gauge(descExited, float64(st.ExitedAttempts))
 	c.gauge(descJobsAwaiting, float64(st.BlockedJobs))
 	for kind, counts := range st.Objectives {
 		c.objectives(kind, counts)
