--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -42,7 +42,7 @@
 	if w.changes != nil && c.Target == controller.ToCloud && c.Path == "/machines" && c.Method == "POST" {
 		w.checkRental(c.Body)
 	}
-	if c.Target == controller.ToWorker && strings.Contains(string(c.Body), `"orders":[]`) {
+	if c.Target == controller.ToWorker && c.Path == "/commands" && !hasOrders(c) {
 		w.emptyCalls++
 	}
 	w.triggerLeaderEnd(n, c)
--- a/internal/simulation/waiting_jobs.go
+++ b/internal/simulation/waiting_jobs.go
@@ -48,6 +48,17 @@
 	return nil
 }
 
+// tasksToBegin returns how many tasks have to find room for a job to begin, 0 if all are done.
+func (j *userJob) tasksToBegin() int {
+	switch {
+	case j.spec.Kind == protocol.Gang:
+		return j.spec.Tasks
+	case slices.Contains(j.results, false):
+		return 1
+	}
+	return 0
+}
+
 // waitsDespiteRoom reports whether a job has no task that was launched and has not ended, although
 // there is room to begin: for one task, or for all tasks of a gang.
 func (w *World) waitsDespiteRoom(j *userJob) bool {
@@ -55,12 +66,7 @@
 		return false
 	}
 	s := j.spec
-	unfinished := 0
-	for _, done := range j.results {
-		if !done {
-			unfinished++
-		}
-	}
+	need := j.tasksToBegin()
 	var used protocol.Resources  // by the team's tasks
 	free := make(map[string]int) // tasks of the job that find room, by zone
 	for _, m := range w.sortedMachines() {
@@ -81,13 +87,13 @@
 		if m.phase != "running" || m.hung || m.failsTasks || !s.AllowsType(m.typ) || s.Zone != "" && s.Zone != m.zone || m.spot && !s.AllowSpot {
 			continue
 		}
-		for ; room.Covers(s.TaskResources); room = room.Add(s.TaskResources, -1) {
-			free[m.zone]++
+		places := 0
+		for ; places < need && room.Covers(s.TaskResources); room = room.Add(s.TaskResources, -1) {
+			places++
+		}
+		if places > 0 {
+			free[m.zone] += places
 		}
-	}
-	need := min(1, unfinished)
-	if s.Kind == protocol.Gang {
-		need = s.Tasks
 	}
 	limit := w.Platform.Teams[s.Team].Limit
 	total := used.Add(s.TaskResources, int64(need))
