Simulation: a record from before limits fell may stay if nothing showed the leader the limit

The traces show the same case: the limits fall without an announcement, the record was written before, nothing wrote it since, and no transaction of the leader's process was refused for its size. Nothing shows the leader the limit, and the protocol keeps stored values readable, so the case is allowed.

The check asks the leader's controller which limit it knows.

--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -95,6 +95,10 @@
 // EnableTracing makes the controller emit spans.
 func (c *Controller) EnableTracing() { c.tracing = true }
 
+// MaxRecordBytes returns the size to which this controller splits records: the lowest of the
+// published limit, the announced one and what the state service has shown.
+func (c *Controller) MaxRecordBytes() int { return c.store.Target().MaxValueBytes }
+
 // Role returns the current role of this controller in the election.
 func (c *Controller) Role() Role { return c.election.role }
 
