--- a/internal/simulation/late_copies_test.go
+++ b/internal/simulation/late_copies_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 )
@@ -105,24 +103,13 @@
 // certain times does not apply then: a copy of a renewal may extend the lease of a leader that has
 // ended, for example.
 func TestTracesWithCopies(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.trace")
-	if err != nil || len(files) == 0 {
-		t.Fatalf("no traces: %v", err)
-	}
-	for _, f := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(f), ".trace"), func(t *testing.T) {
-			t.Parallel()
-			text, err := os.ReadFile(f)
-			if err != nil {
-				t.Fatal(err)
-			}
-			trace := withoutExpectations(string(text))
-			w, err := playTrace(trace, func(w *World) { w.copies.mixed = true })
-			if err != nil {
-				t.Errorf("%v\ntrace:\n%s\nevent log:\n%s", err, trace, strings.Join(w.Log, "\n"))
-			}
-		})
-	}
+	forEachTrace(t, func(t *testing.T, trace string) {
+		trace = withoutExpectations(trace)
+		w, err := playTrace(trace, func(w *World) { w.copies.mixed = true })
+		if err != nil {
+			t.Errorf("%v\ntrace:\n%s\nevent log:\n%s", err, trace, strings.Join(w.Log, "\n"))
+		}
+	})
 }
 
 // withoutExpectations replaces the lines of a trace that expect something, or that control copies,
--- a/internal/simulation/trace_test.go
+++ b/internal/simulation/trace_test.go
@@ -9,8 +9,9 @@
 	"testing"
 )
 
-// Every trace of testdata is played in simulated time.
-func TestTraces(t *testing.T) {
+// forEachTrace runs a parallel subtest for each trace of testdata.
+func forEachTrace(t *testing.T, play func(t *testing.T, trace string)) {
+	t.Helper()
 	files, err := filepath.Glob("testdata/*.trace")
 	if err != nil || len(files) == 0 {
 		t.Fatalf("no traces: %v", err)
@@ -22,18 +23,25 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			w, err := playTrace(string(text), func(w *World) {
-				if os.Getenv("LOG_LEVEL") == "debug" {
-					w.Logger = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
-				}
-			})
-			if err != nil {
-				t.Errorf("%v\nevent log:\n%s", err, strings.Join(w.Log, "\n"))
-			}
+			play(t, string(text))
 		})
 	}
 }
 
+// Every trace of testdata is played in simulated time.
+func TestTraces(t *testing.T) {
+	forEachTrace(t, func(t *testing.T, trace string) {
+		w, err := playTrace(trace, func(w *World) {
+			if os.Getenv("LOG_LEVEL") == "debug" {
+				w.Logger = slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: slog.LevelDebug}))
+			}
+		})
+		if err != nil {
+			t.Errorf("%v\nevent log:\n%s", err, strings.Join(w.Log, "\n"))
+		}
+	})
+}
+
 // Each controller that reads a damaged record logs it once, not at every attempt to become the
 // leader, and leaves the record unchanged.
 func TestDamagedRecordIsLoggedOnce(t *testing.T) {
