--- a/internal/controller/command_fencing.go
+++ b/internal/controller/command_fencing.go
@@ -1,7 +1,6 @@
 package controller
 
 import (
-	"mapleslip/internal/leadership"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/state"
 )
@@ -44,9 +43,10 @@
 	return true
 }
 
-// checkTokens steps down if the tokens for a worker are used up, since the next epoch has new ones.
+// checkTokens steps down if the tokens for a worker are used up, since the next epoch has new ones. A
+// version with one token for each epoch has none to raise and keeps its lease.
 func (cs *commandSender) checkTokens() {
-	if cs.tokensExhausted && cs.tokens != (leadership.Tokens{First: cs.epoch, Last: cs.epoch}) {
+	if cs.tokensExhausted && cs.tokens.First < cs.tokens.Last {
 		cs.log.Info("stepping down: the tokens of the epoch are used up", "epoch", cs.epoch)
 		cs.election.stepDown()
 	}
