--- a/internal/controller/controller.go
+++ b/internal/controller/controller.go
@@ -134,8 +134,8 @@
 }
 
 // DisableFeatureLevels makes the controller behave like a version without feature levels, for
-// tests: it does not write its registry entry, does not request a level, and does not read
-// records of the later format. It must be called before Start.
+// tests: it does not write its registry entry, does not request a level, does not read records of
+// the later format, and has one fencing token for each epoch. It must be called before Start.
 func (c *Controller) DisableFeatureLevels() { c.features.state = nil }
 
 // Start starts the controller as a follower.
--- a/internal/simulation/versions.go
+++ b/internal/simulation/versions.go
@@ -19,6 +19,10 @@
 // all that it writes is byte for byte what production writes (checked by
 // internal/featuregate/golden_test.go), and everything else that is new in this version depends on
 // a feature level.
+//
+// Epochs and tokens depend on no level. A simulated production leader has one token for each epoch, as
+// production has. It has nothing forgotten that it launched directly, since it can't raise the token;
+// production has it forgotten under the same token, so that a copy of the launch starts it again.
 
 // versions checks how the controllers handle feature levels.
 type versions struct {
