--- a/internal/scale/hollow/worker.go
+++ b/internal/scale/hollow/worker.go
@@ -276,27 +276,21 @@
 	})
 }
 
-// reportsPerCopy is how many reports a worker sends for each copy of one. With a copy of each, the
-// controllers would have twice the load that a run measures.
-const reportsPerCopy = 10
-
 // sendReports sends a report for each signal of sendReport until that is closed. Now and then a copy
 // of the report before arrives first.
 func (w *worker) sendReports() {
 	var earlier []byte
-	for sent := 1; ; sent++ {
-		if _, open := <-w.sendReport; !open {
-			return
-		}
-		if sent%reportsPerCopy == 0 {
+	perCopy := w.process.config.ReportsPerCopy
+	sent := 0
+	for range w.sendReport {
+		if perCopy > 0 && sent > 0 && sent%perCopy == 0 {
 			w.sendCopy(earlier)
 		}
 		if !w.sendNextReport() {
 			return
 		}
-		if sent%reportsPerCopy == reportsPerCopy-1 {
-			earlier = append(earlier[:0], w.body...)
-		}
+		sent++
+		earlier = append(earlier[:0], w.body...)
 	}
 }
 
--- a/internal/scale/launch.go
+++ b/internal/scale/launch.go
@@ -30,7 +30,7 @@
 	}
 	machines := s.placeMachines()
 	partConfig := func(role, part string) *wire.Config {
-		return &wire.Config{Role: role, Part: part, Seed: s.file.Seed, Platform: platform, Types: s.file.machineTypes(), Network: s.network.Prefix, EndsUS: s.deadline + 10*int64(protocol.Second)}
+		return &wire.Config{Role: role, Part: part, Seed: s.file.Seed, Platform: platform, Types: s.file.machineTypes(), Network: s.network.Prefix, ReportsPerCopy: s.file.Workers.ReportsPerCopy, EndsUS: s.deadline + 10*int64(protocol.Second)}
 	}
 	p, err := protocol.ParsePlatform([]byte(platform))
 	if err != nil {
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -74,6 +74,8 @@
 	GangWaitS float64 `toml:"gang_wait_s"`
 	GangPeerS float64 `toml:"gang_peer_s"`
 	CancelS   float64 `toml:"cancel_s"`
+	// ReportsPerCopy is how many reports a worker sends for each copy of one that arrives late.
+	ReportsPerCopy int `toml:"reports_per_copy"`
 }
 
 // State contains the settings of the state service.
@@ -214,6 +216,7 @@
 		Seed: 1, WarmupS: 0, FillS: 1, SettleS: 5,
 		Deployment:  Deployment{PerProcess: 700, SpareShare: 0, RackSize: 20},
 		Controllers: Controllers{CPUShare: 1, MemoryMB: 512, MaxConnections: 8000, RestartDelayS: 4, ClockOffMS: 1000, IdleReturnS: 20},
+		Workers:     WorkerTimes{ReportsPerCopy: 1},
 		Cloud:       Cloud{RPS: 8, ListLagS: 5},
 		Limits:      Limits{LagMS: 250, CPUShare: 0.9, Memory: 0.5, Processes: 300, QuietS: 60},
 		Users:       UserSettings{PollS: 5, MaxConnections: 3000},
--- a/internal/scale/settings_check.go
+++ b/internal/scale/settings_check.go
@@ -64,6 +64,7 @@
 	c.number("workers.gang_wait_s", f.Workers.GangWaitS, 0.1, 86400)
 	c.number("workers.gang_peer_s", f.Workers.GangPeerS, 0.1, 86400)
 	c.number("workers.cancel_s", f.Workers.CancelS, 1, 86400)
+	c.number("workers.reports_per_copy", float64(f.Workers.ReportsPerCopy), 1, 1e6)
 }
 
 // checkServices checks the state service, the cloud and the network.
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -181,6 +181,8 @@
 	State     string `json:",omitempty"`
 	Cloud     string `json:",omitempty"`
 	LatencyUS int64  `json:",omitempty"` // latency of the state service
+	// ReportsPerCopy is how many reports a worker sends for each copy of one, 0 for no copies.
+	ReportsPerCopy int `json:",omitempty"`
 	// Spare is the number of machines that the cloud can still rent out, by "type/zone" or, for
 	// spot machines, "type/zone/spot".
 	Spare   map[string]int  `json:",omitempty"`
