Tests: the history of a gang's stopped task sends a stop

Reading the change again: the case about a stop and a launch again under the gang's number passed without any stop, because tasks of a gang are not preempted, so it showed nothing. It now uses a gang of the lowest priority, whose waiting task is stopped for other work and launched again on its machine.

--- a/internal/simulation/late_copies_test.go
+++ b/internal/simulation/late_copies_test.go
@@ -26,7 +26,7 @@
 at 30 expect req-000001 cancelled
 at 30 expect starts 1
 `},
-	{"the task is done and its job still runs", `
+	{"the task is done", `
 machine n-000001 small a
 at 5 copy-commands every=1 by=12
 at 5.2 submit req-000001 array tasks=4 run=5
@@ -57,15 +57,17 @@
 at 67 stop-failing n-000001
 at 400 expect req-000003 done
 `},
-	{"the task of a gang was launched again on its machine under its number, after a stop", `
+	{"the task of a gang was stopped and launched again on its machine under its number", `
 machine n-000001 small a
 machine n-000002 small a
 at 4 submit req-000001 array tasks=1 gpus=2 size=45 run=2
 at 5 submit req-000002 array tasks=1 gpus=2 size=2 image=img-2 run=60
-at 60 submit req-000003 gang tasks=2 gpus=2 size=45 run=100
-at 70 copy-commands every=1 by=6 with="stop"
-at 71 submit req-000004 array tasks=1 gpus=2 size=45 run=2 rank=critical
-at 260 expect req-000003 done
+at 60 submit req-000003 gang tasks=2 gpus=2 size=45 run=100 rank=low
+at 70 copy-commands every=1 by=10
+at 72 submit req-000004 array tasks=1 gpus=2 size=45 run=2
+at 360 expect req-000003 done
+at 360 expect req-000004 done
+at 360 expect starts 6
 `},
 	{"the leader ended and was back at once", `
 machine n-000001 small a
