Simulation: a copy of a confirmed cancellation arrives again

Package duplicate said that every message but replies and reads is copied. Cancellations were not; they are now, in any history with copies. What is still not copied is named there: operators' requests, and in a scale run users' requests and messages between controllers.

The comment of TestSmallTasksWithoutEndOnOneMachine says what is checked; it had named waiting times.

--- a/internal/duplicate/duplicate.go
+++ b/internal/duplicate/duplicate.go
@@ -8,6 +8,9 @@
 //     in the same way.
 //   - Reads from the state service and the cloud, watches and health checks. A GET changes nothing at
 //     the receiver ("Controller nodes -> state service", "Controller nodes -> cloud").
+//
+// Not copied yet: operators' requests, and in a scale run also users' requests and messages between
+// controllers.
 package duplicate
 
 import (
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -150,11 +150,16 @@
 
 // cancel requests the cancellation of a job until a controller confirms it.
 func (w *World) cancel(j *userJob) {
+	copied := j.cancelRequested
 	j.cancelRequested = true
 	w.requestUntilFinal("cancel", j.spec.Ref, func(status int, body []byte) bool {
 		if status != 200 {
 			return false
 		}
+		if !copied {
+			copied = true
+			w.copyUserRequest(func() { w.cancel(j) })
+		}
 		w.checkReportedPhase(j, fastjson.GetString(body, "phase"))
 		return true
 	})
--- a/internal/simulation/worker_tokens_test.go
+++ b/internal/simulation/worker_tokens_test.go
@@ -12,13 +12,10 @@
 )
 
 // Tens of thousands of short tasks run on one machine under one leader, and a copy of each command
-// arrives again. Each task starts once, and neither the worker's heartbeats nor the waiting times
-// grow.
+// arrives again. Each task starts once, the worker's heartbeats stay small, and all jobs are done in
+// twice the time that the tasks take at 95 at a time, beside the service.
 func TestSmallTasksWithoutEndOnOneMachine(t *testing.T) {
-	const (
-		jobs, tasksPerJob = 20, 1500
-		tasksAtOnce       = 96
-	)
+	const jobs, tasksPerJob = 20, 1500
 	var trace strings.Builder
 	trace.WriteString(`
 nodes 3
@@ -46,7 +43,7 @@
 		t.Errorf("%d leaders", w.leaders)
 	}
 	if w.largestReport > transport.MaxBody/2 {
-		t.Errorf("a heartbeat had %d bytes for at most %d tasks that run", w.largestReport, tasksAtOnce)
+		t.Errorf("a heartbeat had %d bytes", w.largestReport)
 	}
 	m := w.machines["n-000001"]
 	if len(m.tasks) != 1 {
