Clean-up: one function answers with a tracked job, and one knows the numbers of a term

Answers to submissions and cancellations from the leader's memory went past the log line and the metric of answers; all six places now call jobDirectory.replyTracked. The layout of attempt numbers is known in placement.go only. Fields that the change had put between others have a place of their own. Users get the same answers as before.

--- a/internal/controller/attempts.go
+++ b/internal/controller/attempts.go
@@ -32,7 +32,7 @@
 	}
 	a := ag.cluster.Attach(ag.now.Steady, j, h, task.AttemptName)
 	a.Adopted = true
-	if task.Number>>attemptSeqBits == ag.epoch {
+	if ag.isOfThisTerm(task.AttemptName) {
 		ag.stats.RevivedAttempts++
 		ag.log.Warn("attempt of this term is on its host again", "task", a.Name.String(), "try", task.Number, "host", h.Name,
 			"state", attemptStates[task.State].String(), "token", ag.commands.token(h), "agent_epoch", h.Agent.Epoch, "sequence", h.Agent.Sequence)
--- a/internal/controller/job_admission.go
+++ b/internal/controller/job_admission.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net/http"
 	"slices"
 
 	"mapleslip/internal/admission"
@@ -45,7 +44,7 @@
 		if isOutcomeUncertain(j) {
 			sb.directory.replyFromStateService(to, spec.Ref, func() {})
 		} else {
-			sb.reply(to, http.StatusOK, sb.directory.trackedJobStatus(j))
+			sb.directory.replyTracked(to, j)
 		}
 		return
 	}
@@ -210,7 +209,7 @@
 func (w *admissionWrite) replyToPendingUsers(users []ReplyAddress) {
 	for _, to := range users {
 		if j := w.term.cluster.Job(w.ref); j != nil && !isOutcomeUncertain(j) && !w.term.ended() {
-			w.reply(to, http.StatusOK, w.directory.trackedJobStatus(j))
+			w.directory.replyTracked(to, j)
 		} else {
 			w.refuse(to, refusalStateService)
 		}
--- a/internal/controller/job_cancellation.go
+++ b/internal/controller/job_cancellation.go
@@ -30,12 +30,12 @@
 		return
 	}
 	if j.Dependencies.Cancelled {
-		jm.reply(to, http.StatusOK, jm.directory.trackedJobStatus(j))
+		jm.directory.replyTracked(to, j)
 		return
 	}
 	switch j.State {
 	case state.JobDone, state.JobCancelledLegacy, state.JobClosed:
-		jm.reply(to, http.StatusOK, jm.directory.trackedJobStatus(j))
+		jm.directory.replyTracked(to, j)
 	case state.JobCancelling, state.JobFinishing:
 		jm.pendingCancels[ref] = append(jm.pendingCancels[ref], to)
 	case state.JobActive, state.JobBlocked:
--- a/internal/controller/job_directory.go
+++ b/internal/controller/job_directory.go
@@ -163,7 +163,7 @@
 	ref := j.Spec.Ref
 	switch {
 	case d.isTrackedByLeader(j):
-		d.replyStatus(to, ref, answerLeaderMemory, d.trackedJobStatus(j))
+		d.replyTracked(to, j)
 	case j.State == state.JobCancelledLegacy:
 		d.replyStatus(to, ref, answerRecord, protocol.JobStatusBody(ref, protocol.PhaseCancelled, 0, 0))
 	default:
--- a/internal/controller/placement.go
+++ b/internal/controller/placement.go
@@ -190,3 +190,8 @@
 	sc.attemptSeq++
 	return sc.epoch<<attemptSeqBits | sc.attemptSeq
 }
+
+// isOfThisTerm reports whether an attempt got its number from nextAttemptNumber in this term.
+func (tc *termContext) isOfThisTerm(name protocol.AttemptName) bool {
+	return name.Number>>attemptSeqBits == tc.epoch
+}
--- a/internal/controller/query_answers.go
+++ b/internal/controller/query_answers.go
@@ -1,6 +1,10 @@
 package controller
 
-import "net/http"
+import (
+	"net/http"
+
+	"mapleslip/internal/state"
+)
 
 // answerSource is where the status of a job in an answer to a user comes from. It is a label of a
 // metric.
@@ -20,6 +24,11 @@
 	d.reply(to, http.StatusOK, body)
 }
 
+// replyTracked answers a user, as the leader, with the status of a job in the cluster state.
+func (d *jobDirectory) replyTracked(to ReplyAddress, j *state.Job) {
+	d.replyStatus(to, j.Spec.Ref, answerLeaderMemory, d.trackedJobStatus(j))
+}
+
 // observeAnswer counts and logs the status of a job in an answer to a user.
 func (d *jobDirectory) observeAnswer(ref string, source answerSource, body []byte) {
 	if d.stats.Answers == nil {
--- a/internal/controller/recovery.go
+++ b/internal/controller/recovery.go
@@ -74,8 +74,8 @@
 		}
 		t.jobs.finishIfComplete(j)
 	}
-	rc.log.Info("leading", "epoch", t.epoch, "first_token", t.tokens.First, "key_revision", rc.election.lease.keyRevision, "jobs", len(t.cluster.Jobs()), "hosts", len(t.cluster.Hosts()),
-		"load_ms", int64((rc.now.Steady-t.startedAt)/protocol.Millisecond))
+	rc.log.Info("leading", "epoch", t.epoch, "first_token", t.tokens.First, "key_revision", rc.election.lease.keyRevision,
+		"jobs", len(t.cluster.Jobs()), "hosts", len(t.cluster.Hosts()), "load_ms", int64((rc.now.Steady-t.startedAt)/protocol.Millisecond))
 	rc.config.startGranting(t)
 	t.jobs.watchJobs(jobsRevision)
 	rc.loadFinishedJobs(t)
--- a/internal/controller/user_gateway.go
+++ b/internal/controller/user_gateway.go
@@ -137,7 +137,7 @@
 // queryJob answers a query as the leader.
 func (g *userGateway) queryJob(to ReplyAddress, ref string) {
 	if j := g.term.cluster.Job(ref); j != nil && !isOutcomeUncertain(j) {
-		g.directory.replyStatus(to, ref, answerLeaderMemory, g.directory.trackedJobStatus(j))
+		g.directory.replyTracked(to, j)
 		return
 	}
 	if g.lookupLimitReached() {
--- a/internal/scale/fakes/cloud.go
+++ b/internal/scale/fakes/cloud.go
@@ -61,9 +61,9 @@
 	lastID       uint64                     // ID of the latest release message
 	releases     map[uint64]*pendingRelease // releases that aren't confirmed, by message ID
 	tokens       float64                    // token bucket of the rate limit, as of tokensAt
+	tokensAt     int64                      // time of the latest request
+	rentedTotal  int                        // machines rented so far
 	duplicates   duplicate.Sequence
-	tokensAt     int64 // time of the latest request
-	rentedTotal  int   // machines rented so far
 }
 
 // pendingRelease is a release that the processes of the machines haven't confirmed.
--- a/internal/scale/hollow/run.go
+++ b/internal/scale/hollow/run.go
@@ -69,9 +69,10 @@
 	failedReports, redirects                        atomic.Int64 // counts of reports
 	droppedAnswers                                  atomic.Int64 // of an old epoch or session
 	leaseExpiries                                   atomic.Int64
-	refusedCopies                                   atomic.Int64        // of direct commands
-	duplicates                                      *duplicate.Sequence // nil for no copies
-	maxReportLatency                                atomic.Int64        // since the last gauge, microseconds
+	refusedCopies                                   atomic.Int64 // of direct commands
+	maxReportLatency                                atomic.Int64 // since the last gauge, microseconds
+
+	duplicates *duplicate.Sequence // nil for no copies
 }
 
 func run(pipe *ipc.Pipe) error {
