--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fastjson"
 
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/strictjson"
 )
 
 type micros = protocol.Micros
@@ -289,6 +290,11 @@
 
 // commit carries out a transaction if all its conditions are met.
 func (s *store) commit(body []byte, answer func(int, string)) {
+	if err := strictjson.CheckRequest(body); err != nil {
+		s.reportViolation("transaction: %v", err)
+		answer(400, `{"error":"malformed"}`)
+		return
+	}
 	v, err := fastjson.ParseBytes(body)
 	if err != nil {
 		answer(400, `{}`)
