Text has one gate: what is accepted can be stored, sent and read back

Callers saw: a submission with bytes that aren't UTF-8 got 503 ("the state service can't be reached") at every controller for as long as it was repeated; so did sound submissions with an escaped control character, DEL or U+E0001 beside an escaped quote. Four long ones of the first kind lowered the limits under which the leader writes its records, for the life of the process.

Cause: an unchecked text crossed a boundary. The parser did not check for UTF-8, and the quoting function wrote Go's escapes (\x00, \a, \U000e0001), which JSON does not have. The state service refused the transaction as malformed; the client took that for a limit on sizes, and the submission for one that may succeed later: a permanent refusal answered as a temporary one.

Fix: - Texts are quoted by jsontext (go-json-experiment), by RFC 8259. Earlier versions accepted such bytes in unknown fields, so a submission that they would have accepted is looked up first, and gets the job's state if there is one. An escaped surrogate without its other half is U+FFFD on every way. - A transaction that is not JSON lowers no limit. A refusal for the form is answered with 400, for submissions and for changes of the configuration. - Records of earlier versions that are not UTF-8 are still read, and hold up no other job.

Every code point is written as JSON and reads back the same, checked by a parser of its own.

--- a/internal/configuration/file.go
+++ b/internal/configuration/file.go
@@ -17,11 +17,8 @@
 func ParseFile(text []byte) (map[string]string, error) {
 	set := make(map[string]string)
 	if trimmed := bytes.TrimSpace(text); len(trimmed) > 0 && trimmed[0] == '{' {
-		if err := fastjson.ValidateBytes(trimmed); err != nil {
-			return nil, fmt.Errorf("not JSON: %w", err)
-		}
 		var p fastjson.Parser
-		v, err := p.ParseBytes(trimmed)
+		v, err := protocol.ParseObject(&p, trimmed)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/configuration/request.go
+++ b/internal/configuration/request.go
@@ -1,7 +1,6 @@
 package configuration
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"slices"
@@ -39,27 +38,18 @@
 	return list
 }
 
-// Errors about the whole body of a request.
-var (
-	errNotJSON   = errors.New("not JSON")
-	errNotObject = errors.New("not an object")
-)
-
 // ParseRequest parses the body of a request. If a key is unknown, duplicate or has a value of the
 // wrong type, the error names it.
 func ParseRequest(body []byte, rollback bool) (*Request, error) {
-	if err := fastjson.ValidateBytes(body); err != nil {
-		return nil, errNotJSON
-	}
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := p.ParseBytes(body)
+	v, err := protocol.ParseObject(p, body)
 	if err != nil {
-		return nil, errNotJSON
+		return nil, err
 	}
 	o, err := v.Object()
 	if err != nil {
-		return nil, errNotObject
+		return nil, err
 	}
 	r := requestReader{Request: &Request{Rollback: rollback}, seen: make(map[string]bool)}
 	o.Visit(r.readField)
--- a/internal/controller/config_changes.go
+++ b/internal/controller/config_changes.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -134,6 +135,8 @@
 		switch {
 		case err == nil:
 			c.onWritten(w.Head, headRevision)
+		case errors.Is(err, statestore.ErrMalformed):
+			c.reject(http.StatusBadRequest, "the state service does not take the change")
 		case statestore.NotExecuted(err):
 			c.reply.unavailable()
 		default:
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -34,7 +34,7 @@
 	finished func()
 }
 
-// Reasons why a job can never run. Their texts are part of the reply.
+// Reasons why a job can never run, or is malformed. Their texts are part of the reply.
 var (
 	errUnknownTeam   = errors.New("unknown team")
 	errTeamRetired   = errors.New("the team takes no new jobs")
@@ -42,10 +42,24 @@
 	errOverQuota     = errors.New("the job needs more than the team's limit")
 )
 
-const descriptionTooLong = "description too long"
+// rejectionStatus returns the status of the reply that rejects a job for a reason.
+func rejectionStatus(reason error) int {
+	if errors.Is(reason, protocol.ErrNotUTF8) {
+		return http.StatusBadRequest
+	}
+	return http.StatusUnprocessableEntity
+}
 
-// validate returns an error if a job can never run.
+const (
+	descriptionTooLong   = "description too long"
+	descriptionNotStored = "the state service does not take the description"
+)
+
+// validate returns an error if a job can never run, or can't be accepted any more.
 func (sb *submissions) validate(s *protocol.JobSpec) error {
+	if s.NotUTF8 {
+		return protocol.ErrNotUTF8
+	}
 	team, ok := sb.config.team(s.Team)
 	if !ok {
 		return errUnknownTeam
@@ -184,7 +198,7 @@
 // may have been different.
 func (sb *submissions) reject(to ReplyAddress, spec *protocol.JobSpec, reason error) {
 	if sb.config.state == nil || sb.election.mayActAsLeader() {
-		sb.rejectUnlessAccepted(to, spec, http.StatusUnprocessableEntity, reason.Error())
+		sb.rejectUnlessAccepted(to, spec, rejectionStatus(reason), reason.Error())
 		return
 	}
 	// This controller's revision of the configuration may be outdated, and a rejection involves no
@@ -195,7 +209,7 @@
 			sb.refuse(to, refusalStateService)
 			return
 		}
-		sb.rejectUnlessAccepted(to, spec, http.StatusUnprocessableEntity, reason.Error())
+		sb.rejectUnlessAccepted(to, spec, rejectionStatus(reason), reason.Error())
 	})
 }
 
@@ -235,15 +249,17 @@
 	when := []protocol.Condition{{Key: records.JobPrefix + ref}, {Key: records.FinalPrefix + ref}}
 	then := []protocol.Change{{Key: records.JobPrefix + ref, Value: value}}
 	c.write(when, then, func(revision uint64, err error) {
-		tooLarge := errors.Is(err, statestore.ErrTooLarge) || errors.Is(err, statestore.ErrMalformed)
+		tooLarge, malformed := errors.Is(err, statestore.ErrTooLarge), errors.Is(err, statestore.ErrMalformed)
 		switch {
 		case err == nil:
 			c.job.Revision = revision
 			sb.onRecordCreated(c, term)
 		case statestore.IsConflict(err):
 			sb.replyIfFound(c.to, ref)
-		case tooLarge && len(value) > sb.store.Accepted().MaxValueBytes:
+		case (tooLarge || malformed) && len(value) > sb.store.Accepted().MaxValueBytes:
 			sb.rejectTooLong(c)
+		case malformed:
+			sb.rejectUnlessAccepted(c.to, c.job.Spec, http.StatusBadRequest, descriptionNotStored)
 		default:
 			sb.refuse(c.to, refusalStateService)
 		}
--- a/internal/controller/user_gateway.go
+++ b/internal/controller/user_gateway.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"errors"
 	"net/http"
 
 	"mapleslip/internal/featuregate"
@@ -57,7 +58,7 @@
 // onSubmit validates and routes a submission.
 func (g *userGateway) onSubmit(e UserRequest) {
 	spec, err := protocol.ParseJob(e.Body)
-	if err != nil {
+	if err != nil && !errors.Is(err, protocol.ErrNotUTF8) {
 		g.replyError(e.Reply, http.StatusBadRequest, err.Error())
 		return
 	}
--- a/internal/protocol/cloud.go
+++ b/internal/protocol/cloud.go
@@ -32,7 +32,7 @@
 func ParseMachineTypes(body []byte) ([]*MachineType, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
@@ -53,7 +53,7 @@
 			Price: f.number("hourly"), SpotPrice: f.number("spotPrice"), BootTime: FromSeconds(f.number("readyS")),
 		}
 		for _, z := range item.GetArray("regions") {
-			t.Zones = append(t.Zones, string(z.GetStringBytes()))
+			t.Zones = append(t.Zones, textOf(z))
 		}
 		if f.err != nil {
 			return nil, f.err
@@ -89,7 +89,7 @@
 func ParseMachines(body []byte) (hosts []CloudMachine, more bool, err error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, false, err
 	}
@@ -105,7 +105,7 @@
 			Age: FromSeconds(f.number("heldS")),
 		}
 		if f.optional("addr") != nil {
-			h.Addr = string(item.GetStringBytes("addr"))
+			h.Addr = textOf(item.Get("addr"))
 		}
 		switch f.text("phase") {
 		case "booting":
@@ -152,7 +152,7 @@
 func ParseMachineNames(body []byte) ([]string, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
@@ -165,7 +165,7 @@
 		if item.Type() != fastjson.TypeString {
 			return nil, errors.New("hosts: invalid")
 		}
-		names = append(names, string(item.GetStringBytes()))
+		names = append(names, textOf(item))
 	}
 	return names, nil
 }
--- a/internal/protocol/files_test.go
+++ b/internal/protocol/files_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+
+	"mapleslip/internal/strictjson"
 )
 
 const goodJobFile = `# a training
@@ -150,9 +152,13 @@
 		if err != nil {
 			return
 		}
-		reparsed, err := ParseRollout(AppendRollout(nil, s))
+		written := AppendRollout(nil, s)
+		if err := strictjson.Check(written); err != nil {
+			t.Fatalf("%v: %q", err, written)
+		}
+		reparsed, err := ParseRollout(written)
 		if err != nil {
-			t.Fatalf("%v: %s", err, AppendRollout(nil, s))
+			t.Fatalf("%v: %s", err, written)
 		}
 		if d := cmp.Diff(s, reparsed); d != "" {
 			t.Error(d)
--- a/internal/protocol/json.go
+++ b/internal/protocol/json.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"strconv"
+	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 )
@@ -38,16 +39,34 @@
 	}
 }
 
-func parseObject(p *fastjson.Parser, body []byte) (*fastjson.Value, error) {
+// Errors about the whole body of a message.
+var (
+	ErrNotJSON   = errors.New("not JSON")
+	ErrNotUTF8   = errors.New("not JSON: not in UTF-8")
+	ErrNotObject = errors.New("not an object")
+)
+
+// ParseObject parses a message that is a JSON object in UTF-8. An escaped surrogate without its
+// other half is read as U+FFFD.
+func ParseObject(p *fastjson.Parser, body []byte) (*fastjson.Value, error) {
+	v, err := parseStored(p, body)
+	if err == nil && !utf8.Valid(body) {
+		return nil, ErrNotUTF8
+	}
+	return v, err
+}
+
+// parseStored is ParseObject for JSON that may hold texts of versions that did not check for UTF-8.
+func parseStored(p *fastjson.Parser, body []byte) (*fastjson.Value, error) {
 	if err := fastjson.ValidateBytes(body); err != nil {
-		return nil, errors.New("not JSON")
+		return nil, ErrNotJSON
 	}
-	v, err := p.ParseBytes(body)
+	v, err := p.ParseBytes(replaceLoneSurrogates(body))
 	if err != nil {
-		return nil, errors.New("not JSON")
+		return nil, ErrNotJSON
 	}
 	if v.Type() != fastjson.TypeObject {
-		return nil, errors.New("not an object")
+		return nil, ErrNotObject
 	}
 	return v, nil
 }
@@ -157,11 +176,11 @@
 	}
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := p.ParseBytes(s)
+	v, err := p.ParseBytes(replaceLoneSurrogates(s))
 	if err != nil {
 		return ""
 	}
-	return string(v.GetStringBytes())
+	return textOf(v)
 }
 
 // integer returns the value of a non-negative whole number, which may also be written like 16.0 or
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"mapleslip/internal/strictjson"
 )
 
 const goodJob = `{"ref":"req-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"high","shards":16,
@@ -253,14 +255,20 @@
 
 func FuzzParseJob(f *testing.F) {
 	f.Add([]byte(goodJob))
+	f.Add([]byte(strings.Replace(goodJob, "img-07", `\u0000\ud800\ud83d\ude00`+"\x7f", 1)))
+	f.Add([]byte(strings.Replace(goodJob, "img-07", "caf\xe9", 1)))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		s, err := ParseJob(in)
 		if err != nil {
 			return
 		}
-		reparsed, err := ParseJob(AppendJob(nil, s))
+		written := AppendJob(nil, s)
+		if err := strictjson.Check(written); err != nil {
+			t.Fatalf("%v: %q", err, written)
+		}
+		reparsed, err := ParseJob(written)
 		if err != nil {
-			t.Fatalf("%v: %s", err, AppendJob(nil, s))
+			t.Fatalf("%v: %s", err, written)
 		}
 		if d := cmp.Diff(s, reparsed); d != "" {
 			t.Error(d)
--- a/internal/protocol/rollout.go
+++ b/internal/protocol/rollout.go
@@ -73,7 +73,7 @@
 func ParseRollout(body []byte) (*RolloutSpec, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
@@ -161,7 +161,7 @@
 		f.fail("adopt", fmt.Sprintf("must be a list of at most %d jobs", maxAdopted))
 	}
 	for _, r := range refs {
-		ref := string(r.GetStringBytes())
+		ref := textOf(r)
 		if !ValidRef(ref) {
 			f.fail("adopt", fmt.Sprintf("%q is no job", ref))
 			break
@@ -336,7 +336,7 @@
 func ParseRolloutStatus(body []byte) (*RolloutStatus, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -69,14 +69,14 @@
 	var r TxnResult
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return r, err
 	}
 	f := &fields{obj: v}
 	r.Revision = f.integer("generation")
 	for _, k := range v.GetArray("failed") {
-		r.Conflicts = append(r.Conflicts, string(k.GetStringBytes()))
+		r.Conflicts = append(r.Conflicts, textOf(k))
 	}
 	return r, f.err
 }
@@ -84,7 +84,7 @@
 // ParseEntry parses the response to a read of one key. The entry's value is a slice of body.
 func ParseEntry(body []byte) (Entry, error) {
 	if err := fastjson.ValidateBytes(body); err != nil {
-		return Entry{}, errors.New("not JSON")
+		return Entry{}, ErrNotJSON
 	}
 	return parseEntry(body)
 }
@@ -101,7 +101,7 @@
 func ParsePage(body []byte) (Page, error) {
 	var p Page
 	if err := fastjson.ValidateBytes(body); err != nil {
-		return p, errors.New("not JSON")
+		return p, ErrNotJSON
 	}
 	hasRevision, hasEntries := false, false
 	err := raw(body).forEachMember(func(name string, value raw) error {
@@ -167,7 +167,7 @@
 func ParseWatch(body []byte) (entries []Entry, revision uint64, err error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := parseStored(p, body)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -207,7 +207,7 @@
 func ParseLease(body []byte) (uint64, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/protocol/user.go
+++ b/internal/protocol/user.go
@@ -1,6 +1,7 @@
 package protocol
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -58,6 +59,9 @@
 	CheckpointInterval, CheckpointDuration Micros   // 0 if tasks make no checkpoints
 	Deadline                               Micros   // time from submission, 0 if none
 	DependsOn                              []string // jobs that must be done before any task starts
+	// NotUTF8: the submission was not UTF-8. Such a job is known only if an earlier version
+	// accepted it. A record does not have this field.
+	NotUTF8 bool
 }
 
 // CanCheckpoint reports whether the job's tasks make checkpoints.
@@ -119,7 +123,7 @@
 	if v == nil {
 		return ""
 	}
-	s := string(v.GetStringBytes())
+	s := textOf(v)
 	if !validText(s) {
 		f.fail(name, "invalid")
 	}
@@ -208,16 +212,36 @@
 }
 
 // ParseJob parses and validates the submission of a job. The response to any error is status 400.
+// If the body is not UTF-8, which earlier versions did not check, the error is ErrNotUTF8 and the
+// job is the one that they accepted.
 func ParseJob(body []byte) (*JobSpec, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
+	if errors.Is(err, ErrNotUTF8) {
+		return parseEarlierJob(p, body)
+	}
 	if err != nil {
 		return nil, err
 	}
 	return JobFromJSON(v)
 }
 
+// parseEarlierJob returns the job that earlier versions read from a body that is not UTF-8, with
+// ErrNotUTF8.
+func parseEarlierJob(p *fastjson.Parser, body []byte) (*JobSpec, error) {
+	v, err := parseStored(p, body)
+	if err != nil {
+		return nil, err
+	}
+	spec, err := JobFromJSON(v)
+	if err != nil {
+		return nil, err
+	}
+	spec.NotUTF8 = true
+	return spec, ErrNotUTF8
+}
+
 // JobFromJSON is ParseJob for JSON that is already parsed.
 func JobFromJSON(v *fastjson.Value) (*JobSpec, error) {
 	f := &fields{obj: v}
@@ -253,7 +277,7 @@
 				f.fail("flavors", "invalid")
 				break
 			}
-			s.MachineTypes = append(s.MachineTypes, string(t.GetStringBytes()))
+			s.MachineTypes = append(s.MachineTypes, textOf(t))
 		}
 	}
 	if f.optional("region") != nil {
@@ -287,7 +311,7 @@
 	}
 	var refs []string
 	for _, item := range list {
-		dependency := string(item.GetStringBytes())
+		dependency := textOf(item)
 		switch {
 		case !ValidRef(dependency):
 			f.fail(name, "invalid")
@@ -363,12 +387,6 @@
 
 func appendInt(b []byte, n int) []byte { return strconv.AppendInt(b, int64(n), 10) }
 
-// AppendQuoted appends a JSON string.
-func AppendQuoted(b []byte, s string) []byte {
-	var a fastjson.Arena
-	return a.NewString(s).MarshalTo(b)
-}
-
 // Phase is the phase of a job as reported to users.
 type Phase string
 
--- a/internal/protocol/worker.go
+++ b/internal/protocol/worker.go
@@ -81,7 +81,7 @@
 func ParseHeartbeat(body []byte) (*Heartbeat, error) {
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := parseObject(p, body)
+	v, err := ParseObject(p, body)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/records/leader.go
+++ b/internal/records/leader.go
@@ -4,6 +4,8 @@
 	"strconv"
 
 	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/protocol"
 )
 
 // Leader is the content of the leader record.
@@ -16,13 +18,11 @@
 
 // EncodeLeader encodes the leader record.
 func EncodeLeader(l Leader) []byte {
-	var arena fastjson.Arena
-	o := arena.NewObject()
-	o.Set("node", arena.NewString(l.Controller))
-	o.Set("epoch", arena.NewNumberString(strconv.FormatUint(l.Epoch, 10)))
-	o.Set("lease", arena.NewNumberString(strconv.FormatUint(l.Lease, 10)))
-	o.Set("answer_on", arena.NewNumberString(strconv.FormatInt(int64(l.HeartbeatGrace), 10)))
-	return o.MarshalTo(nil)
+	b := protocol.AppendQuoted([]byte(`{"node":`), l.Controller)
+	b = strconv.AppendUint(append(b, `,"epoch":`...), l.Epoch, 10)
+	b = strconv.AppendUint(append(b, `,"lease":`...), l.Lease, 10)
+	b = strconv.AppendInt(append(b, `,"answer_on":`...), int64(l.HeartbeatGrace), 10)
+	return append(b, '}')
 }
 
 // DecodeLeader decodes the leader record.
--- a/internal/simulation/odd_submissions_test.go
+++ b/internal/simulation/odd_submissions_test.go
@@ -6,6 +6,8 @@
 	"testing"
 
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/records"
+	"mapleslip/internal/state"
 )
 
 // oddSubmission is a submission in a form that users rarely send. change rewrites the text of an
@@ -97,6 +99,7 @@
 	job      *userJob
 	final    int            // status of the first final answer
 	repeated map[string]int // status of the answer to the repeated submission, by controller
+	before   func(w *World) // called before the trace, may be nil
 }
 
 func newSubmitter(odd oddSubmission, ref string) *submitter {
@@ -117,6 +120,9 @@
 	w, err := playTrace(oddSubmissionSites+trace+"at 90 expect leader some\n", func(w *World) {
 		s.w = w
 		w.jobs[s.job.spec.Ref] = s.job
+		if s.before != nil {
+			s.before(w)
+		}
 		w.after(5*protocol.Second, func() { s.submit(w.nodes[node]) })
 		w.after(75*protocol.Second, func() {
 			for _, n := range w.nodes {
@@ -168,3 +174,37 @@
 		t.Error("the accepted job is not done")
 	}
 }
+
+// recordOf returns a setup line with the record of a job that another controller accepted.
+func recordOf(spec *protocol.JobSpec) string {
+	return "record j/" + spec.Ref + " " + string(records.EncodeJob(state.NewJob(spec))) + "\n"
+}
+
+// A submission that is not UTF-8, of a job that an earlier version accepted, gets the job's state.
+func TestRepeatedSubmissionThatAnEarlierVersionAccepted(t *testing.T) {
+	for _, trace := range []string{"", "at 4.9 kill leader\nat 20 start all\n", "at 4 state down\nat 15 state up\n"} {
+		for node := range 3 {
+			s := newSubmitter(oddSubmission{change: withMember("\"x_\xff\xfe\":\"\xff\xfe\"")}, "req-000100")
+			s.play(t, recordOf(s.job.spec)+trace, node)
+			s.check(t, 200)
+			if !s.job.reportedDone {
+				t.Error("the job is not done")
+			}
+		}
+	}
+}
+
+// A record with text that is not UTF-8, which an earlier version wrote, holds up no other job, and
+// its own job runs.
+func TestRecordThatIsNotUTF8HoldsUpNothing(t *testing.T) {
+	earlier := newSubmitter(oddSubmission{change: func(s string) string { return s }}, "req-000200").job
+	value := strings.Replace(string(records.EncodeJob(state.NewJob(earlier.spec))), "img-1", "img-\xe9", 1)
+	s := newSubmitter(oddSubmissions[0], "req-000100")
+	s.job.body = protocol.AppendJob(nil, s.job.spec)
+	s.before = func(w *World) {
+		w.jobs[earlier.spec.Ref] = earlier
+		earlier.accepted = true
+	}
+	s.play(t, "record j/req-000200 "+value+"\nat 6 restart leader after=0.5\nat 85 expect req-000200 done\n", 0)
+	s.check(t, 201)
+}
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -261,7 +261,8 @@
 
 // onMalformedTransaction handles a transaction that the service refused as malformed, and returns
 // its error. The same transaction is never sent again, unless it named a lease that has ended:
-// either the limits are lower now and the caller splits it, or its changes are not made.
+// either the limits are lower now and the caller splits it, or its changes are not made. A
+// transaction that is not JSON was refused for that, and shows nothing about the limits.
 func (c *Client) onMalformedTransaction(body, answer []byte, changes []protocol.Change) error {
 	if fastjson.GetString(answer, "error") == noSuchLease {
 		return ErrNotExecuted
@@ -272,7 +273,7 @@
 		largest = max(largest, len(change.Value))
 	}
 	previous := c.limits
-	if !c.limits.learnFromMalformed(len(changes), largest) {
+	if !protocol.IsJSON(body) || !c.limits.learnFromMalformed(len(changes), largest) {
 		c.log.Error("the state service refused a transaction as malformed", "body", string(body))
 		return ErrMalformed
 	}
