Connections that complete no request keep out nobody, and HTTP/1.1 is read as it asks

Callers saw: with the connection limit of a controller filled by half-sent requests, each further connection was reset for 11 s, those of /healthz and of workers' heartbeats among them. A chunked submission got 411, one with the absolute form of the target or an empty line before it got 400, and a body over 64 KiB got 413: statuses that users repeat for a minute, or a refusal of a sound request.

Cause: a check in one path and not in another. Only idle connections gave way at the limit; one with an incomplete message could hold its place for 10 s, and the memory of incomplete messages had no limit (2,500 times 64 KiB, more than a controller may have).

Fix: an unfinished connection (silent since it was opened, an incomplete or a malformed message) gives way after 0.5 s of silence, the longest silent first; then idle ones, as before; then the unfinished ones that began first. Controllers have a limit and a reserve of their own. Incomplete messages take a sixteenth of the memory together. A request is parsed as it arrives, each byte once, so that neither time nor memory depends on how it is divided. Chunked bodies, the absolute form, empty lines and Expect: 100-continue are read. The rest of a refused body is read, so that the answer arrives.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -42,6 +42,10 @@
 	// bindTimeout is how long binding an address that is in use is retried: the previous process
 	// of this controller may still be shutting down.
 	bindTimeout = 2 * time.Second
+	// Incomplete messages may take one in heldDivisor bytes of the memory together, and minHeldBytes
+	// in any case.
+	heldDivisor  = 16
+	minHeldBytes = 4 << 20
 )
 
 var targetNames = map[controller.Target]string{
@@ -111,7 +115,8 @@
 	}
 	d.server = &transport.Server{
 		Split: protocol.SplitPeer, Deliver: d.deliver,
-		MaxOpen: plan.inbound, Idle: 5 * time.Minute,
+		MaxOpen: plan.inbound, MaxCluster: plan.peers, MaxHeld: int(max(minHeldBytes, p.MemoryBytes/heldDivisor)),
+		Idle: 5 * time.Minute,
 		// When all connections are in use, one without traffic for this time is closed for a new
 		// one. Workers that send heartbeats and clients that poll send again within this time.
 		Quiet: max(20*time.Second, 3*time.Duration(p.HeartbeatInterval)*time.Microsecond),
--- a/internal/scale/httpconn/httpconn.go
+++ b/internal/scale/httpconn/httpconn.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -112,12 +113,7 @@
 	for {
 		r, n, err := transport.ParseRequest(buf)
 		if err != nil {
-			status := 400
-			var p *transport.ParseError
-			if errors.As(err, &p) {
-				status = p.Status
-			}
-			_, _ = c.Write(transport.AppendResponse(nil, status, nil, 0, true))
+			_, _ = c.Write(transport.AppendResponse(nil, http.StatusBadRequest, nil, 0, true))
 			return
 		}
 		if n == 0 {
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -18,13 +18,6 @@
 	maxHeaders = 100      // lines of the head, including the start line
 )
 
-// Request is one parsed HTTP request.
-type Request struct {
-	Method, Path, Query string
-	Body                []byte
-	Close               bool // the client wants the connection closed after the answer
-}
-
 // Response is one parsed HTTP response.
 type Response struct {
 	Status int
@@ -32,15 +25,13 @@
 	Close  bool // the server closes the connection after this response
 }
 
-// ParseError reports a malformed message and the HTTP status with which to answer it.
-type ParseError struct {
-	Status int
-	Text   string
-}
+// ParseError reports a malformed message. A request that is malformed in any way gets status 400:
+// users repeat one with any other status that tells of an error (protocol, POST /api/jobs).
+type ParseError struct{ Text string }
 
 func (e *ParseError) Error() string { return e.Text }
 
-func newParseError(status int, text string) error { return &ParseError{status, text} }
+func newParseError(text string) error { return &ParseError{text} }
 
 // errIncomplete reports that more bytes of the message are needed.
 var errIncomplete = errors.New("incomplete message")
@@ -52,7 +43,9 @@
 	contentLength int  // -1 if there is no Content-Length field
 	chunked       bool // the body has the chunked transfer encoding
 	close         bool // the connection is closed after the message
-	bodyOffset    int  // number of bytes before the body
+	// expectContinue: the client waits for status 100 before it sends the body.
+	expectContinue bool
+	bodyOffset     int // number of bytes before the body
 }
 
 // parseHead parses the lines before the body. It returns errIncomplete if buf does not contain all
@@ -62,29 +55,29 @@
 	end := bytes.Index(buf, []byte("\r\n\r\n"))
 	if end < 0 {
 		if len(buf) > MaxHead {
-			return h, newParseError(431, "header too large")
+			return h, newParseError("header too large")
 		}
 		return h, errIncomplete
 	}
 	if end > MaxHead {
-		return h, newParseError(431, "header too large")
+		return h, newParseError("header too large")
 	}
 	lines := strings.Split(string(buf[:end]), "\r\n")
 	h.startLine, h.bodyOffset = lines[0], end+4
 	if len(lines) > maxHeaders {
-		return h, newParseError(431, "too many header fields")
+		return h, newParseError("too many header fields")
 	}
 	for _, line := range lines[1:] {
 		name, value, ok := strings.Cut(line, ":")
 		if !ok || !isToken(name) || hasControl(value) {
-			return h, newParseError(400, "malformed header field")
+			return h, newParseError("malformed header field")
 		}
 		if err := h.addField(strings.ToLower(name), strings.Trim(value, " \t")); err != nil {
 			return h, err
 		}
 	}
 	if h.chunked && h.contentLength >= 0 {
-		return h, newParseError(400, "both Content-Length and Transfer-Encoding")
+		return h, newParseError("both Content-Length and Transfer-Encoding")
 	}
 	return h, nil
 }
@@ -96,14 +89,16 @@
 		// Lengths that differ would allow request smuggling: one request hidden in another.
 		n, err := parseLength(value)
 		if err != nil || (h.contentLength >= 0 && h.contentLength != n) {
-			return newParseError(400, "malformed Content-Length")
+			return newParseError("malformed Content-Length")
 		}
 		h.contentLength = n
 	case "transfer-encoding":
 		if !strings.EqualFold(value, "chunked") {
-			return newParseError(501, "unknown Transfer-Encoding")
+			return newParseError("unknown Transfer-Encoding")
 		}
 		h.chunked = true
+	case "expect":
+		h.expectContinue = strings.EqualFold(value, "100-continue")
 	case "connection":
 		for _, v := range strings.Split(value, ",") {
 			if strings.EqualFold(strings.TrimSpace(v), "close") {
@@ -144,44 +139,6 @@
 	return false
 }
 
-// ParseRequest parses one request at the start of buf. It returns the number of bytes used, or 0
-// while more are needed.
-func ParseRequest(buf []byte) (*Request, int, error) {
-	h, err := parseHead(buf)
-	if errors.Is(err, errIncomplete) {
-		return nil, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	method, rest, ok := strings.Cut(h.startLine, " ")
-	target, version, ok2 := strings.Cut(rest, " ")
-	if !ok || !ok2 || !isToken(method) || target == "" || target[0] != '/' || hasControl(target) || strings.Contains(target, " ") {
-		return nil, 0, newParseError(400, "malformed request line")
-	}
-	switch version {
-	case "HTTP/1.1":
-	case "HTTP/1.0":
-		h.close = true
-	default:
-		return nil, 0, newParseError(505, "unknown HTTP version")
-	}
-	if h.chunked {
-		return nil, 0, newParseError(411, "chunked requests are not taken")
-	}
-	n := max(h.contentLength, 0)
-	if n > MaxBody {
-		return nil, 0, newParseError(413, "body over 64 KiB")
-	}
-	if len(buf) < h.bodyOffset+n {
-		return nil, 0, nil
-	}
-	r := &Request{Method: method, Close: h.close}
-	r.Path, r.Query, _ = strings.Cut(target, "?")
-	r.Body = append([]byte(nil), buf[h.bodyOffset:h.bodyOffset+n]...)
-	return r, h.bodyOffset + n, nil
-}
-
 // ParseResponse parses one response at the start of buf; eof is whether the peer has closed the
 // connection. It returns the number of bytes used, or 0 while more are needed.
 func ParseResponse(buf []byte, eof bool) (*Response, int, error) {
@@ -196,7 +153,7 @@
 	code, _, _ := strings.Cut(rest, " ")
 	status, err := parseLength(code)
 	if err != nil || !strings.HasPrefix(version, "HTTP/1.") || status < 100 || status > 599 {
-		return nil, 0, newParseError(400, "malformed status line")
+		return nil, 0, newParseError("malformed status line")
 	}
 	r := &Response{Status: status, Close: h.close || version == "HTTP/1.0"}
 	switch {
@@ -229,14 +186,14 @@
 		i := bytes.Index(buf[used:], []byte("\r\n"))
 		if i < 0 {
 			if len(buf)-used > 1024 {
-				return nil, 0, newParseError(400, "malformed chunk")
+				return nil, 0, newParseError("malformed chunk")
 			}
 			return nil, 0, nil
 		}
 		size, _, _ := strings.Cut(string(buf[used:used+i]), ";")
 		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
 		if err != nil || int(n)+len(body) > MaxAnswer {
-			return nil, 0, newParseError(400, "malformed chunk")
+			return nil, 0, newParseError("malformed chunk")
 		}
 		used += i + 2
 		if n == 0 {
@@ -254,7 +211,7 @@
 		}
 		body = append(body, buf[used:used+int(n)]...)
 		if buf[used+int(n)] != '\r' || buf[used+int(n)+1] != '\n' {
-			return nil, 0, newParseError(400, "malformed chunk")
+			return nil, 0, newParseError("malformed chunk")
 		}
 		used += int(n) + 2
 	}
@@ -277,12 +234,14 @@
 
 var statusText = map[int]string{
 	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
-	405: "Method Not Allowed", 408: "Request Timeout", 411: "Length Required", 413: "Content Too Large",
+	405: "Method Not Allowed", 408: "Request Timeout",
 	409: "Conflict", 421: "Misdirected Request", 422: "Unprocessable Content", 429: "Too Many Requests",
-	431: "Request Header Fields Too Large", 501: "Not Implemented", 503: "Service Unavailable",
-	504: "Gateway Timeout", 505: "HTTP Version Not Supported",
+	503: "Service Unavailable", 504: "Gateway Timeout",
 }
 
+// continueResponse asks a client that waits for it to send the body of its request.
+const continueResponse = "HTTP/1.1 100 Continue\r\n\r\n"
+
 // AppendResponse appends a response to b. If retryAfter is above 0, the response has a Retry-After
 // field with that number of seconds. closing adds a field that announces that the server closes the
 // connection.
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"container/list"
 	"errors"
 	"log/slog"
 	"net"
@@ -27,75 +26,6 @@
 // while more are needed.
 type FrameSplitter func(buf []byte) (frame []byte, used int, err error)
 
-// connState is the state of a connection in the exchange of messages and answers. When a connection
-// is woken again, evio replaces the output that is not written yet. So a connection handles one
-// message at a time, and is closed after the answer if it received more bytes before that.
-type connState uint8
-
-const (
-	connReading        connState = iota // receiving the bytes of a message
-	connAwaitingAnswer                  // a message was delivered and its answer is not there yet
-	connClosing                         // the connection is closed once its output is written
-)
-
-type serverConn struct {
-	id           ConnID
-	conn         evio.Conn
-	fromCluster  bool // accepted on the address for controllers, not the one for clients
-	state        connState
-	buf          []byte        // received bytes of an incomplete message
-	out          []byte        // answer to write when evio wakes the connection
-	closing      bool          // close the connection after the next output
-	lastActivity time.Time     // time of the last change of state, or of the first byte of a message
-	idleElement  *list.Element // element of Server.idleConns, nil if the connection is not idle
-}
-
-// setState changes the state of a connection. No other function does.
-func (s *Server) setState(c *serverConn, state connState) {
-	c.state = state
-	c.lastActivity = time.Now()
-	if state == connReading {
-		s.markIdle(c)
-	} else {
-		s.markActive(c)
-	}
-}
-
-// markIdle adds a connection at the end of the list of idle connections.
-func (s *Server) markIdle(c *serverConn) {
-	s.markActive(c)
-	c.idleElement = s.idleConns.PushBack(c)
-}
-
-// markActive removes a connection from the list of idle connections.
-func (s *Server) markActive(c *serverConn) {
-	if c.idleElement != nil {
-		s.idleConns.Remove(c.idleElement)
-		c.idleElement = nil
-	}
-}
-
-// evictIdle closes the connection that has been idle for longest, if it has been idle for at least
-// Quiet, and reports whether it closed one. Machines that fail leave their connections open: two
-// hundred of them and the machines rented to replace them used up the connection limit of a leader,
-// new connections were refused, and workers that could not connect lost their leases.
-func (s *Server) evictIdle(now time.Time) bool {
-	e := s.idleConns.Front()
-	if e == nil {
-		return false
-	}
-	c := e.Value.(*serverConn)
-	if now.Sub(c.lastActivity) < s.Quiet {
-		return false
-	}
-	s.markActive(c)
-	c.closing = true
-	delete(s.conns, c.id)
-	s.evicted++
-	c.conn.Wake()
-	return true
-}
-
 // Server listens for users, workers and health checks on one address and for the other controllers
 // on another. evio handles inbound connections only: outbound calls use Dialer.
 type Server struct {
@@ -105,14 +35,45 @@
 	Deliver func(Inbound) bool
 	MaxOpen int           // limit of open connections
 	Idle    time.Duration // a connection without activity for longer than this is closed
-	Quiet   time.Duration // at MaxOpen, a connection that is idle for this long may be evicted
+	Quiet   time.Duration // at the limit, a connection that is idle for this long may be evicted
+	// MaxCluster is the limit of open connections of controllers. A part of it is kept for them, see
+	// clusterReserve.
+	MaxCluster int
+	// MaxHeld is the limit of the memory that incomplete messages take together, in bytes.
+	MaxHeld int
 
-	mu        sync.Mutex
-	nextID    ConnID
-	conns     map[ConnID]*serverConn
-	idleConns list.List // of *serverConn without bytes since the last answer, longest idle first
-	evicted   uint64    // connections evicted since the last log message about them
-	refused   uint64    // connections refused since then
+	now func() time.Time // time.Now, another clock in tests
+
+	mu       sync.Mutex
+	nextID   ConnID
+	clients  *connTable
+	cluster  *connTable
+	reported ConnCounts // counts since the start, up to the last log message
+}
+
+// reset makes the server ready for connections, without any.
+func (s *Server) reset() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.now == nil {
+		s.now = time.Now
+	}
+	memory := &heldMemory{limit: s.MaxHeld}
+	s.clients, s.cluster = newConnTable(s.Quiet, memory), newConnTable(s.Quiet, memory)
+}
+
+// Connections returns the numbers of open connections of clients and of controllers, and what
+// became of connections since the start.
+func (s *Server) Connections() (clients, cluster int, counts ConnCounts) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.clients == nil {
+		return 0, 0, s.reported
+	}
+	counts = s.reported
+	counts.add(s.clients.counts)
+	counts.add(s.cluster.counts)
+	return len(s.clients.conns), len(s.cluster.conns), counts
 }
 
 // CanListen returns the reason why the process can't listen on an address, or nil if it can. While
@@ -135,10 +96,7 @@
 func (s *Server) Run(client, cluster string) {
 	var lastLogged time.Time
 	for {
-		s.mu.Lock()
-		s.conns = make(map[ConnID]*serverConn)
-		s.idleConns.Init()
-		s.mu.Unlock()
+		s.reset()
 		ev := evio.Events{NumLoops: 1, Opened: s.opened, Closed: s.closed, Data: s.data, Tick: s.tick}
 		err := evio.Serve(ev, "tcp://"+client, "tcp://"+cluster)
 		if time.Since(lastLogged) > 10*time.Second {
@@ -149,32 +107,43 @@
 	}
 }
 
-// opened handles a new connection. At MaxOpen connections, it refuses the connection unless it can
-// evict an idle one.
+// opened handles a new connection. At the limit, it refuses the connection unless another one gives
+// way: without a limit, connections would use the sockets that outbound calls need, and at the
+// socket limit of the process accept fails and ends evio's loop.
 func (s *Server) opened(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	opts := evio.Options{ReuseInputBuffer: true}
-	now := time.Now()
-	if len(s.conns) >= s.MaxOpen && !s.evictIdle(now) {
-		s.refused++
-		// Without a limit, connections would use the sockets that outbound calls need. At the
-		// socket limit of the process, accept fails and ends evio's loop.
+	s.nextID++
+	c := &serverConn{id: s.nextID, conn: ec, fromCluster: ec.AddrIndex() == 1}
+	if !s.admit(c, s.now()) {
 		return nil, opts, evio.Close
 	}
-	s.nextID++
-	c := &serverConn{id: s.nextID, conn: ec, fromCluster: ec.AddrIndex() == 1, lastActivity: now}
-	s.conns[c.id] = c
-	s.markIdle(c)
 	ec.SetContext(c)
 	return nil, opts, evio.None
 }
 
+// clusterReserve returns how many connections of controllers are always possible.
+func (s *Server) clusterReserve() int { return s.MaxCluster / 4 }
+
+// admit adds a new connection and reports whether there is room for it. A connection of a controller
+// may take the place of a client's, but not the other way round.
+func (s *Server) admit(c *serverConn, now time.Time) bool {
+	open := len(s.cluster.conns)
+	if !c.fromCluster {
+		return s.clients.admit(c, s.MaxOpen-max(open, s.clusterReserve()), now)
+	}
+	if open < s.MaxCluster && len(s.clients.conns)+open >= s.MaxOpen && !s.clients.evictOne(now) {
+		s.cluster.counts.Refused++
+		return false
+	}
+	return s.cluster.admit(c, s.MaxCluster, now)
+}
+
 func (s *Server) closed(ec evio.Conn, _ error) evio.Action {
 	if c, ok := ec.Context().(*serverConn); ok {
 		s.mu.Lock()
-		delete(s.conns, c.id)
-		s.markActive(c)
+		c.table.remove(c)
 		s.mu.Unlock()
 	}
 	return evio.None
@@ -190,13 +159,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if in == nil {
-		out := c.out
-		c.out = nil
-		if c.closing || c.state == connClosing {
-			s.setState(c, connClosing)
-			return out, evio.Close
-		}
-		return out, evio.None
+		return s.woken(c)
 	}
 	switch c.state {
 	case connClosing:
@@ -206,56 +169,51 @@
 		// connection is closed.
 		c.closing = true
 		return nil, evio.None
+	case connDraining:
+		return nil, evio.None
 	case connReading:
 	}
-	if len(c.buf) == 0 {
-		c.lastActivity = time.Now()
-		s.markActive(c)
+	now := s.now()
+	if !c.hasPart() {
+		c.table.messageBegins(c, now)
 	}
-	c.buf = append(c.buf, in...)
-	return s.process(c)
+	c.table.received(c, now)
+	return s.process(c, in)
 }
 
-// process delivers the message in the buffer of a connection if it is complete. A malformed message
-// closes the connection.
-func (s *Server) process(c *serverConn) ([]byte, evio.Action) {
-	var msg Inbound
-	var used int
-	var err error
-	msg.Conn = c.id
-	if c.fromCluster {
-		msg.Frame, used, err = s.Split(c.buf)
-		if err != nil {
-			slog.Info("malformed frame from a controller", "err", err)
-			s.setState(c, connClosing)
-			return nil, evio.Close
-		}
-	} else {
-		msg.HTTP, used, err = ParseRequest(c.buf)
-		if err != nil {
-			status := 400
-			var parseError *ParseError
-			if errors.As(err, &parseError) {
-				status = parseError.Status
-			}
-			s.setState(c, connClosing)
-			return AppendResponse(nil, status, []byte(`{"error":"malformed request"}`), 0, true), evio.Close
-		}
+// woken returns the output of a connection that evio has woken.
+func (s *Server) woken(c *serverConn) ([]byte, evio.Action) {
+	out := c.out
+	c.out = nil
+	if c.closing || c.state == connClosing {
+		s.setState(c, connClosing)
+		return out, evio.Close
 	}
-	if used == 0 {
-		return nil, evio.None
+	return out, evio.None
+}
+
+func (s *Server) setState(c *serverConn, state connState) { c.table.setState(c, state, s.now()) }
+
+// process adds received bytes to the message of a connection, and delivers the message if it is
+// complete. A malformed one is answered, if it is a request, and its connection closed.
+func (s *Server) process(c *serverConn, in []byte) ([]byte, evio.Action) {
+	msg := Inbound{Conn: c.id}
+	complete, err := c.read(in, s.Split, &msg)
+	if err != nil {
+		return s.refuseMalformed(c, err)
 	}
-	if used < len(c.buf) {
-		c.closing = true
+	if !complete {
+		s.clients.limitMemory(c)
+		s.cluster.limitMemory(c)
+		if c.request.wantsContinue() {
+			return []byte(continueResponse), evio.None
+		}
+		return nil, evio.None
 	}
-	if msg.HTTP != nil && msg.HTTP.Close {
+	c.served = true
+	if c.request.buffered()+len(c.frame) > 0 || msg.HTTP != nil && msg.HTTP.Close {
 		c.closing = true
 	}
-	if cap(c.buf) > 8192 {
-		c.buf = nil
-	} else {
-		c.buf = c.buf[:0]
-	}
 	s.setState(c, connAwaitingAnswer)
 	if s.Deliver(msg) {
 		return nil, evio.None
@@ -264,37 +222,57 @@
 		s.setState(c, connClosing)
 		return nil, evio.Close
 	}
-	s.setState(c, connReading)
 	out := AppendResponse(nil, 503, []byte(`{"error":"busy"}`), 1, c.closing)
 	if c.closing {
 		s.setState(c, connClosing)
 		return out, evio.Close
 	}
+	s.setState(c, connReading)
 	return out, evio.None
 }
 
-// tick closes connections whose message is incomplete 10 seconds after its first bytes, and
-// connections without activity for longer than Idle.
+// refuseMalformed answers a malformed request. What the client has sent beyond it is read and
+// dropped, since closing the connection before that would take the answer away from the client. A
+// controller's connection is closed.
+func (s *Server) refuseMalformed(c *serverConn, err error) ([]byte, evio.Action) {
+	c.table.counts.Malformed++
+	slog.Debug("malformed message", "from_controller", c.fromCluster, "conn", uint64(c.id), "err", err)
+	c.dropMessage()
+	if c.fromCluster {
+		s.setState(c, connClosing)
+		return nil, evio.Close
+	}
+	s.setState(c, connDraining)
+	return AppendResponse(nil, 400, malformedBody(err), 0, true), evio.None
+}
+
+// malformedBody returns the body of the answer to a malformed request. The texts of parse errors
+// need no escapes.
+func malformedBody(err error) []byte {
+	return []byte(`{"error":"malformed request: ` + err.Error() + `"}`)
+}
+
+// tick closes connections whose message takes too long, and those without activity for longer than
+// Idle, and logs what became of connections.
 func (s *Server) tick() (time.Duration, evio.Action) {
 	s.mu.Lock()
-	var stale []*serverConn
-	now := time.Now()
-	for _, c := range s.conns {
-		limit := s.Idle
-		if len(c.buf) > 0 && c.state == connReading {
-			limit = 10 * time.Second
-		}
-		if now.Sub(c.lastActivity) > limit {
-			c.closing = true
-			stale = append(stale, c)
-		}
+	now := s.now()
+	stale := append(s.clients.overdue(now, s.Idle), s.cluster.overdue(now, s.Idle)...)
+	for _, c := range stale {
+		c.closing = true
 	}
-	refused, evicted := s.refused, s.evicted
-	s.refused, s.evicted = 0, 0
-	open := len(s.conns)
+	counts := s.clients.counts
+	counts.add(s.cluster.counts)
+	s.clients.counts, s.cluster.counts = ConnCounts{}, ConnCounts{}
+	s.reported.add(counts)
+	clients, cluster, held := len(s.clients.conns), len(s.cluster.conns), s.clients.memory.bytes
 	s.mu.Unlock()
-	if refused+evicted > 0 {
-		slog.Info("connection limit reached", "open", open, "refused", refused, "gave_way", evicted)
+	if counts.Refused+counts.EvictedIdle+counts.EvictedUnfinished > 0 {
+		slog.Info("connection limit reached", "open", clients, "open_from_controllers", cluster, "refused", counts.Refused,
+			"gave_way", counts.EvictedIdle, "unfinished_gave_way", counts.EvictedUnfinished, "unfinished_bytes", held)
+	}
+	if counts.TimedOut+counts.Malformed > 0 {
+		slog.Info("malformed or slow messages", "malformed", counts.Malformed, "too_slow", counts.TimedOut)
 	}
 	for _, c := range stale {
 		c.conn.Wake()
@@ -306,7 +284,7 @@
 // and awaits one.
 func (s *Server) Answer(id ConnID, encode func(closing bool) []byte) {
 	s.mu.Lock()
-	c := s.conns[id]
+	c := s.find(id)
 	if c == nil || c.state != connAwaitingAnswer {
 		s.mu.Unlock()
 		return
@@ -317,3 +295,14 @@
 	s.mu.Unlock()
 	conn.Wake()
 }
+
+// find returns an open connection, or nil.
+func (s *Server) find(id ConnID) *serverConn {
+	if s.clients == nil {
+		return nil
+	}
+	if c := s.clients.conns[id]; c != nil {
+		return c
+	}
+	return s.cluster.conns[id]
+}
