Controller: log lines and metrics that would have shown the incident

Now: submissions that are rejected and accepted, with the reason (debug lines, a line with counts every 5 s, a metric), open connections and why connections were ended (metrics).

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -186,14 +186,23 @@
 			for _, m := range d.meters {
 				m.Run(lastTick)
 			}
-			if d.recorder != nil {
-				d.recorder.Waiting(backlog, map[string]int{"state": d.meters[controller.ToState].Waiting(), "cloud": d.meters[controller.ToCloud].Waiting()})
-				d.recorder.Snapshot(now.Steady, d.ctl.Snapshot)
-			}
+			d.record(now.Steady, backlog)
 		}
 	}
 }
 
+// record records the state of the process between two events. backlog is the number of events that
+// wait.
+func (d *driver) record(now protocol.Micros, backlog int) {
+	if d.recorder == nil {
+		return
+	}
+	d.recorder.Waiting(backlog, map[string]int{"state": d.meters[controller.ToState].Waiting(), "cloud": d.meters[controller.ToCloud].Waiting()})
+	clients, cluster, counts := d.server.Connections()
+	d.recorder.Connections(map[string]int{"clients": clients, "controllers": cluster}, counts.ByReason())
+	d.recorder.Snapshot(now, d.ctl.Snapshot)
+}
+
 func (d *driver) handle(m any) {
 	switch e := m.(type) {
 	case controller.CallResult:
--- a/internal/controller/query_answers.go
+++ b/internal/controller/query_answers.go
@@ -16,6 +16,7 @@
 	answerFromLeader   answerSource = "answer of the leader"
 	answerRecord       answerSource = "record of an active job"
 	answerFinalRecord  answerSource = "final record"
+	answerNewRecord    answerSource = "record written for the submission"
 )
 
 // replyStatus answers a user with the status of a job.
--- a/internal/controller/refusals.go
+++ b/internal/controller/refusals.go
@@ -1,9 +1,7 @@
 package controller
 
 import (
-	"maps"
 	"net/http"
-	"slices"
 
 	"mapleslip/internal/protocol"
 )
@@ -48,28 +46,25 @@
 // refusalLogInterval is how often the numbers of refusals are logged.
 const refusalLogInterval = 5 * protocol.Second
 
-// refusalLog is the state of the periodic log of refusals.
+// refusalLog is the state of the periodic log of refusals and rejections.
 type refusalLog struct {
-	nextLog micros
-	logged  map[string]uint64 // counts that were already logged, by reason
+	nextLog           micros
+	refused, rejected countLog
 }
 
-// logRefusals logs the number of refusals since the last log line, by reason.
+// logRefusals logs the numbers of refusals, and of submissions that were refused for good, since
+// the last log lines, by reason.
 func (c *Controller) logRefusals() {
 	l := &c.refusalLog
 	if c.now.Steady < l.nextLog {
 		return
 	}
 	l.nextLog = c.now.Steady + refusalLogInterval
-	for _, reason := range slices.Sorted(maps.Keys(c.stats.Refused)) {
-		count := c.stats.Refused[reason]
-		if count == l.logged[reason] {
-			continue
-		}
-		if l.logged == nil {
-			l.logged = make(map[string]uint64)
-		}
-		c.log.Info("requests refused", "reason", reason, "count", count-l.logged[reason], "role", c.election.role.String())
-		l.logged[reason] = count
-	}
+	role := c.election.role.String()
+	l.refused.report(c.stats.Refused, func(reason string, count uint64) {
+		c.log.Info("requests refused", "reason", reason, "count", count, "role", role)
+	})
+	l.rejected.report(c.stats.Rejected, func(reason string, count uint64) {
+		c.log.Info("submissions rejected", "reason", reason, "count", count, "role", role)
+	})
 }
--- a/internal/controller/stats.go
+++ b/internal/controller/stats.go
@@ -20,6 +20,7 @@
 	RowsByStage      [stageCount]uint64 // visited rows of the slot table, by cycle stage
 	CutStepsByStage  [stageCount]uint64 // scheduling steps that reached their limit, by stage
 	Refused          map[string]uint64  // refused requests, by reason
+	Rejected         map[string]uint64  // submissions refused for good, by reason
 	Answers          map[string]uint64  // jobs' states told to users, by source
 	Malformed        uint64             // messages that did not follow the protocol
 	Failovers        uint64
@@ -59,7 +60,7 @@
 	s.Config = c.config.configStats()
 	s.Features = c.features.featureStats()
 	s.Refused, s.Checks = maps.Clone(c.stats.Refused), maps.Clone(c.stats.Checks)
-	s.Answers = maps.Clone(c.stats.Answers)
+	s.Answers, s.Rejected = maps.Clone(c.stats.Answers), maps.Clone(c.stats.Rejected)
 	if c.term != nil {
 		c.term.addLeaderStats(&s)
 	}
--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -42,19 +42,6 @@
 	errOverQuota     = errors.New("the job needs more than the team's limit")
 )
 
-// rejectionStatus returns the status of the reply that rejects a job for a reason.
-func rejectionStatus(reason error) int {
-	if errors.Is(reason, protocol.ErrNotUTF8) {
-		return http.StatusBadRequest
-	}
-	return http.StatusUnprocessableEntity
-}
-
-const (
-	descriptionTooLong   = "description too long"
-	descriptionNotStored = "the state service does not take the description"
-)
-
 // validate returns an error if a job can never run, or can't be accepted any more.
 func (sb *submissions) validate(s *protocol.JobSpec) error {
 	if s.NotUTF8 {
@@ -176,7 +163,8 @@
 				switch {
 				case status.invalid != "":
 					s.finished()
-					sb.rejectUnlessAccepted(s.to, s.spec, http.StatusUnprocessableEntity, "awaits: "+status.invalid+" is no job that can be awaited")
+					text := "awaits: " + status.invalid + " is no job that can be awaited"
+					sb.rejectUnlessAccepted(s.to, s.spec.Ref, rejection{http.StatusUnprocessableEntity, rejectedDependency, text})
 				case status.directLookupFailed || status.inconclusive && !status.cancelled:
 					s.finished()
 					sb.refuse(s.to, refusalStateService)
@@ -198,7 +186,7 @@
 // may have been different.
 func (sb *submissions) reject(to ReplyAddress, spec *protocol.JobSpec, reason error) {
 	if sb.config.state == nil || sb.election.mayActAsLeader() {
-		sb.rejectUnlessAccepted(to, spec, rejectionStatus(reason), reason.Error())
+		sb.rejectUnlessAccepted(to, spec.Ref, rejectionFor(reason))
 		return
 	}
 	// This controller's revision of the configuration may be outdated, and a rejection involves no
@@ -209,20 +197,20 @@
 			sb.refuse(to, refusalStateService)
 			return
 		}
-		sb.rejectUnlessAccepted(to, spec, rejectionStatus(reason), reason.Error())
+		sb.rejectUnlessAccepted(to, spec.Ref, rejectionFor(reason))
 	})
 }
 
-// rejectUnlessAccepted rejects a job with a status unless it was accepted before.
-func (sb *submissions) rejectUnlessAccepted(to ReplyAddress, spec *protocol.JobSpec, status int, reason string) {
-	sb.directory.findJob(priorityUser, spec.Ref, func(found jobLookup, err error) {
+// rejectUnlessAccepted rejects a job unless it was accepted before.
+func (sb *submissions) rejectUnlessAccepted(to ReplyAddress, ref string, r rejection) {
+	sb.directory.findJob(priorityUser, ref, func(found jobLookup, err error) {
 		switch {
 		case errors.Is(err, errJobNotFound):
-			sb.replyError(to, status, reason)
+			sb.rejectSubmission(to, ref, r)
 		case err != nil:
 			sb.refuse(to, refusalStateService)
 		default:
-			sb.directory.replyFound(to, spec.Ref, found)
+			sb.directory.replyFound(to, ref, found)
 		}
 	})
 }
@@ -259,7 +247,7 @@
 		case (tooLarge || malformed) && len(value) > sb.store.Accepted().MaxValueBytes:
 			sb.rejectTooLong(c)
 		case malformed:
-			sb.rejectUnlessAccepted(c.to, c.job.Spec, http.StatusBadRequest, descriptionNotStored)
+			sb.rejectUnlessAccepted(c.to, ref, rejectionNotStored)
 		default:
 			sb.refuse(c.to, refusalStateService)
 		}
@@ -269,7 +257,7 @@
 // rejectTooLong rejects a job whose record exceeds the size limit of a value. The job may have been
 // accepted before, under a larger limit or with a shorter record: the record contains an epoch.
 func (sb *submissions) rejectTooLong(c jobCreation) {
-	sb.rejectUnlessAccepted(c.to, c.job.Spec, http.StatusBadRequest, descriptionTooLong)
+	sb.rejectUnlessAccepted(c.to, c.job.Spec.Ref, rejectionTooLong)
 }
 
 // onRecordCreated replies that a job is accepted. A leader adds the job to its cluster state only
@@ -285,7 +273,9 @@
 	if sb.election.mayActAsLeader() && sb.term == term && term.cluster.Job(ref) == nil {
 		term.jobs.addJob(c.job)
 	}
-	sb.reply(c.to, http.StatusCreated, sb.createdJobStatus(c))
+	status := sb.createdJobStatus(c)
+	sb.directory.observeAnswer(ref, answerNewRecord, status)
+	sb.reply(c.to, http.StatusCreated, status)
 }
 
 // createdJobStatus returns the status of a job whose record was created. If the job depends on
--- a/internal/controller/user_gateway.go
+++ b/internal/controller/user_gateway.go
@@ -59,7 +59,7 @@
 func (g *userGateway) onSubmit(e UserRequest) {
 	spec, err := protocol.ParseJob(e.Body)
 	if err != nil && !errors.Is(err, protocol.ErrNotUTF8) {
-		g.replyError(e.Reply, http.StatusBadRequest, err.Error())
+		g.rejectSubmission(e.Reply, "", rejectionOfMalformed(err))
 		return
 	}
 	if len(spec.DependsOn) > 0 && !g.features.isEnabled(featuregate.ChainedJobs) {
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -21,6 +21,8 @@
 	outcomes      *prometheus.CounterVec
 	waitingCalls  *prometheus.GaugeVec
 	waitingEvents prometheus.Gauge
+	connections   *prometheus.GaugeVec
+	connsEnded    *prometheus.CounterVec
 	droppedSpans  prometheus.Counter
 	snapshot      snapshotCollector
 }
@@ -49,13 +51,20 @@
 			Help: "Calls that wait for their turn in this node's part of a service's rate.",
 		}, []string{"service"}),
 		waitingEvents: prometheus.NewGauge(prometheus.GaugeOpts{Name: "mapleslip_events_waiting", Help: "Events that wait to be handled."}),
+		connections: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "mapleslip_connections", Help: "Open inbound connections, by who opened them.",
+		}, []string{"from"}),
+		connsEnded: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "mapleslip_connections_ended_total",
+			Help: "Inbound connections that were refused or closed by this node, by reason.",
+		}, []string{"reason"}),
 		droppedSpans: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "mapleslip_spans_dropped_total",
 			Help: "Spans that the collector did not take in time.",
 		}),
 	}
 	m.snapshot.classes = classes
-	m.registry.MustRegister(m.steps, m.calls, m.outcomes, m.waitingCalls, m.waitingEvents, m.droppedSpans, &m.snapshot)
+	m.registry.MustRegister(m.steps, m.calls, m.outcomes, m.waitingCalls, m.waitingEvents, m.connections, m.connsEnded, m.droppedSpans, &m.snapshot)
 	return m
 }
 
@@ -82,6 +91,7 @@
 	descForgotten      = prometheus.NewDesc("mapleslip_attempts_forgotten_total", "Commands to a worker to forget an attempt that has exited.", nil, nil)
 	descRefusedOrders  = prometheus.NewDesc("mapleslip_commands_refused_total", "Direct commands that a worker refused by token or session.", nil, nil)
 	descRevived        = prometheus.NewDesc("mapleslip_attempts_revived_total", "Attempts of this term that were on their machine again after their end.", nil, nil)
+	descRejected       = prometheus.NewDesc("mapleslip_submissions_rejected_total", "Submissions that were refused for good, by reason.", []string{"reason"}, nil)
 	descAnswers        = prometheus.NewDesc("mapleslip_answers_total", "States of jobs told to users, by where the state came from.", []string{"source"}, nil)
 	descExited         = prometheus.NewDesc("mapleslip_attempts_exited", "Attempts that have exited and that their worker still reports.", nil, nil)
 	descChecks         = prometheus.NewDesc("mapleslip_checks_total", "Checks of instances that this node asked for as the leader, by outcome.", []string{"outcome"}, nil)
@@ -111,7 +121,7 @@
 func (s *snapshotCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
 		descRole, descEpoch, descSnapshotTime, descRounds, descPasses, descRows, descCutRounds, descRefused, descMalformed,
-		descTakeOvers, descTasksLost, descTokenRaises, descForgotten, descRefusedOrders, descRevived, descAnswers, descExited, descChecks, descChecksDisputed, descRollouts, descJobsDue, descLargestWait, descHosts, descHostsUnproven, descJobsAwaiting, descJobsWaiting, descTasksRunning,
+		descTakeOvers, descTasksLost, descTokenRaises, descForgotten, descRefusedOrders, descRevived, descAnswers, descRejected, descExited, descChecks, descChecksDisputed, descRollouts, descJobsDue, descLargestWait, descHosts, descHostsUnproven, descJobsAwaiting, descJobsWaiting, descTasksRunning,
 		descConfigRevision, descConfigHeld, descConfigDamaged, descConfigInForce, descConfigLag, descConfigChanges, descConfigOutdated, descFeatureLevel, descFeatureLevelServed, descFeatureLevelWaits,
 	} {
 		ch <- d
@@ -181,6 +191,9 @@
 	c.counter(descForgotten, st.ForgottenAttempts)
 	c.counter(descRefusedOrders, st.RefusedCommands)
 	c.counter(descRevived, st.RevivedAttempts)
+	for reason, n := range st.Rejected {
+		c.counter(descRejected, n, reason)
+	}
 	for source, n := range st.Answers {
 		c.counter(descAnswers, n, source)
 	}
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -33,6 +33,8 @@
 	queue        *queue
 	tracer       trace.Tracer
 	nextSnapshot protocol.Micros // time of the next snapshot; only for the event loop's goroutine
+	// endedConnections are the counts at the last call of Connections; only for that goroutine.
+	endedConnections map[string]uint64
 }
 
 // Limits of the metrics listener: a scraper that hangs occupies a connection for a limited time,
@@ -116,6 +118,21 @@
 	}
 }
 
+// Connections records how many inbound connections are open, by who opened them, and how many were
+// ended since the start, by reason. It is called by the goroutine of the event loop only.
+func (r *Recorder) Connections(open map[string]int, ended map[string]uint64) {
+	if r == nil {
+		return
+	}
+	for from, n := range open {
+		r.metrics.connections.WithLabelValues(from).Set(float64(n))
+	}
+	for reason, n := range ended {
+		r.metrics.connsEnded.WithLabelValues(reason).Add(float64(n - r.endedConnections[reason]))
+	}
+	r.endedConnections = ended
+}
+
 // Waiting records how many events, and how many calls to rate-limited services, are queued.
 func (r *Recorder) Waiting(events int, calls map[string]int) {
 	if r == nil {
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -112,6 +112,14 @@
 	c.Malformed += other.Malformed
 }
 
+// ByReason returns the counts by a reason for metrics.
+func (c ConnCounts) ByReason() map[string]uint64 {
+	return map[string]uint64{
+		"refused": c.Refused, "idle gave way": c.EvictedIdle, "unfinished gave way": c.EvictedUnfinished,
+		"message too slow": c.TimedOut, "malformed message": c.Malformed,
+	}
+}
+
 const (
 	// unfinishedGrace is how long a connection may be silent before it gives way.
 	unfinishedGrace = 500 * time.Millisecond
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -58,6 +58,9 @@
 	if s.now == nil {
 		s.now = time.Now
 	}
+	if s.clients != nil {
+		s.takeCounts()
+	}
 	memory := &heldMemory{limit: s.MaxHeld}
 	s.clients, s.cluster = newConnTable(s.Quiet, memory), newConnTable(s.Quiet, memory)
 }
@@ -261,10 +264,7 @@
 	for _, c := range stale {
 		c.closing = true
 	}
-	counts := s.clients.counts
-	counts.add(s.cluster.counts)
-	s.clients.counts, s.cluster.counts = ConnCounts{}, ConnCounts{}
-	s.reported.add(counts)
+	counts := s.takeCounts()
 	clients, cluster, held := len(s.clients.conns), len(s.cluster.conns), s.clients.memory.bytes
 	s.mu.Unlock()
 	if counts.Refused+counts.EvictedIdle+counts.EvictedUnfinished > 0 {
@@ -280,6 +280,15 @@
 	return 2 * time.Second, evio.None
 }
 
+// takeCounts returns what became of connections since the last call, and adds it to the total.
+func (s *Server) takeCounts() ConnCounts {
+	counts := s.clients.counts
+	counts.add(s.cluster.counts)
+	s.clients.counts, s.cluster.counts = ConnCounts{}, ConnCounts{}
+	s.reported.add(counts)
+	return counts
+}
+
 // Answer sends the answer to the current message of a connection, if the connection is still open
 // and awaits one.
 func (s *Server) Answer(id ConnID, encode func(closing bool) []byte) {
