Stand-ins check each message, and users send submissions in odd forms

In a scale run every other request is sent in an odd way too (chunked, absolute form, an empty line before it, split, a byte at a time).

The state service, the cloud, workers and users of the simulation, of live, dev and the scale run check each request and each answer of the controllers with a strict parser: syntax, UTF-8, names of fields, ranges, 64 KiB. A message that fails breaks a rule (in a scale run: malformed).

TestCommands of the hollow worker expects that malformed commands are told to the supervisor.

--- a/internal/scale/fakes/cloud.go
+++ b/internal/scale/fakes/cloud.go
@@ -15,6 +15,7 @@
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/wire"
+	"mapleslip/internal/strictjson"
 	"mapleslip/internal/transport"
 )
 
@@ -119,6 +120,11 @@
 func (s *cloud) handle(c *httpconn.Conn, r *transport.Request) (int, []byte) {
 	c.Traffic = &s.traffic
 	if r.Method == http.MethodPost {
+		if err := checkRequest(r); err != nil {
+			s.send(&wire.Message{Kind: wire.Broken, Name: wire.RuleMalformed, At: s.now(), Text: fmt.Sprintf("request to the cloud: %v", err)})
+			s.countAnswer(http.StatusBadRequest)
+			return http.StatusBadRequest, []byte(`{"error":"malformed"}`)
+		}
 		s.receiveCopyLater(r.Path, bytes.Clone(r.Body))
 	}
 	status, body, wait := s.serve(s.now(), r)
@@ -129,6 +135,14 @@
 	return status, body
 }
 
+// checkRequest returns why the body of a request that rents or releases machines is malformed, or nil.
+func checkRequest(r *transport.Request) error {
+	if r.Path == "/machines/release" {
+		return strictjson.CheckRelease(r.Body)
+	}
+	return strictjson.CheckRental(r.Body)
+}
+
 // receiveCopyLater carries out a copy of a request later. It does not count against the rate.
 func (s *cloud) receiveCopyLater(path string, body []byte) {
 	time.AfterFunc(time.Duration(s.duplicates.Next())*time.Microsecond, func() {
--- a/internal/scale/fakes/run.go
+++ b/internal/scale/fakes/run.go
@@ -37,7 +37,7 @@
 	if p.Platform == nil {
 		return p.Ready(errors.New("the platform's settings are missing"))
 	}
-	s := newState(p.Config, p.Platform, p.Note)
+	s := newState(p.Config, p.Platform, p.Malformed)
 	c := newCloud(p.Config, p.Platform, wire.Now, func(m *wire.Message) { _ = p.Out.Send(m) })
 	defer s.close()
 	defer c.close()
@@ -145,10 +145,10 @@
 	slowUntil    int64
 }
 
-func newState(c *wire.Config, p *protocol.Platform, note func(string, ...any)) *state {
+func newState(c *wire.Config, p *protocol.Platform, malformed func(string, ...any)) *state {
 	s := &state{latency: c.LatencyUS, refusedUntil: make(map[string]int64), slowFactor: 1}
 	s.requests = make(map[string]int)
-	s.store = simulation.NewStateService(p, func() protocol.Micros { return protocol.Micros(wire.Now()) }, note)
+	s.store = simulation.NewStateService(p, func() protocol.Micros { return protocol.Micros(wire.Now()) }, malformed)
 	return s
 }
 
--- a/internal/scale/hollow/run.go
+++ b/internal/scale/hollow/run.go
@@ -381,6 +381,11 @@
 	p.send(&wire.Message{Kind: wire.Note, Name: p.config.Part, At: p.now(), Text: fmt.Sprintf(format, args...)})
 }
 
+// malformed tells of a message of a controller that does not follow the protocol.
+func (p *process) malformed(what string, err error) {
+	p.send(&wire.Message{Kind: wire.Broken, Name: wire.RuleMalformed, At: p.now(), Text: what + ": " + err.Error()})
+}
+
 // recordReport records the latency of an answered report, or a failure.
 func (p *process) recordReport(took int64, failed bool) {
 	if failed {
--- a/internal/scale/hollow/worker.go
+++ b/internal/scale/hollow/worker.go
@@ -12,6 +12,7 @@
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/httpconn"
 	"mapleslip/internal/scale/wire"
+	"mapleslip/internal/strictjson"
 	"mapleslip/internal/transport"
 )
 
@@ -378,6 +379,9 @@
 
 // handleAnswer handles the answer to a report.
 func (w *worker) handleAnswer(now, sent int64, session uint64, r *transport.Response) {
+	if err := strictjson.CheckReportAnswer(r.Status, r.Body); err != nil {
+		w.process.malformed("answer to a report", err)
+	}
 	if r.Status != 200 && r.Status != 421 {
 		w.selectNextController(now)
 		return
@@ -616,6 +620,10 @@
 		return 200, w.append(nil)
 	case r.Method == "POST" && r.Path == "/commands":
 		c.Traffic = &w.process.commandTraffic
+		if err := strictjson.CheckCommands(r.Body); err != nil {
+			w.process.malformed("commands", err)
+			return 400, []byte(`{"error":"malformed"}`)
+		}
 		now := w.process.now()
 		w.receiveCopyLater(now, bytes.Clone(r.Body))
 		return w.executeCommands(now, r.Body)
--- a/internal/scale/hollow/worker_test.go
+++ b/internal/scale/hollow/worker_test.go
@@ -228,7 +228,8 @@
 		launch("000031/1", 1), launch("000011/4", 1))
 	r.expect("1 000011/0#1:fetching 000031/0#1:fetching", forget("000011/0", 1), forget("000011/0", 2), forget("000031/1", 1), forget("000099/0", 1), forget("000011/4", 1))
 	r.advanceTo(2)
-	r.expectSent()
+	// The malformed commands are told to the supervisor, as broken rules.
+	r.expectSent("0.00 broken  commands: not JSON: EOF", "0.00 broken  commands: epoch or tenure is missing", "0.00 broken  commands: epoch or tenure is missing")
 	r.advanceTo(2.1) // 2 GB at 1 GB/s, fetched once for both tasks
 	r.expectSent("2.00 enter req-000011/0#1", "2.00 enter req-000031/0#1")
 	r.expect("1 000011/0#1:running 000031/0#1:running")
--- a/internal/scale/ipc/ipc.go
+++ b/internal/scale/ipc/ipc.go
@@ -87,6 +87,12 @@
 	return problem
 }
 
+// Malformed tells the supervisor of a message that a controller sent and that does not follow the
+// protocol.
+func (p *Pipe) Malformed(format string, args ...any) {
+	_ = p.Out.Send(&wire.Message{Kind: wire.Broken, Name: wire.RuleMalformed, At: wire.Now(), Text: p.Config.Part + ": " + fmt.Sprintf(format, args...)})
+}
+
 // Note sends the supervisor a text for the report.
 func (p *Pipe) Note(format string, args ...any) {
 	_ = p.Out.Send(&wire.Message{Kind: wire.Note, Name: p.Config.Part, At: wire.Now(), Text: fmt.Sprintf(format, args...)})
--- a/internal/scale/users/run.go
+++ b/internal/scale/users/run.go
@@ -17,9 +17,11 @@
 
 	"github.com/valyala/fastjson"
 
+	"mapleslip/internal/oddform"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/ipc"
 	"mapleslip/internal/scale/wire"
+	"mapleslip/internal/strictjson"
 	"mapleslip/internal/transport"
 )
 
@@ -193,6 +195,14 @@
 	}
 }
 
+// form returns the number of the form, or of the way, of the next submission or request: every other
+// one is usual.
+func (l *load) form() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.rng.IntN(2*oddform.Forms)-oddform.Forms)
+}
+
 // count increments a counter.
 func (l *load) count(name string) {
 	l.mu.Lock()
@@ -266,6 +276,11 @@
 	l.inFlight++
 	l.mu.Unlock()
 	a := rc.call(method, path, body, timeout)
+	if a.status != 0 {
+		if err := strictjson.CheckJobAnswer(a.status, a.body); err != nil {
+			l.pipe.Malformed("answer to %s: %v", op, err)
+		}
+	}
 	l.mu.Lock()
 	l.inFlight--
 	l.counts["requests_"+op]++
@@ -293,7 +308,7 @@
 	_ = l.pipe.Out.Send(&wire.Message{Kind: wire.Submit, Ref: j.spec.Ref, Region: j.region, Due: j.due, At: wire.Now(), Run: j.run, Specs: []json.RawMessage{body}})
 	var try func(due int64)
 	try = func(due int64) {
-		a := l.request(j.region, "submit", j.spec.Ref, due, "POST", "/api/jobs", body, submitTimeout)
+		a := l.request(j.region, "submit", j.spec.Ref, due, "POST", "/api/jobs", oddform.Body(body, l.form()), submitTimeout)
 		switch a.status {
 		case 200, 201:
 			l.followJob(j)
@@ -443,7 +458,7 @@
 		return a
 	}
 	_ = c.SetDeadline(time.Now().Add(time.Duration(deadline-wire.Now()) * time.Microsecond))
-	a, keep, in, out := roundTrip(c, method, rc.addresses[c.backend], path, body)
+	a, keep, in, out := roundTrip(c, oddform.Request(method, rc.addresses[c.backend], path, body, rc.load.form()))
 	rc.load.mu.Lock()
 	rc.load.counts["bytes_in"] += float64(in)
 	rc.load.counts["bytes_out"] += float64(out)
@@ -460,12 +475,13 @@
 	return a
 }
 
-// roundTrip sends a request on a connection and reads the response.
-func roundTrip(c net.Conn, method, host, path string, body []byte) (a answer, keep bool, in, out int) {
-	payload := transport.AppendRequest(nil, method, host, path, body)
-	n, err := c.Write(payload)
-	if out = n; err != nil {
-		return a, false, 0, out
+// roundTrip sends the parts of a request on a connection and reads the response.
+func roundTrip(c net.Conn, parts [][]byte) (a answer, keep bool, in, out int) {
+	for _, part := range parts {
+		n, err := c.Write(part)
+		if out += n; err != nil {
+			return a, false, 0, out
+		}
 	}
 	buf := make([]byte, 0, 1024)
 	for {
--- a/internal/scale/wire/wire.go
+++ b/internal/scale/wire/wire.go
@@ -87,7 +87,7 @@
 	// Gauge [all to S] is sent once a second: Values by name (lag_ms_max, messages and bytes by
 	// kind).
 	Gauge = "gauge"
-	// Broken [users to S]: the rule Name was violated at At. Text has the details.
+	// Broken [users, hollow, standins to S]: the rule Name was violated at At. Text has the details.
 	Broken = "broken"
 	// Note [all to S]: Text is for the report.
 	Note = "note"
@@ -96,6 +96,9 @@
 	Stop = "stop"
 )
 
+// RuleMalformed is the rule that a controller breaks with a message that does not follow the protocol.
+const RuleMalformed = "malformed"
+
 // Faults that parts inject, with the roles that handle them.
 const (
 	// FaultEnd (hollow, worker, standins): the machines Names fail for good, with all their tasks.
--- a/internal/simulation/cloud.go
+++ b/internal/simulation/cloud.go
@@ -19,6 +19,9 @@
 		return http.StatusServiceUnavailable, `{"error":"trouble"}`
 	}
 	path, _, _ := strings.Cut(target, "?")
+	if method != http.MethodGet && !w.checkMessage("request to the cloud", checkCloudRequest(path, body)) {
+		return http.StatusBadRequest, `{"error":"malformed"}`
+	}
 	switch {
 	case path == "/machine_types":
 		return http.StatusOK, string(protocol.AppendMachineTypes(nil, w.Types))
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -230,7 +230,7 @@
 	}
 	ignoreAnswer := func(int, []byte) {} // compared in any case, see answer_comparison.go
 	if len(unfinished) > 0 {
-		w.request(n, "submit", string(unfinished[w.oddRequestRounds%len(unfinished)].body), ignoreAnswer)
+		w.request(n, "submit", w.submission(unfinished[w.oddRequestRounds%len(unfinished)]), ignoreAnswer)
 	}
 	if len(finished) > 0 {
 		w.request(n, "cancel", finished[w.oddRequestRounds%len(finished)].spec.Ref, ignoreAnswer)
@@ -281,7 +281,17 @@
 	build := func(reason string) refusable {
 		return refusable{spec.Ref, string(protocol.AppendJob(nil, spec)), reason}
 	}
-	switch i % 6 {
+	malformed := func(reason, body string) refusable { return refusable{"", body, reason} }
+	switch i % 10 {
+	case 6:
+		spec.Image = "img-1"
+		return malformed("image is not UTF-8", strings.Replace(string(protocol.AppendJob(nil, spec)), "img-1", "caf\xe9", 1))
+	case 7:
+		return malformed("unknown field is not UTF-8", strings.Replace(string(protocol.AppendJob(nil, spec)), "{", "{\"x\xff\xfe\":0,", 1))
+	case 8:
+		return malformed("cut off", strings.TrimSuffix(string(protocol.AppendJob(nil, spec)), "}"))
+	case 9:
+		return malformed("control character", strings.Replace(string(protocol.AppendJob(nil, spec)), "img-1", "img\x01", 1))
 	case 0:
 		spec.TaskResources.CPU = 4_000_000
 		return build("larger than any machine")
--- a/internal/simulation/lost_answers.go
+++ b/internal/simulation/lost_answers.go
@@ -175,7 +175,7 @@
 	if !resubmit {
 		return
 	}
-	w.request(n, "submit", string(j.body), func(status int, body []byte) {
+	w.request(n, "submit", w.submission(j), func(status int, body []byte) {
 		switch {
 		case status == 201:
 			w.reportViolation("accepted twice: %s at %s", j.spec.Ref, n.name)
--- a/internal/simulation/rollouts.go
+++ b/internal/simulation/rollouts.go
@@ -154,7 +154,7 @@
 		}
 		body = string(protocol.AppendRollout(nil, s))
 	}
-	w.requestUntilFinal(what, body, func(status int, answer []byte) bool {
+	w.requestUntilFinal(what, func() string { return body }, func(status int, answer []byte) bool {
 		if status == 503 || status == 0 {
 			return false
 		}
--- a/internal/simulation/store.go
+++ b/internal/simulation/store.go
@@ -260,11 +260,12 @@
 	case path == "/commit":
 		s.commit(body, answer)
 	case path == "/leases":
-		ttl := micros(fastjson.GetInt(body, "ttlMs")) * protocol.Millisecond
-		if s.strict && (ttl < 100*protocol.Millisecond || ttl > 600*protocol.Second) {
-			answer(400, `{"error":"ttlMs"}`)
+		if err := strictjson.CheckLease(body); err != nil {
+			s.reportViolation("lease: %v", err)
+			answer(400, `{"error":"malformed"}`)
 			return
 		}
+		ttl := micros(fastjson.GetInt(body, "ttlMs")) * protocol.Millisecond
 		s.lastLeaseID++
 		s.leases[s.lastLeaseID] = &lease{ttl, s.now() + ttl}
 		answer(200, fmt.Sprintf(`{"hold":%d}`, s.lastLeaseID))
@@ -290,7 +291,7 @@
 
 // commit carries out a transaction if all its conditions are met.
 func (s *store) commit(body []byte, answer func(int, string)) {
-	if err := strictjson.CheckRequest(body); err != nil {
+	if err := strictjson.CheckTransaction(body); err != nil {
 		s.reportViolation("transaction: %v", err)
 		answer(400, `{"error":"malformed"}`)
 		return
--- a/internal/simulation/user_verbs.go
+++ b/internal/simulation/user_verbs.go
@@ -135,7 +135,7 @@
 			}
 		}
 		w.request(n, "query", ref, check)
-		w.request(n, "submit", string(j.body), check)
+		w.request(n, "submit", w.submission(j), check)
 	}
 	return nil
 }
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -8,6 +8,7 @@
 	"github.com/valyala/fastjson"
 
 	"mapleslip/internal/controller"
+	"mapleslip/internal/oddform"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/transport"
 )
@@ -41,7 +42,7 @@
 // request sends a request of a kind to a controller and passes the answer to answer, with status 0
 // if none comes in time.
 func (w *World) request(n *node, kind, body string, answer func(int, []byte)) {
-	answer = w.comparingHandler(n, kind, body, answer)
+	answer = w.checkedAnswer(kind, w.comparingHandler(n, kind, body, answer))
 	w.nextConn++
 	conn := w.nextConn
 	w.answers[conn] = answer
@@ -99,8 +100,9 @@
 }
 
 // requestUntilFinal sends a request as a user would: to one node after another, until final reports
-// that the answer is final. It retries up to 60 times, a second after each failure.
-func (w *World) requestUntilFinal(kind, body string, final func(status int, body []byte) bool) {
+// that the answer is final. It retries up to 60 times, a second after each failure. body returns the
+// body of each attempt.
+func (w *World) requestUntilFinal(kind string, body func() string, final func(status int, body []byte) bool) {
 	var try func(left int)
 	try = func(left int) {
 		retry := func() {
@@ -113,7 +115,7 @@
 			retry()
 			return
 		}
-		w.request(n, kind, body, func(status int, answer []byte) {
+		w.request(n, kind, body(), func(status int, answer []byte) {
 			if !final(status, answer) {
 				retry()
 			}
@@ -122,12 +124,18 @@
 	try(60)
 }
 
+// submission returns the body of a job's submission, in another form each time.
+func (w *World) submission(j *userJob) string {
+	w.submissions++
+	return string(oddform.Body(j.body, w.submissions))
+}
+
 // submit sends a job's submission until it is accepted or rejected. A controller must not reject a
 // job that was accepted before.
 func (w *World) submit(j *userJob) {
 	w.jobs[j.spec.Ref] = j
 	dependenciesAccepted := w.dependenciesAccepted(j)
-	w.requestUntilFinal("submit", string(j.body), func(status int, body []byte) bool {
+	w.requestUntilFinal("submit", func() string { return w.submission(j) }, func(status int, body []byte) bool {
 		j.status = status
 		w.checkChained(j, dependenciesAccepted, status, body)
 		switch status {
@@ -152,7 +160,7 @@
 func (w *World) cancel(j *userJob) {
 	copied := j.cancelRequested
 	j.cancelRequested = true
-	w.requestUntilFinal("cancel", j.spec.Ref, func(status int, body []byte) bool {
+	w.requestUntilFinal("cancel", func() string { return j.spec.Ref }, func(status int, body []byte) bool {
 		if status != 200 {
 			return false
 		}
--- a/internal/simulation/worker_commands.go
+++ b/internal/simulation/worker_commands.go
@@ -7,6 +7,7 @@
 
 	"mapleslip/internal/controller"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/strictjson"
 )
 
 // callWorker delivers a direct command to a worker. A machine that hangs executes it when it
@@ -23,6 +24,10 @@
 			reply(200, w.report(m))
 			return
 		}
+		if !w.checkMessage("commands", strictjson.CheckCommands(c.Body)) {
+			reply(400, `{"error":"malformed"}`)
+			return
+		}
 		p := protocol.Parsers.Get()
 		defer protocol.Parsers.Put(p)
 		v, err := p.ParseBytes(c.Body)
--- a/internal/simulation/worker_heartbeats.go
+++ b/internal/simulation/worker_heartbeats.go
@@ -78,6 +78,9 @@
 func (h *heartbeat) sendLive(l *Live) {
 	l.openWorker(h.m)
 	l.sendHeartbeat(h.m.nodeIndex, h.body, func(status int, answer []byte) {
+		if status != 0 {
+			h.w.checkMessage("answer to hello", checkAnswer("hello", status, answer))
+		}
 		if !h.m.answersLost && !h.m.hung {
 			h.onAnswer(status, answer)
 		}
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -64,6 +64,7 @@
 	released                          int
 	rented                            int
 	started                           int
+	submissions                       int   // submissions sent, see submission
 	nodeCursor                        int   // position in the round-robin choice of nodes for users' requests
 	userNode                          *node // node that gets all users' requests, nil for round-robin
 	nextConn                          uint64
