--- a/internal/simulation/expectations.go
+++ b/internal/simulation/expectations.go
@@ -44,6 +44,7 @@
 	"written-again":      (*World).expectLost,
 	"starts":             func(w *World, words []string) error { return checkEqual(strconv.Itoa(w.started), words[1]) },
 	"kept":               (*World).expectKept,
+	"known-tasks":        (*World).expectKnownTasks,
 	"fits":               (*World).expectLimits,
 	"unfit":              (*World).expectLimits,
 	// answered STATUS [PHASE]: the answer to the last query-at.
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -17,6 +17,7 @@
 // the next leader or a worker late. The other faults are in late_messages.go.
 type faults struct {
 	lateCommands     lateness // direct commands that are carried out later and get no answer
+	lateCloud        lateness // rentals and releases that are carried out later
 	copiedCommands   lateness // direct commands of which a copy arrives later
 	keptReports      []keptReport
 	cancelAtEnd      int      // every N-th job that ends is cancelled at that moment; 0: none
@@ -44,6 +45,8 @@
 //	    to=leader: at the controller that leads then; to=next: the copies are kept until the
 //	    next leader reads the records (on=loading), leads (on=leading), or both (on=both)
 //	late-commands every=3 by=6: direct commands are carried out late and get no answer
+//	late-cloud every=3 by=6 [with=TEXT]: rentals and releases are carried out late and get no
+//	    answer; at=once: they are carried out at once and only the answer is lost
 //	copy-commands every=3 by=6: direct commands are carried out and answered, and a copy of them
 //	    arrives late
 //
@@ -63,6 +66,8 @@
 		w.lateCommands = l
 	case "copy-commands":
 		w.copiedCommands = l
+	case "late-cloud":
+		w.lateCloud = l
 	}
 	return nil
 }
--- a/internal/simulation/held_launch_test.go
+++ b/internal/simulation/held_launch_test.go
@@ -34,7 +34,7 @@
 machine n-000003 small a
 `)
 	at(3, "submit req-000008 service tasks=3 cpus=5 gpus=0 run=10 image=img-2") // keeps the machines in use
-	at(4, "submit req-000009 array tasks=1 run=3") // the image is on one machine
+	at(4, "submit req-000009 array tasks=1 run=3")                              // the image is on one machine
 	if strings.Contains(h.job, "moves") {
 		at(9, "fail-tasks n-000001")
 	}
--- a/internal/simulation/machine_verbs.go
+++ b/internal/simulation/machine_verbs.go
@@ -18,6 +18,7 @@
 		// never finish booting.
 		"boot-factor": func(w *World, words []string) error { w.bootFactor = parseNumber(words[1], 1); return nil },
 		"old-reports": (*World).actOldReports,
+		"replace":     (*World).actReplace,
 	}
 	for name := range machineChanges {
 		table[name] = (*World).actMachineNamed
@@ -44,6 +45,7 @@
 	"disconnect-machine": func(_ *World, m *machine) { m.holdReports, m.holdCalls, m.answersLost = true, true, true },
 	"reconnect-machine":  (*World).restoreConnection,
 	// renew-lease: a controller outside the simulation continues to renew the worker's lease.
+	"lose-session":        (*World).loseSession,
 	"renew-lease":         func(_ *World, m *machine) { m.leaseRenewed = true },
 	"stop-renewing-lease": func(_ *World, m *machine) { m.leaseRenewed = false },
 }
--- a/internal/simulation/machines.go
+++ b/internal/simulation/machines.go
@@ -108,13 +108,7 @@
 		m.leaseStart = w.now
 	}
 	if w.now > m.leaseStart+lease { // also a machine that hangs loses its tasks
-		for _, t := range m.sorted() {
-			w.taskStopped(m, t)
-		}
-		m.tasks, m.sortedTasks = map[string]*runningTask{}, nil
-		m.session++
-		m.reportSeq = 0
-		m.leaseStart = w.now
+		w.endSession(m)
 	}
 	if m.hung {
 		return
@@ -126,3 +120,14 @@
 		w.sendReport(m)
 	}
 }
+
+// endSession ends a worker's session: it kills and forgets all its tasks and begins the next one.
+func (w *World) endSession(m *machine) {
+	for _, t := range m.sorted() {
+		w.taskStopped(m, t)
+	}
+	m.tasks, m.sortedTasks = map[string]*runningTask{}, nil
+	m.session++
+	m.reportSeq = 0
+	m.leaseStart = w.now
+}
--- a/internal/simulation/network.go
+++ b/internal/simulation/network.go
@@ -128,6 +128,9 @@
 				})
 			})
 		case controller.ToCloud:
+			if w.delaysCloudRequest(n, c) {
+				return
+			}
 			w.deliverAcrossZones(n.zone, "", func() {
 				status, body := w.serveCloud(c.Method, c.Path, c.Body)
 				extra := micros(0)
--- a/internal/simulation/service_verbs.go
+++ b/internal/simulation/service_verbs.go
@@ -70,6 +70,7 @@
 		"late-reports":       (*World).actLate,
 		"late-commands":      (*World).actLate,
 		"copy-commands":      (*World).actLate,
+		"late-cloud":         (*World).actLate,
 		"in-zone":            (*World).actFault,
 		"link":               (*World).actLink,
 		"unlink":             (*World).actLink,
