--- a/internal/scale/plot.go
+++ b/internal/scale/plot.go
@@ -28,48 +28,70 @@
 	points plotter.XYs
 }
 
+// plotFile is one plot of a run.
+type plotFile struct {
+	file, title, unit string
+	curves            []curve
+}
+
+// curvesByName are curves whose points are added by name.
+type curvesByName map[string]*curve
+
+// add adds a point at the second t to the curve of each value.
+func (m curvesByName) add(t int, values map[string]float64) {
+	for name, v := range values {
+		if m[name] == nil {
+			m[name] = &curve{name: name}
+		}
+		m[name].points = append(m[name].points, plotter.XY{X: float64(t), Y: v})
+	}
+}
+
+// sorted returns the curves, sorted by name.
+func (m curvesByName) sorted() (list []curve) {
+	for _, name := range slices.Sorted(maps.Keys(m)) {
+		list = append(list, *m[name])
+	}
+	return list
+}
+
 // writePlots writes the plots of the run into a folder.
 func (r *Report) writePlots(dir string) error {
 	if len(r.Seconds) < 2 {
 		return nil
 	}
-	starts, running := curve{name: "starts a second"}, curve{name: "tasks running"}
-	cpu, rss, regions := make(map[string]*curve), make(map[string]*curve), make(map[string]*curve)
-	add := func(to map[string]*curve, t int, values map[string]float64) {
-		for role, v := range values {
-			c := to[role]
-			if c == nil {
-				c = &curve{name: role}
-				to[role] = c
-			}
-			c.points = append(c.points, plotter.XY{X: float64(t), Y: v})
+	for _, p := range append(r.plotsOfSeconds(), r.plotsOfSeries()...) {
+		if err := r.writePlot(filepath.Join(dir, p.file), p.title, p.unit, p.curves); err != nil {
+			return fmt.Errorf("%s: %w", p.file, err)
 		}
 	}
+	return nil
+}
+
+// plotsOfSeconds returns the plots of what is measured each second.
+func (r *Report) plotsOfSeconds() []plotFile {
+	starts, running := curve{name: "starts a second"}, curve{name: "tasks running"}
+	cpu, rss, regions := curvesByName{}, curvesByName{}, curvesByName{}
 	for _, s := range r.Seconds {
 		starts.points = append(starts.points, plotter.XY{X: float64(s.T), Y: float64(s.Starts)})
 		if s.CPU != nil {
 			running.points = append(running.points, plotter.XY{X: float64(s.T), Y: float64(s.Running)})
 		}
-		add(cpu, s.T, s.CPU)
-		add(rss, s.T, s.RSS)
-		add(regions, s.T, s.Regions)
+		cpu.add(s.T, s.CPU)
+		rss.add(s.T, s.RSS)
+		regions.add(s.T, s.Regions)
 	}
-	list := func(m map[string]*curve) (out []curve) {
-		for _, k := range slices.Sorted(maps.Keys(m)) {
-			out = append(out, *m[k])
-		}
-		return out
-	}
-	plots := []struct {
-		file, title, unit string
-		curves            []curve
-	}{
+	return []plotFile{
 		{"starts.svg", "Starts of tasks", "a second", []curve{starts}},
 		{"running.svg", "Tasks on machines", "tasks", []curve{running}},
-		{"regions.svg", "Tasks that run, by region, as the workers say", "tasks", list(regions)},
-		{"processor.svg", "Processor time by role, all its processes", "cores", list(cpu)},
-		{"memory.svg", "Memory by role, all its processes", "MB", list(rss)},
+		{"regions.svg", "Tasks that run, by region, as the workers say", "tasks", regions.sorted()},
+		{"processor.svg", "Processor time by role, all its processes", "cores", cpu.sorted()},
+		{"memory.svg", "Memory by role, all its processes", "MB", rss.sorted()},
 	}
+}
+
+// plotsOfSeries returns the plots of the waits of each class and of submissions.
+func (r *Report) plotsOfSeries() (plots []plotFile) {
 	for _, name := range slices.Sorted(maps.Keys(r.Series)) {
 		class, isWait := strings.CutSuffix(name, " wait")
 		if !isWait && name != "submit" {
@@ -86,17 +108,9 @@
 			p99.points = append(p99.points, plotter.XY{X: t, Y: s.P99 / 1000})
 			p999.points = append(p999.points, plotter.XY{X: t, Y: s.P999 / 1000})
 		}
-		plots = append(plots, struct {
-			file, title, unit string
-			curves            []curve
-		}{strings.ReplaceAll(name, " ", "-") + ".svg", title, "s, by when it was due", []curve{p50, p99, p999}})
-	}
-	for _, p := range plots {
-		if err := r.writePlot(filepath.Join(dir, p.file), p.title, p.unit, p.curves); err != nil {
-			return fmt.Errorf("%s: %w", p.file, err)
-		}
+		plots = append(plots, plotFile{strings.ReplaceAll(name, " ", "-") + ".svg", title, "s, by when it was due", []curve{p50, p99, p999}})
 	}
-	return nil
+	return plots
 }
 
 // writePlot draws curves over the time of the run, with a vertical line at each injected fault.
--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -72,43 +73,49 @@
 	}
 	w.Close()
 	p.pid = p.cmd.Process.Pid
-	go func() {
-		defer r.Close()
-		deliver := func(m *wire.Message) bool {
-			select {
-			case in <- inbound{p, m}:
-				return true
-			case <-stopped:
-				return false
-			}
+	go p.readMessages(r, in, stopped)
+	go p.writeMessages(stdin)
+	go p.wait()
+	return p, nil
+}
+
+// readMessages passes on the messages of a part until it closes its output, and then nil.
+func (p *process) readMessages(r io.ReadCloser, in chan<- inbound, stopped <-chan struct{}) {
+	defer r.Close()
+	deliver := func(m *wire.Message) bool {
+		select {
+		case in <- inbound{p, m}:
+			return true
+		case <-stopped:
+			return false
 		}
-		if err := wire.Read(r, deliver); err != nil {
-			deliver(&wire.Message{Kind: wire.Note, Text: name + ": " + err.Error()})
+	}
+	if err := wire.Read(r, deliver); err != nil {
+		deliver(&wire.Message{Kind: wire.Note, Text: p.name + ": " + err.Error()})
+	}
+	deliver(nil)
+}
+
+// writeMessages writes the queued messages to a part until it exits, or is told to stop.
+func (p *process) writeMessages(stdin io.WriteCloser) {
+	defer stdin.Close()
+	writer := wire.NewWriter(stdin)
+	for {
+		select {
+		case <-p.wake:
+		case <-p.exited:
+			return
 		}
-		deliver(nil)
-	}()
-	go func() {
-		defer stdin.Close()
-		writer := wire.NewWriter(stdin)
-		for {
-			select {
-			case <-p.wake:
-			case <-p.exited:
+		p.mu.Lock()
+		list := p.queue
+		p.queue = nil
+		p.mu.Unlock()
+		for _, m := range list {
+			if writer.Send(m) != nil || m.Kind == wire.Stop {
 				return
 			}
-			p.mu.Lock()
-			list := p.queue
-			p.queue = nil
-			p.mu.Unlock()
-			for _, m := range list {
-				if writer.Send(m) != nil || m.Kind == wire.Stop {
-					return
-				}
-			}
 		}
-	}()
-	go p.wait()
-	return p, nil
+	}
 }
 
 // startController starts a controller, which appends to the log of an earlier process.
--- a/internal/scale/relay/relay.go
+++ b/internal/scale/relay/relay.go
@@ -202,73 +202,84 @@
 // connect connects an accepted connection to its target. While the link is cut it waits. If the
 // client closes the connection meanwhile, no connection to the target is made.
 func (r *relay) connect(c *net.TCPConn, public string) {
-	from := c.RemoteAddr().(*net.TCPAddr).IP
-	r.mu.Lock()
-	other, known := r.regionByIP[from.String()]
-	target := r.targets[public]
-	lossShare := r.lossShare
-	var l *link
-	if known && other != r.region {
-		l = r.link(other)
-		if wire.Now() < l.lossUntil {
-			lossShare = l.lossShare
-		}
-	} else {
-		lossShare = 0
-	}
-	lost := lossShare > 0 && r.rng.Float64() < lossShare
-	r.mu.Unlock()
-	if !known {
-		r.unknown.Add(1)
-	}
+	s, target, lost := r.newSplice(c, public)
 	r.opened.Add(1)
 	if lost {
 		r.lost.Add(1)
-		_ = c.SetLinger(0)
-		c.Close()
+		reset(c)
 		return
 	}
-	s := &splice{relay: r, link: l, delay: r.delay[other]}
-	if l == nil {
-		s.delay = 0
-	}
-	// Delays the connection by one round trip, as a handshake over the link would.
-	for at := wire.Now() + 2*s.packetDelay(); ; {
-		if until := s.heldUntil(); until > at {
-			at = until
-		}
-		wait := at - wire.Now()
-		if wait <= 0 {
-			break
-		}
-		if closedAfter(c, time.Duration(min(wait, 100_000))*time.Microsecond) {
-			c.Close()
-			return
-		}
+	if !s.awaitHandshake(c) {
+		c.Close()
+		return
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: from}, Control: func(_, _ string, raw syscall.RawConn) error {
-		// With this option the kernel chooses the source port when the target is known.
-		// An IP can then have as many connections to each target as there are ports.
-		return raw.Control(func(fd uintptr) {
-			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
-		})
-	}}
+	from := c.RemoteAddr().(*net.TCPAddr).IP
+	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: from}, Control: bindWithoutPort}
 	targetConn, err := dialer.Dial("tcp4", target)
 	if err != nil {
 		r.refused.Add(1)
-		_ = c.SetLinger(0)
-		c.Close()
+		reset(c)
 		return
 	}
 	s.client, s.target = c, targetConn.(*net.TCPConn)
-	if l != nil {
+	if s.link != nil {
 		r.mu.Lock()
-		l.conns[s] = true
+		s.link.conns[s] = true
 		r.mu.Unlock()
 	}
 	s.run()
 }
 
+// newSplice returns the splice for an accepted connection, the address of its target, and whether
+// the connection is lost on its link.
+func (r *relay) newSplice(c *net.TCPConn, public string) (s *splice, target string, lost bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	other, known := r.regionByIP[c.RemoteAddr().(*net.TCPAddr).IP.String()]
+	s = &splice{relay: r}
+	if !known {
+		r.unknown.Add(1)
+	}
+	if !known || other == r.region {
+		return s, r.targets[public], false
+	}
+	s.link, s.delay = r.link(other), r.delay[other]
+	lossShare := r.lossShare
+	if wire.Now() < s.link.lossUntil {
+		lossShare = s.link.lossShare
+	}
+	return s, r.targets[public], lossShare > 0 && r.rng.Float64() < lossShare
+}
+
+// awaitHandshake delays a connection by one round trip, as a handshake over the link would, and while
+// the link is cut. It reports whether the client has kept the connection open.
+func (s *splice) awaitHandshake(c *net.TCPConn) bool {
+	for at := wire.Now() + 2*s.packetDelay(); ; {
+		at = max(at, s.heldUntil())
+		wait := at - wire.Now()
+		if wait <= 0 {
+			return true
+		}
+		if closedAfter(c, time.Duration(min(wait, 100_000))*time.Microsecond) {
+			return false
+		}
+	}
+}
+
+// reset closes a connection so that its client sees a reset.
+func reset(c *net.TCPConn) {
+	_ = c.SetLinger(0)
+	c.Close()
+}
+
+// bindWithoutPort makes the kernel choose the source port when the target is known. An IP can then
+// have as many connections to each target as there are ports.
+func bindWithoutPort(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_IP, unix.IP_BIND_ADDRESS_NO_PORT, 1)
+	})
+}
+
 // closedAfter waits and reports whether the peer has closed the connection by then. It does not
 // read what the peer has sent.
 func closedAfter(c *net.TCPConn, wait time.Duration) bool {
--- a/internal/simulation/history_test.go
+++ b/internal/simulation/history_test.go
@@ -319,6 +319,14 @@
 		d.at(from, "if-present %s %s", m, what[0])
 		d.at(to, "if-present %s %s", m, what[1])
 	}
+	for i := range d.number("machines back at once", 0, 2) {
+		from, _ := d.span("back at once", 1)
+		if m := d.machine(); d.oneIn(2, "new name") {
+			d.at(from, "replace %s n-%06d", m, 400001+i)
+		} else {
+			d.at(from, "if-present %s lose-session", m)
+		}
+	}
 	if d.oneIn(4, "zone deaf") {
 		from, to := d.span("zone deaf", 60)
 		z := pick(d, "which zone", d.zones...)
@@ -345,6 +353,7 @@
 	late("late-writes", []int{2, 6, 10, 30}, pick(d, "carried out", "", " at=once"))
 	late("late-reports", []int{2, 6, 10, 30}, pick(d, "copies to", "", " to=leader", " to=next on=loading", " to=next on=leading", " to=next on=both"))
 	late("late-commands", []int{2, 5, 11}, "")
+	late("late-cloud", []int{2, 6, 15}, pick(d, "requests to the cloud", "", " at=once"))
 }
 
 // userRequests draws users who cancel many jobs at once, or at their end, who query all
