Submissions that are not UTF-8 don't ask a leader of an earlier version; encoded paths are read

A controller beside a leader of an earlier version forwarded such a submission and passed on the leader's 503. Now it looks the job up and refuses it for good unless the job is known: then the leader answers with the job's state. Percent-encoded characters of a path that need no encoding are decoded (RFC 3986, 6.2.2.2): GET /api/jobs/req%2D000412 got 404, also for an accepted job.

--- a/internal/controller/user_gateway.go
+++ b/internal/controller/user_gateway.go
@@ -67,9 +67,38 @@
 		return
 	}
 	e.Ref = spec.Ref
+	if spec.NotUTF8 && !e.Reply.Peer && !g.election.mayActAsLeader() {
+		g.rejectUnknownNotUTF8(e, spec)
+		return
+	}
 	g.route(e, spec)
 }
 
+// rejectUnknownNotUTF8 rejects a submission that is not UTF-8 unless its job is known. It does not ask
+// the leader, which may be of an earlier version and refuse it again and again.
+func (g *userGateway) rejectUnknownNotUTF8(e UserRequest, spec *protocol.JobSpec) {
+	if !g.mayLookUp() {
+		g.refuse(e.Reply, refusalLookupLimit)
+		return
+	}
+	g.directQueries++
+	g.directory.findJob(priorityUser, spec.Ref, func(_ jobLookup, err error) {
+		g.directQueries--
+		if errors.Is(err, errJobNotFound) {
+			g.rejectSubmission(e.Reply, spec.Ref, rejectionFor(protocol.ErrNotUTF8))
+			return
+		}
+		g.route(e, spec)
+	})
+}
+
+// mayLookUp reports whether the rate of the state service allows this controller another lookup for a
+// user without the leader.
+func (g *userGateway) mayLookUp() bool {
+	rate := g.platform.StateRequestRate * ReadShare(g.controllers(), false) * userRateShare
+	return hasCapacity(g.directQueries, minDirectRequests, rate)
+}
+
 // route serves a request about a job as the leader, or forwards it to the leader. spec is the job
 // of a submission, nil for other requests.
 func (g *userGateway) route(e UserRequest, spec *protocol.JobSpec) {
@@ -108,8 +137,7 @@
 func (g *userGateway) serveWithoutLeader(e UserRequest, spec *protocol.JobSpec) {
 	switch e.Op {
 	case protocol.OpQuery:
-		rate := g.platform.StateRequestRate * ReadShare(g.controllers(), false) * userRateShare
-		if !hasCapacity(g.directQueries, minDirectRequests, rate) {
+		if !g.mayLookUp() {
 			g.refuse(e.Reply, refusalNoLeader)
 			return
 		}
--- a/internal/transport/http_test.go
+++ b/internal/transport/http_test.go
@@ -33,6 +33,7 @@
 		{"absolute form", "GET http://10.0.0.1:8080/a?b HTTP/1.1\r\n\r\n", false, -1, "/a"},
 		{"absolute form without a path", "GET HTTP://a HTTP/1.1\r\n\r\n", false, -1, "/"},
 		{"absolute form without a host", "GET http:///a HTTP/1.1\r\n\r\n", true, 0, ""},
+		{"encoded characters", "GET /api/jobs/req%2D00041%32%2Fcancel%zz%4 HTTP/1.1\r\n\r\n", false, -1, "/api/jobs/req-000412%2Fcancel%zz%4"},
 		{"another scheme", "GET ftp://a/b HTTP/1.1\r\n\r\n", true, 0, ""},
 		{"empty lines before the request", "\r\n\r\nGET /a HTTP/1.1\r\n\r\n", false, -1, "/a"},
 		{"line without CR", "GET /a HTTP/1.1\nHost: a", true, 0, ""},
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -195,9 +195,39 @@
 	}
 	r := &Request{Method: method, Close: h.close}
 	r.Path, r.Query, _ = strings.Cut(target, "?")
+	r.Path = decodeUnreserved(r.Path)
 	return r, nil
 }
 
+// decodeUnreserved decodes the percent-encoded characters of a path that need no encoding, which
+// changes nothing of what the path means (RFC 3986, section 6.2.2.2).
+func decodeUnreserved(path string) string {
+	if !strings.Contains(path, "%") {
+		return path
+	}
+	var b strings.Builder
+	for i := 0; i < len(path); i++ {
+		if path[i] == '%' && i+2 < len(path) {
+			c, err := strconv.ParseUint(path[i+1:i+3], 16, 8)
+			if err == nil && isUnreserved(byte(c)) {
+				b.WriteByte(byte(c))
+				i += 2
+				continue
+			}
+		}
+		b.WriteByte(path[i])
+	}
+	return b.String()
+}
+
+func isUnreserved(c byte) bool {
+	switch {
+	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
+		return true
+	}
+	return strings.IndexByte("-._~", c) >= 0
+}
+
 // originForm returns the path and query of a request target, which may also be in absolute form
 // (RFC 9112, section 3.2.2).
 func originForm(target string) (string, bool) {
