--- a/internal/scale/launch.go
+++ b/internal/scale/launch.go
@@ -21,10 +21,7 @@
 
 // run starts all processes in their order, waits for a leader and runs the load.
 func (s *supervisor) run(ctx context.Context) error {
-	for i, z := range s.file.Controllers.Zones {
-		s.controllers = append(s.controllers, &controllerState{name: s.file.controllerNames()[i], zone: z, region: s.file.regionOf(z), ip: s.ip(fmt.Sprintf("1.%d", 10+i))})
-	}
-	platform, err := s.writeSettings()
+	platform, err := s.prepareControllers()
 	if err != nil {
 		return err
 	}
@@ -32,9 +29,57 @@
 	partConfig := func(role, part string) *wire.Config {
 		return &wire.Config{Role: role, Part: part, Seed: s.file.Seed, Platform: platform, Types: s.file.machineTypes(), Network: s.network.Prefix, ReportsPerCopy: s.file.Workers.ReportsPerCopy, EndsUS: s.deadline + 10*int64(protocol.Second)}
 	}
+	s.printProgress("starting %d machines in %d zones of %d regions, %d controllers, %d processes", len(machines), s.file.zoneCount(), len(s.file.Regions), len(s.controllers), s.processes())
+	if err := s.startStandins(machines, partConfig); err != nil {
+		return err
+	}
+	if err := s.startRelays(machines, partConfig); err != nil {
+		return err
+	}
+	if err := s.awaitReady(ctx); err != nil {
+		return err
+	}
+	for _, c := range s.controllers {
+		if err := s.startController(c); err != nil {
+			return err
+		}
+	}
+	if err := s.startWorkers(machines, partConfig); err != nil {
+		return err
+	}
+	if err := s.awaitReady(ctx); err != nil {
+		return err
+	}
+	s.printProgress("machines report")
+	if err := s.awaitLeader(ctx); err != nil {
+		return err
+	}
+	begin := wire.Now() + 3*int64(protocol.Second)
+	if err := s.startUsers(begin, partConfig); err != nil {
+		return err
+	}
+	if err := s.awaitReady(ctx); err != nil {
+		return err
+	}
+	s.meter.begin(begin, s.file)
+	return s.eventLoop(ctx, begin)
+}
+
+// partConfigFunc returns the configuration that the parts of all roles have in common.
+type partConfigFunc = func(role, part string) *wire.Config
+
+// prepareControllers writes the settings of the controllers and prepares the checker. It returns the platform's
+// settings.
+func (s *supervisor) prepareControllers() (platform string, err error) {
+	for i, z := range s.file.Controllers.Zones {
+		s.controllers = append(s.controllers, &controllerState{name: s.file.controllerNames()[i], zone: z, region: s.file.regionOf(z), ip: s.ip(fmt.Sprintf("1.%d", 10+i))})
+	}
+	if platform, err = s.writeSettings(); err != nil {
+		return "", err
+	}
 	p, err := protocol.ParsePlatform([]byte(platform))
 	if err != nil {
-		return err
+		return "", err
 	}
 	s.hub = checker.New(p, s.file.machineTypes(), func(part string, m *wire.Message) {
 		if p := s.parts[part]; p != nil {
@@ -47,14 +92,22 @@
 		}
 		s.meter.addStart(st)
 	})
+	return platform, nil
+}
 
-	s.printProgress("starting %d machines in %d zones of %d regions, %d controllers, %d processes", len(machines), len(p.Zones), len(s.file.Regions), len(s.controllers), s.processes())
+// startStandins starts the part that serves the state service and the cloud.
+func (s *supervisor) startStandins(machines []wire.Machine, partConfig partConfigFunc) (err error) {
 	if s.standins, err = s.startPart("standins", wire.RoleStandins, s.file.State.Region); err != nil {
 		return err
 	}
 	c := partConfig(wire.RoleStandins, "standins")
 	c.Machines, c.State, c.Cloud, c.LatencyUS, c.Spare = machines, s.stateAddr(true), s.cloudAddr(true), int64(s.file.State.LatencyMS*1000), s.spareMachines()
 	s.standins.send(&wire.Message{Kind: wire.Setup, Setup: c})
+	return nil
+}
+
+// startRelays starts the relay of each region.
+func (s *supervisor) startRelays(machines []wire.Machine, partConfig partConfigFunc) error {
 	regionByIP := s.regionsOf(machines)
 	for _, r := range s.file.Regions {
 		name := "relay-" + r.Name
@@ -68,41 +121,22 @@
 		relay.send(&wire.Message{Kind: wire.Setup, Setup: c})
 		s.relays = append(s.relays, relay)
 	}
-	if err := s.awaitReady(ctx); err != nil {
-		return err
-	}
-	for _, c := range s.controllers {
-		if err := s.startController(c); err != nil {
-			return err
-		}
-	}
-	if err := s.startWorkers(machines, partConfig); err != nil {
-		return err
-	}
-	if err := s.awaitReady(ctx); err != nil {
-		return err
-	}
-	s.printProgress("machines report")
-	if err := s.awaitLeader(ctx); err != nil {
-		return err
-	}
+	return nil
+}
 
+// startUsers starts the part that sends the load, from the time begin on.
+func (s *supervisor) startUsers(begin int64, partConfig partConfigFunc) (err error) {
 	if s.users, err = s.startPart("users", wire.RoleUsers, ""); err != nil {
 		return err
 	}
-	c = partConfig(wire.RoleUsers, "users")
+	c := partConfig(wire.RoleUsers, "users")
 	c.Types = nil
 	c.Controllers = s.controllerAddrs()
-	begin := wire.Now() + 3*int64(protocol.Second)
 	if c.Load, err = json.Marshal(s.usersPlan(begin)); err != nil {
 		return err
 	}
 	s.users.send(&wire.Message{Kind: wire.Setup, Setup: c})
-	if err := s.awaitReady(ctx); err != nil {
-		return err
-	}
-	s.meter.begin(begin, s.file)
-	return s.eventLoop(ctx, begin)
+	return nil
 }
 
 // historyPages is the number of pages of configuration history that controllers keep, as in
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -95,54 +95,60 @@
 		return nil
 	}
 	out := &scrape{calls: make(map[string]float64), steps: make(map[string]float64), stepSeconds: make(map[string]float64), refused: make(map[string]float64), other: make(map[string]float64), histograms: make(map[string]map[float64]float64)}
-	buckets := func(what string, h *dto.Histogram) {
-		by := map[float64]float64{math.Inf(1): float64(h.GetSampleCount())}
-		for _, b := range h.Bucket {
-			by[b.GetUpperBound()] = float64(b.GetCumulativeCount())
-		}
-		out.histograms[what] = by
-	}
 	for name, f := range families {
 		for _, m := range f.Metric {
-			var labels []string
-			for _, l := range m.Label {
-				labels = append(labels, l.GetValue())
-			}
-			label := strings.Join(labels, " ")
-			value := 0.0
-			switch {
-			case m.Counter != nil:
-				value = m.Counter.GetValue()
-			case m.Gauge != nil:
-				value = m.Gauge.GetValue()
-			}
-			switch {
-			case name == "mapleslip_role" && value == 1:
-				out.role = label
-			case name == "mapleslip_calls_total":
-				// Labels are sorted by name: call, outcome, service.
-				if len(labels) == 3 {
-					label = labels[2] + " " + labels[0]
-					if labels[1] != "200" {
-						label += " " + labels[1]
-					}
-				}
-				out.calls[label] += value
-			case name == "mapleslip_step_seconds" && m.Histogram != nil:
-				out.steps[label], out.stepSeconds[label] = float64(m.Histogram.GetSampleCount()), m.Histogram.GetSampleSum()
-				buckets(label, m.Histogram)
-			case name == "mapleslip_call_seconds" && m.Histogram != nil && len(labels) == 2:
-				buckets(labels[1]+" "+labels[0], m.Histogram)
-			case name == "mapleslip_refused_total":
-				out.refused[label] = value
-			case len(labels) == 0 && strings.HasPrefix(name, "mapleslip_"):
-				out.other[strings.TrimPrefix(name, "mapleslip_")] = value
-			}
+			out.add(name, m)
 		}
 	}
 	return out
 }
 
+// add adds one metric.
+func (s *scrape) add(name string, m *dto.Metric) {
+	var labels []string
+	for _, l := range m.Label {
+		labels = append(labels, l.GetValue())
+	}
+	label := strings.Join(labels, " ")
+	value := m.GetCounter().GetValue() + m.GetGauge().GetValue() // a metric is one of them
+	switch {
+	case name == "mapleslip_role" && value == 1:
+		s.role = label
+	case name == "mapleslip_calls_total":
+		s.calls[callRow(labels)] += value
+	case name == "mapleslip_step_seconds" && m.Histogram != nil:
+		s.steps[label], s.stepSeconds[label] = float64(m.Histogram.GetSampleCount()), m.Histogram.GetSampleSum()
+		s.addBuckets(label, m.Histogram)
+	case name == "mapleslip_call_seconds" && m.Histogram != nil && len(labels) == 2:
+		s.addBuckets(labels[1]+" "+labels[0], m.Histogram)
+	case name == "mapleslip_refused_total":
+		s.refused[label] = value
+	case len(labels) == 0 && strings.HasPrefix(name, "mapleslip_"):
+		s.other[strings.TrimPrefix(name, "mapleslip_")] = value
+	}
+}
+
+// callRow returns the row of the calls with some labels, which are sorted by name: call, outcome,
+// service.
+func callRow(labels []string) string {
+	if len(labels) != 3 {
+		return strings.Join(labels, " ")
+	}
+	row := labels[2] + " " + labels[0]
+	if labels[1] != "200" {
+		row += " " + labels[1]
+	}
+	return row
+}
+
+func (s *scrape) addBuckets(what string, h *dto.Histogram) {
+	counts := map[float64]float64{math.Inf(1): float64(h.GetSampleCount())}
+	for _, b := range h.Bucket {
+		counts[b.GetUpperBound()] = float64(b.GetCumulativeCount())
+	}
+	s.histograms[what] = counts
+}
+
 // highestGrownBucket returns the upper bound, in seconds, of the highest bucket whose count has
 // grown between two scrapes: nothing that was recorded between them took longer. It returns 0 if
 // no count has grown.
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -175,233 +175,6 @@
 	}
 }
 
-// rows computes the averages and rates in the window: the resource usage of each role, the
-// counters of the controllers, and the values that parts reported about themselves.
-func (m *meter) rows(r *Report) {
-	if m.began == 0 {
-		return
-	}
-	from, to := m.began+int64(r.WindowS[0]*1e6), m.began+int64(r.WindowS[1]*1e6)
-	type sum struct {
-		cpu, span, top  float64 // processor time and observed time in seconds, largest number of cores of one process
-		rss, rssTop, n  float64
-		in, out         float64 // bytes
-		sockets, socksN float64
-		socksTop        float64
-	}
-	roles := make(map[string]*sum)
-	largest := make(map[string]float64)
-	rate := make(map[string]float64)
-	leaderSpan, otherSpan, stateCalls := 0.0, 0.0, 0.0
-	var before *sample
-	for _, s := range m.samples {
-		if s.at < from || s.at >= to {
-			continue
-		}
-		leader := leaderOf(s.scraped)
-		for p, u := range s.usage {
-			role := roleOf(p, leader)
-			a := roles[role]
-			if a == nil {
-				a = &sum{}
-				roles[role] = a
-			}
-			a.n++
-			a.rss += float64(u.rss) / 1e6
-			a.rssTop = max(a.rssTop, float64(u.rss)/1e6)
-			if u.sockets >= 0 {
-				a.sockets += float64(u.sockets)
-				a.socksN++
-				a.socksTop = max(a.socksTop, float64(u.sockets))
-			}
-			if before == nil {
-				continue
-			}
-			if was, ok := before.usage[p]; ok {
-				span := float64(s.at-before.at) / 1e6
-				cpu := (u.cpu - was.cpu).Seconds()
-				a.cpu += cpu
-				a.span += span
-				a.in += float64(u.in - was.in)
-				a.out += float64(u.out - was.out)
-				a.top = max(a.top, cpu/span)
-			}
-		}
-		if before != nil {
-			span := float64(s.at-before.at) / 1e6
-			for name, c := range s.scraped {
-				previous := before.scraped[name]
-				role := "controller"
-				if name == leader {
-					role = "leader"
-				}
-				if previous == nil {
-					continue
-				}
-				if role == "leader" {
-					leaderSpan += span
-				} else {
-					otherSpan += span
-				}
-				for what, pair := range map[string][2]map[string]float64{"calls": {c.calls, previous.calls}, "events": {c.steps, previous.steps}, "step seconds": {c.stepSeconds, previous.stepSeconds}, "refused": {c.refused, previous.refused}} {
-					for k, v := range pair[0] {
-						d := v - pair[1][k]
-						if d < 0 {
-							d = v // the counter restarted at 0 with its process
-						}
-						rate[role+" "+what+" "+k] += d
-					}
-				}
-				for k, what := range map[string]string{"config_changes_total": "config revisions", "config_outdated_total": "config outdated"} {
-					if d := c.other[k] - previous.other[k]; d > 0 {
-						rate[role+" "+what] += d
-					}
-				}
-				stateCalls += increase(c.calls, previous.calls, "state ")
-				for _, what := range []string{"tick", "report", "state lease", "state commit"} {
-					// After a restart of the process, counts are lower and no bucket has grown.
-					k, d := role+" longest "+what+" s, at most", highestGrownBucket(c.histograms[what], previous.histograms[what])
-					if math.IsInf(d, 1) { // above the highest finite bucket
-						k, d = role+" longest "+what+" s, over", highestFiniteBucket(c.histograms[what])
-					}
-					largest[k] = max(largest[k], d)
-				}
-			}
-		}
-		before = s
-	}
-	for role, a := range roles {
-		if a.span > 0 {
-			r.Rows[role+" cores"] = a.cpu / a.span
-			r.Rows[role+" cores, largest second"] = a.top
-			r.Rows[role+" bytes in per s"], r.Rows[role+" bytes out per s"] = a.in/a.span, a.out/a.span
-		}
-		r.Rows[role+" memory MB"] = a.rss / a.n
-		r.Rows[role+" memory MB, largest"] = a.rssTop
-		if a.socksN > 0 {
-			r.Rows[role+" sockets"] = a.sockets / a.socksN
-			r.Rows[role+" sockets, largest"] = a.socksTop
-		}
-	}
-	for k, v := range rate {
-		span := otherSpan
-		if strings.HasPrefix(k, "leader ") {
-			span = leaderSpan
-		}
-		if span > 0 && v > 0 {
-			r.Rows[k+" per s"] = v / span
-		}
-	}
-	for k, v := range largest {
-		if v > 0 {
-			r.Rows[k] = v
-		}
-	}
-	m.partRows(r, from, to)
-	if n := rate["leader config revisions"]; n > 0 && leaderSpan > 0 {
-		// These rows contain all calls and writes of the run. The cost of the changes alone is
-		// the difference from a run without changes.
-		r.Rows["run state calls by change, all of them"] = stateCalls / n
-		r.Rows["run state writes by change, all of them"] = r.Rows[wire.RoleStandins+" state_writes per s"] / (n / leaderSpan)
-	}
-	worker := 0.0
-	for _, k := range []string{"hello_in", "hello_out", "commands_in", "commands_out"} {
-		worker += r.Rows[wire.RoleWorker+" "+k+"_bytes per s"]
-	}
-	if worker > 0 {
-		r.Rows["worker control bytes per s, both ways"] = worker
-	}
-	starts, running, n := 0, 0, 0
-	for _, s := range r.Seconds {
-		if float64(s.T) >= r.WindowS[0] && float64(s.T) < r.WindowS[1] {
-			starts += s.Starts
-			running += s.Running
-			n++
-		}
-	}
-	if n > 0 {
-		r.Rows["run starts per s"], r.Rows["run tasks running"] = float64(starts)/float64(n), float64(running)/float64(n)
-	}
-}
-
-// increase returns the total growth of the counters whose names have the prefix. A counter that
-// is lower than before restarted at 0 with its process.
-func increase(now, before map[string]float64, prefix string) (sum float64) {
-	for k, v := range now {
-		if strings.HasPrefix(k, prefix) {
-			d := v - before[k]
-			if d < 0 {
-				d = v
-			}
-			sum += d
-		}
-	}
-	return sum
-}
-
-// gaugeNames are the values reported by parts that are gauges. All others are counters, except
-// for names that end with _max or _p99, of which the largest value is kept.
-var gaugeNames = map[string]bool{
-	"state_keys": true, "state_bytes": true, "state_leases": true, "state_watches": true, "state_connections": true,
-	"cloud_machines": true, "cloud_free_slots": true, "cloud_connections": true, "connections": true, "in_flight": true, "healthy": true,
-	"workers": true, "tasks_on": true, "tasks_running": true, "tasks_reported": true, "listeners": true, "links_open": true,
-}
-
-// partRows adds the values that parts reported about themselves: averages of gauges and rates of
-// counters. They are summed over the processes of a role, but averaged for real workers, to show
-// the cost of a single worker.
-func (m *meter) partRows(r *Report, from, to int64) {
-	type agg struct{ sum, n float64 }
-	out := make(map[string]*agg)
-	add := func(key string, v float64, mean bool) {
-		a := out[key]
-		if a == nil {
-			a = &agg{}
-			out[key] = a
-		}
-		a.sum += v
-		if a.n++; !mean {
-			a.n = 1
-		}
-	}
-	for name, list := range m.gauges {
-		var in []gauge
-		for _, g := range list {
-			if g.at >= from && g.at < to {
-				in = append(in, g)
-			}
-		}
-		if len(in) < 2 {
-			continue
-		}
-		role := m.parts[name].role
-		first, last := in[0], in[len(in)-1]
-		for key := range last.values {
-			sum, top := 0.0, 0.0
-			for _, g := range in {
-				sum += g.values[key]
-				top = max(top, g.values[key])
-			}
-			switch {
-			case strings.HasSuffix(key, "_max") || strings.HasSuffix(key, "_p99"):
-				k := role + " " + key
-				if a := out[k]; a == nil || a.sum < top {
-					out[k] = &agg{top, 1}
-				}
-			case gaugeNames[key]:
-				add(role+" "+key, sum/float64(len(in)), role == wire.RoleWorker)
-			default:
-				add(role+" "+key+" per s", (last.values[key]-first.values[key])/(float64(last.at-first.at)/1e6), role == wire.RoleWorker)
-			}
-		}
-	}
-	for k, a := range out {
-		if a.sum != 0 {
-			r.Rows[k] = a.sum / a.n
-		}
-	}
-}
-
 // Write writes the report and its plots into a folder.
 func (r *Report) Write(dir string) error {
 	text, err := json.MarshalIndent(r, "", " ")
@@ -436,27 +209,38 @@
 // Print writes the report as a table.
 func (r *Report) Print(out io.Writer) {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	r.printSummary(w)
+	w.Flush()
+	fmt.Fprintln(out)
+	r.printTimes(w)
+	w.Flush()
+	fmt.Fprintln(out)
+	r.printRoles(w)
+	w.Flush()
+	if v := r.Rows["worker control bytes per s, both ways"]; v > 0 {
+		fmt.Fprintf(out, "control of a real worker: %.0f bytes a second both ways at %.1f tasks\n", v, r.Rows["worker tasks_running"])
+	}
+	if v := r.Rows["leader longest tick s, at most"]; v > 0 {
+		fmt.Fprintf(out, "leader: longest round at most %.2g s, longest renewal at most %.2g s\n", v, r.Rows["leader longest state lease s, at most"])
+	}
+}
+
+// maxPrinted is how many reasons and how many notes are printed.
+const maxPrinted = 10
+
+func (r *Report) printSummary(w io.Writer) {
 	line := func(name, format string, args ...any) {
 		fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...))
 	}
 	line("verdict", "%s", verdicts[r.Exit])
-	for _, reason := range r.Reasons[:min(len(r.Reasons), 10)] {
+	for _, reason := range r.Reasons[:min(len(r.Reasons), maxPrinted)] {
 		line("", "%s", reason)
 	}
 	line("run", "%s, part %g, seed %d, %.0f s; averages and percentiles of %.0f s to %.0f s", r.Name, r.Part, r.Seed, r.TookS, r.WindowS[0], r.WindowS[1])
 	line("size", "%d workers in %d zones, %d teams, %d controllers", r.Workers, r.Zones, r.Teams, r.Controllers)
 	line("this machine", "%d processors, p95 of busy %.0f%%; lag p99 %.0f ms, largest %.0f ms; %d of %d MB", r.Machine.Processors, r.Machine.BusyP95*100, r.Machine.LagMSP99, r.Machine.LagMSMax, r.Machine.PeakMB, r.Machine.MemoryMB)
 	line("jobs", "%d; %d starts of tasks, %d done, %d running at the end", r.Counts.Jobs, r.Counts.Starts, r.Counts.Done, r.Counts.Running)
-	peak, peakAt := 0.0, 0
-	for i := 0; i+spanS <= len(r.Seconds); i++ {
-		n := 0
-		for _, s := range r.Seconds[i : i+spanS] {
-			n += s.Starts
-		}
-		if v := float64(n) / spanS; v > peak {
-			peak, peakAt = v, i
-		}
-	}
+	peak, peakAt := r.peakOfStarts()
 	line("starts a second", "%.1f in the mean, %.1f in the %d s from %d s on", r.Rows["run starts per s"], peak, spanS, peakAt)
 	if len(r.Counts.Leaves) > 0 {
 		var parts []string
@@ -476,12 +260,27 @@
 			}
 		}
 	}
-	for _, n := range r.Notes[:min(len(r.Notes), 10)] {
+	for _, n := range r.Notes[:min(len(r.Notes), maxPrinted)] {
 		line("note", "%s", n)
 	}
-	w.Flush()
+}
 
-	fmt.Fprintln(out)
+// peakOfStarts returns the largest mean of starts a second over spanS seconds, and the second from
+// which on it was reached.
+func (r *Report) peakOfStarts() (peak float64, from int) {
+	for i := 0; i+spanS <= len(r.Seconds); i++ {
+		n := 0
+		for _, s := range r.Seconds[i : i+spanS] {
+			n += s.Starts
+		}
+		if v := float64(n) / spanS; v > peak {
+			peak, from = v, i
+		}
+	}
+	return peak, from
+}
+
+func (r *Report) printTimes(w io.Writer) {
 	fmt.Fprintln(w, "time\tcount\tp50\tp99\tp99.9\tlargest\twithin\tnever started")
 	ms := func(v float64) string { return milliseconds(int64(v * 1000)) }
 	for _, k := range slices.Sorted(maps.Keys(r.Latency)) {
@@ -495,9 +294,9 @@
 		}
 		fmt.Fprintf(w, "%s\t%d\t%s\t%s\t%s\t%s\t%s\t%s\n", k, p.Count, ms(p.P50), ms(p.P99), ms(p.P999), ms(p.Max), within, never)
 	}
-	w.Flush()
+}
 
-	fmt.Fprintln(out)
+func (r *Report) printRoles(w io.Writer) {
 	fmt.Fprintln(w, "role, each process\tcores\tlargest second\tMB\tlargest\tsockets\tlargest\tKB/s in\tout")
 	for _, role := range []string{"leader", roleController, wire.RoleWorker, wire.RoleHollow, wire.RoleStandins, wire.RoleRelay, wire.RoleUsers, "supervisor"} {
 		if _, ok := r.Rows[role+" memory MB"]; !ok {
@@ -507,11 +306,4 @@
 		fmt.Fprintf(w, "%s\t%.4f\t%.2f\t%.1f\t%.1f\t%.0f\t%.0f\t%.1f\t%.1f\n", role, v("cores"), v("cores, largest second"), v("memory MB"), v("memory MB, largest"), v("sockets"), v("sockets, largest"),
 			v("bytes in per s")/1000, v("bytes out per s")/1000)
 	}
-	w.Flush()
-	if v := r.Rows["worker control bytes per s, both ways"]; v > 0 {
-		fmt.Fprintf(out, "control of a real worker: %.0f bytes a second both ways at %.1f tasks\n", v, r.Rows["worker tasks_running"])
-	}
-	if v := r.Rows["leader longest tick s, at most"]; v > 0 {
-		fmt.Fprintf(out, "leader: longest round at most %.2g s, longest renewal at most %.2g s\n", v, r.Rows["leader longest state lease s, at most"])
-	}
 }
--- a/internal/scale/settings.go
+++ b/internal/scale/settings.go
@@ -382,3 +382,11 @@
 
 // Text returns the settings as TOML. A run writes them to its output folder.
 func (f *File) Text() ([]byte, error) { return toml.Marshal(f) }
+
+// zoneCount returns the number of zones of all regions.
+func (f *File) zoneCount() (n int) {
+	for _, r := range f.Regions {
+		n += len(r.Zones)
+	}
+	return n
+}
--- a/internal/scale/slopes.go
+++ b/internal/scale/slopes.go
@@ -36,87 +36,106 @@
 	AtTwo     float64   `json:"at_two"`    // value of the line at part 2
 }
 
+// sizedRun has the figures of a good run and its size.
+type sizedRun struct {
+	size    float64
+	figures map[string]float64
+}
+
 // Slopes fits a line to each row that all good runs have, and to each rate that at least one of
 // them has. by is the figure that serves as size; if it is "", the number of workers does. Runs
 // that are not good are ignored.
 func Slopes(reports []*Report, by string) ([]Slope, error) {
-	type point struct {
-		x float64
-		r map[string]float64
+	runs, sizeAtOne, err := goodRuns(reports, by)
+	if err != nil {
+		return nil, err
 	}
-	var points []point
-	sizeAtOne := 0.0
+	var out []Slope
+	for _, row := range comparableRows(runs) {
+		out = append(out, fitRow(row, runs, sizeAtOne))
+	}
+	return out, nil
+}
+
+// goodRuns returns the good runs, which must be of two sizes at least, and the size at part 1.
+func goodRuns(reports []*Report, by string) (runs []sizedRun, sizeAtOne float64, err error) {
 	sums, counts := make(map[float64]float64), make(map[float64]int)
 	for _, r := range reports {
 		if r.Exit != ExitGood {
 			continue
 		}
 		f := r.figures()
-		x := float64(r.Workers)
+		size := float64(r.Workers)
 		if by != "" {
 			v, ok := f[by]
 			if !ok {
-				return nil, fmt.Errorf("--by: no run has the row %q", by)
+				return nil, 0, fmt.Errorf("--by: no run has the row %q", by)
 			}
-			x = v
+			size = v
 		}
-		points = append(points, point{x, f})
-		sums[r.Part] += x
+		runs = append(runs, sizedRun{size, f})
+		sums[r.Part] += size
 		counts[r.Part]++
 		sizeAtOne = max(sizeAtOne, float64(r.Workers)/r.Part)
 	}
 	if len(counts) < 2 {
-		return nil, fmt.Errorf("%d good runs of %d sizes: a line needs two sizes", len(points), len(counts))
+		return nil, 0, fmt.Errorf("%d good runs of %d sizes: a line needs two sizes", len(runs), len(counts))
 	}
-	if by != "" {
-		// The size at part 1 is read from a line through the sizes of all parts.
-		var parts, sizes []float64
-		for part, sum := range sums {
-			parts, sizes = append(parts, part), append(sizes, sum/float64(counts[part]))
-		}
-		a, b := stat.LinearRegression(parts, sizes, nil, false)
-		sizeAtOne = a + b
+	if by == "" {
+		return runs, sizeAtOne, nil
+	}
+	// The size at part 1 is read from a line through the sizes of all parts.
+	var parts, sizes []float64
+	for part, sum := range sums {
+		parts, sizes = append(parts, part), append(sizes, sum/float64(counts[part]))
 	}
-	// A rate that is missing in a run is 0: the counted event did not occur.
+	a, b := stat.LinearRegression(parts, sizes, nil, false)
+	return runs, a + b, nil
+}
+
+// comparableRows returns the rows that all runs have, and the rates that at least one has: a rate that
+// is missing in a run is 0, since the counted event did not occur.
+func comparableRows(runs []sizedRun) []string {
 	rows := make(map[string]float64)
-	for _, p := range points {
-		maps.Copy(rows, p.r)
+	for _, r := range runs {
+		maps.Copy(rows, r.figures)
 	}
-	for _, p := range points {
+	for _, r := range runs {
 		maps.DeleteFunc(rows, func(k string, _ float64) bool {
-			_, ok := p.r[k]
+			_, ok := r.figures[k]
 			return !ok && !strings.HasSuffix(k, " per s")
 		})
 	}
-	var out []Slope
-	for _, row := range slices.Sorted(maps.Keys(rows)) {
-		var x, y []float64
-		repeats := make(map[float64][]float64)
-		for _, p := range points {
-			x, y = append(x, p.x), append(y, p.r[row])
-			repeats[p.x] = append(repeats[p.x], p.r[row])
-		}
-		a, b := stat.LinearRegression(x, y, nil, false)
-		s := Slope{Row: row, Slope: b, Intercept: a, AtOne: a + b*sizeAtOne, AtTwo: a + 2*b*sizeAtOne}
-		squares := 0.0
-		for i := range x {
-			d := y[i] - a - b*x[i]
-			squares += d * d
-		}
-		if mean := stat.Mean(y, nil); mean != 0 {
-			s.Residual = math.Sqrt(squares/float64(len(x))) / math.Abs(mean)
-		}
-		for _, at := range slices.Sorted(maps.Keys(repeats)) {
-			v := repeats[at]
-			mean := stat.Mean(v, nil)
-			s.At, s.Means = append(s.At, at), append(s.Means, mean)
-			if mean != 0 {
-				s.Spread = max(s.Spread, (slices.Max(v)-slices.Min(v))/math.Abs(mean))
-			}
+	return slices.Sorted(maps.Keys(rows))
+}
+
+// fitRow fits a line to a row.
+func fitRow(row string, runs []sizedRun, sizeAtOne float64) Slope {
+	var x, y []float64
+	repeats := make(map[float64][]float64)
+	for _, r := range runs {
+		x, y = append(x, r.size), append(y, r.figures[row])
+		repeats[r.size] = append(repeats[r.size], r.figures[row])
+	}
+	a, b := stat.LinearRegression(x, y, nil, false)
+	s := Slope{Row: row, Slope: b, Intercept: a, AtOne: a + b*sizeAtOne, AtTwo: a + 2*b*sizeAtOne}
+	squares := 0.0
+	for i := range x {
+		d := y[i] - a - b*x[i]
+		squares += d * d
+	}
+	if mean := stat.Mean(y, nil); mean != 0 {
+		s.Residual = math.Sqrt(squares/float64(len(x))) / math.Abs(mean)
+	}
+	for _, size := range slices.Sorted(maps.Keys(repeats)) {
+		v := repeats[size]
+		mean := stat.Mean(v, nil)
+		s.At, s.Means = append(s.At, size), append(s.Means, mean)
+		if mean != 0 {
+			s.Spread = max(s.Spread, (slices.Max(v)-slices.Min(v))/math.Abs(mean))
 		}
-		out = append(out, s)
 	}
-	return out, nil
+	return s
 }
 
 // PrintSlopes writes a list of the runs and a table of the slopes in Markdown.
--- a/internal/scale/supervise.go
+++ b/internal/scale/supervise.go
@@ -168,72 +168,100 @@
 // for messages that parts send late because this machine is busy, microseconds.
 const checkDelayUS = 2_000_000
 
+// schedule is what the supervisor still has to do in a run.
+type schedule struct {
+	begin, end int64
+	lastStatus int64
+	// resume are functions that end faults; each is called until it returns true.
+	resume []func(now int64) bool
+}
+
 // eventLoop injects the faults and handles messages until the load and its settle time have passed.
 func (s *supervisor) eventLoop(ctx context.Context, begin int64) error {
-	end := begin + int64(protocol.FromSeconds(s.file.DurationS+s.file.SettleS))
+	run := &schedule{begin: begin, end: begin + int64(protocol.FromSeconds(s.file.DurationS+s.file.SettleS)), lastStatus: begin}
 	tick := time.NewTicker(200 * time.Millisecond)
 	defer tick.Stop()
 	samples := make(chan *sample, 1)
 	go s.sampleProcesses(samples)
-	lastStatus := begin
-	var pending []func(now int64) bool // functions that end faults; each is called until it returns true
 	for {
+		var err error
+		over := false
 		select {
 		case m := <-s.in:
-			s.handleMessage(m)
-			for n := 0; n < 4096 && len(s.in) > 0; n++ {
-				s.handleMessage(<-s.in)
-			}
-			if s.partErr != nil {
-				return s.partErr
-			}
+			err = s.handleMessages(m)
 		case sm := <-samples:
-			rss := s.meter.addSample(sm, s.hub.Counts().Running)
-			if n := len(sm.usage); n > s.file.Limits.Processes {
-				return &limitError{fmt.Sprintf("%d processes, limits.processes is %d", n, s.file.Limits.Processes)}
-			}
-			if total, _, err := machineMemory(); err == nil && float64(rss) > s.file.Limits.Memory*float64(total) {
-				return &limitError{fmt.Sprintf("processes take %d MB, more than limits.memory = %g of %d MB", rss>>20, s.file.Limits.Memory, total>>20)}
-			}
+			err = s.checkSample(sm)
 		case <-tick.C:
-			now := wire.Now()
-			s.hub.Tick(now - checkDelayUS)
-			if b := s.hub.Broken(); len(b) > 0 {
-				return fmt.Errorf("rule broken: %s: %s", b[0].Kind, b[0].Text)
-			}
-			if err := s.checkProcesses(); err != nil {
-				return err
-			}
-			for len(s.faults) > 0 && now >= begin+int64(protocol.FromSeconds(s.faults[0].AtS)) {
-				fault := s.faults[0]
-				s.faults = s.faults[1:]
-				more, err := s.injectFault(fault)
-				if err != nil {
-					return err
-				}
-				pending = append(pending, more...)
-			}
-			kept := pending[:0]
-			for _, resume := range pending {
-				if !resume(now) {
-					kept = append(kept, resume)
-				}
-			}
-			pending = kept
-			if s.firstStart == 0 && now > begin+int64(protocol.FromSeconds(s.file.Limits.QuietS)) {
-				return fmt.Errorf("rule broken: nothing_ran: no task started within limits.liveness_s = %g s", s.file.Limits.QuietS)
-			}
-			if now >= lastStatus+5*int64(protocol.Second) {
-				lastStatus = now
-				s.printStatus()
-			}
-			if now >= end {
-				return nil
-			}
+			over, err = s.tick(run, wire.Now())
 		case <-ctx.Done():
-			return s.contextError(ctx)
+			err = s.contextError(ctx)
+		}
+		if over || err != nil {
+			return err
+		}
+	}
+}
+
+// maxMessageBatch is how many messages are handled between two checks of the other channels.
+const maxMessageBatch = 4096
+
+// handleMessages handles a message and those that wait behind it.
+func (s *supervisor) handleMessages(first inbound) error {
+	s.handleMessage(first)
+	for n := 0; n < maxMessageBatch && len(s.in) > 0; n++ {
+		s.handleMessage(<-s.in)
+	}
+	return s.partErr
+}
+
+// checkSample adds a sample of the processes and checks their number and memory.
+func (s *supervisor) checkSample(sm *sample) error {
+	rss := s.meter.addSample(sm, s.hub.Counts().Running)
+	if n := len(sm.usage); n > s.file.Limits.Processes {
+		return &limitError{fmt.Sprintf("%d processes, limits.processes is %d", n, s.file.Limits.Processes)}
+	}
+	if total, _, err := machineMemory(); err == nil && float64(rss) > s.file.Limits.Memory*float64(total) {
+		return &limitError{fmt.Sprintf("processes take %d MB, more than limits.memory = %g of %d MB", rss>>20, s.file.Limits.Memory, total>>20)}
+	}
+	return nil
+}
+
+// tick checks the rules and the processes and injects the faults that are due. over reports that the
+// run has ended.
+func (s *supervisor) tick(run *schedule, now int64) (over bool, err error) {
+	s.hub.Tick(now - checkDelayUS)
+	if b := s.hub.Broken(); len(b) > 0 {
+		return false, fmt.Errorf("rule broken: %s: %s", b[0].Kind, b[0].Text)
+	}
+	if err := s.checkProcesses(); err != nil {
+		return false, err
+	}
+	if err := s.injectDueFaults(run, now); err != nil {
+		return false, err
+	}
+	if s.firstStart == 0 && now > run.begin+int64(protocol.FromSeconds(s.file.Limits.QuietS)) {
+		return false, fmt.Errorf("rule broken: nothing_ran: no task started within limits.liveness_s = %g s", s.file.Limits.QuietS)
+	}
+	if now >= run.lastStatus+5*int64(protocol.Second) {
+		run.lastStatus = now
+		s.printStatus()
+	}
+	return now >= run.end, nil
+}
+
+// injectDueFaults injects the faults that are due, and ends those whose time is over.
+func (s *supervisor) injectDueFaults(run *schedule, now int64) error {
+	for len(s.faults) > 0 && now >= run.begin+int64(protocol.FromSeconds(s.faults[0].AtS)) {
+		fault := s.faults[0]
+		s.faults = s.faults[1:]
+		more, err := s.injectFault(fault)
+		if err != nil {
+			return err
 		}
+		run.resume = append(run.resume, more...)
 	}
+	run.resume = slices.DeleteFunc(run.resume, func(resume func(now int64) bool) bool { return resume(now) })
+	return nil
 }
 
 // sampleProcesses samples all processes once a second until the run ends.
--- a/internal/scale/users/operators.go
+++ b/internal/scale/users/operators.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/crc32"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -78,72 +79,25 @@
 // no change lowers it.
 const lowestShare = 0.6
 
+// changeDrawer draws the keys and values of changes in the order in which they are due.
+type changeDrawer struct {
+	*Plan
+	rng         *rand.Rand
+	ceilingKeys []string
+	isSet       map[string]bool // the keys that are set once the changes so far are made
+	drained     []string        // machines that are drained then, the first one for longest
+}
+
 // drawChanges generates all changes of a run as a Poisson process, in the order in which they
 // are due. The next change of a key that is set usually removes it, so that the document stays
 // small.
 func (p *Plan) drawChanges(seed uint64) []*change {
-	o, b := p.Operators, p.Bounds
-	r := rand.New(rand.NewPCG(seed, 0xc0f16))
-	ceilingKeys := slices.Sorted(func(yield func(string) bool) {
-		for k := range b.Ceilings {
-			if !yield(k) {
-				return
-			}
-		}
-	})
-	var drained []string
-	maxDrainedNow := min(maxDrained, len(b.Machines), max(1, int(o.Drained*float64(len(b.Machines)))))
-	// isSet contains the keys that are set if the changes are made in the order in which they are due.
-	isSet := make(map[string]bool)
-	// toggle usually removes a key that is set. Otherwise it sets the key to a value.
-	toggle := func(key string, drawValue func() string) (string, string) {
-		if isSet[key] && r.IntN(4) > 0 {
-			delete(isSet, key)
-			return key, ""
-		}
-		isSet[key] = true
-		return key, drawValue()
-	}
-	drawTeamChange := func(pickLimit func(t *protocol.Team) (key string, from, to int64)) (key, value string) {
-		t := b.Teams[r.IntN(len(b.Teams))]
-		key, from, to := pickLimit(&t)
-		from = max(from, int64(float64(to)*lowestShare))
-		return toggle("team/"+t.Name+"/"+key, func() string {
-			v := from + r.Int64N(max(1, to-from))
-			return strconv.FormatFloat(float64(min(to, (v+999)/1000*1000))/1000, 'f', -1, 64)
-		})
-	}
-	drawChange := func() (key, value string) {
-		at := r.Float64() * (o.Limits + o.Guarantees + o.Drains + o.Ceilings)
-		switch {
-		case at < o.Limits:
-			return drawTeamChange(func(t *protocol.Team) (string, int64, int64) {
-				if t.Limit.GPU > 0 && r.IntN(2) == 0 {
-					return "gpus_max", t.Guarantee.GPU, t.Limit.GPU
-				}
-				return "cpus_max", t.Guarantee.CPU, t.Limit.CPU
-			})
-		case at < o.Limits+o.Guarantees:
-			return drawTeamChange(func(t *protocol.Team) (string, int64, int64) { return "cpus", 0, t.Guarantee.CPU })
-		case at < o.Limits+o.Guarantees+o.Drains:
-			if len(drained) >= maxDrainedNow || len(drained) > 0 && r.IntN(2) == 0 {
-				key, drained = "drain/machine/"+drained[0], drained[1:]
-				return key, ""
-			}
-			m := b.Machines[r.IntN(len(b.Machines))]
-			for slices.Contains(drained, m) {
-				m = b.Machines[r.IntN(len(b.Machines))]
-			}
-			drained = append(drained, m)
-			return "drain/machine/" + m, `"finish"`
-		}
-		k := ceilingKeys[r.IntN(len(ceilingKeys))]
-		return toggle("rent/"+k, func() string { return strconv.Itoa(b.Ceilings[k] + r.IntN(b.Ceilings[k]/4+2)) })
-	}
+	o := p.Operators
+	d := &changeDrawer{Plan: p, rng: rand.New(rand.NewPCG(seed, 0xc0f16)), ceilingKeys: slices.Sorted(maps.Keys(p.Bounds.Ceilings)), isSet: make(map[string]bool)}
 	var all []*change
-	for t := r.ExpFloat64() / o.Rate; t < float64(p.DurationUS)/second; t += r.ExpFloat64() / o.Rate {
+	for t := d.rng.ExpFloat64() / o.Rate; t < float64(p.DurationUS)/second; t += d.rng.ExpFloat64() / o.Rate {
 		i := len(all)
-		key, value := drawChange()
+		key, value := d.draw()
 		// All changes of a key have the same operator, which keeps their order.
 		operator := int(crc32.ChecksumIEEE([]byte(key)) % uint32(o.Operators))
 		all = append(all, &change{
@@ -154,6 +108,65 @@
 	return all
 }
 
+// draw draws the key and the value of a change; "" removes the key.
+func (d *changeDrawer) draw() (key, value string) {
+	o := d.Operators
+	at := d.rng.Float64() * (o.Limits + o.Guarantees + o.Drains + o.Ceilings)
+	switch {
+	case at < o.Limits:
+		return d.drawTeamChange(func(t *protocol.Team) (string, int64, int64) {
+			if t.Limit.GPU > 0 && d.rng.IntN(2) == 0 {
+				return "gpus_max", t.Guarantee.GPU, t.Limit.GPU
+			}
+			return "cpus_max", t.Guarantee.CPU, t.Limit.CPU
+		})
+	case at < o.Limits+o.Guarantees:
+		return d.drawTeamChange(func(t *protocol.Team) (string, int64, int64) { return "cpus", 0, t.Guarantee.CPU })
+	case at < o.Limits+o.Guarantees+o.Drains:
+		return d.drawDrain()
+	}
+	k := d.ceilingKeys[d.rng.IntN(len(d.ceilingKeys))]
+	ceiling := d.Bounds.Ceilings[k]
+	return d.toggle("rent/"+k, func() string { return strconv.Itoa(ceiling + d.rng.IntN(ceiling/4+2)) })
+}
+
+// toggle usually removes a key that is set. Otherwise it sets the key to a value.
+func (d *changeDrawer) toggle(key string, drawValue func() string) (string, string) {
+	if d.isSet[key] && d.rng.IntN(4) > 0 {
+		delete(d.isSet, key)
+		return key, ""
+	}
+	d.isSet[key] = true
+	return key, drawValue()
+}
+
+// drawTeamChange draws a limit or a guarantee of a team. pick returns its key and its bounds.
+func (d *changeDrawer) drawTeamChange(pick func(t *protocol.Team) (key string, from, to int64)) (key, value string) {
+	t := d.Bounds.Teams[d.rng.IntN(len(d.Bounds.Teams))]
+	key, from, to := pick(&t)
+	from = max(from, int64(float64(to)*lowestShare))
+	return d.toggle("team/"+t.Name+"/"+key, func() string {
+		v := from + d.rng.Int64N(max(1, to-from))
+		return strconv.FormatFloat(float64(min(to, (v+999)/1000*1000))/1000, 'f', -1, 64)
+	})
+}
+
+// drawDrain draws a machine to drain, or ends the longest drain.
+func (d *changeDrawer) drawDrain() (key, value string) {
+	machines := d.Bounds.Machines
+	most := min(maxDrained, len(machines), max(1, int(d.Operators.Drained*float64(len(machines)))))
+	if len(d.drained) >= most || len(d.drained) > 0 && d.rng.IntN(2) == 0 {
+		key, d.drained = "drain/machine/"+d.drained[0], d.drained[1:]
+		return key, ""
+	}
+	m := machines[d.rng.IntN(len(machines))]
+	for slices.Contains(d.drained, m) {
+		m = machines[d.rng.IntN(len(machines))]
+	}
+	d.drained = append(d.drained, m)
+	return "drain/machine/" + m, `"finish"`
+}
+
 // changeState is the progress of a change.
 type changeState uint8
 
--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -275,6 +275,15 @@
 	try(50)
 }
 
+// configAttempt is the change of an operator.
+type configAttempt struct {
+	w       *World
+	request *configuration.Request
+	op      protocol.UserOp
+	via     *node  // nil for any
+	expect  uint64 // the revision that the operator expects, 0 for the last one
+}
+
 // actConfig carries out config KEY=VALUE ... [via=NODE] [expect=N] [mend=true] or config-back
 // REVISION, as an operator does: it reads the last revision, requests the change and waits until
 // its own revision is in force. If another operator's change was faster, it starts again, up to
@@ -283,81 +292,93 @@
 	if w.changes == nil {
 		return fmt.Errorf("changes are off")
 	}
-	g := w.changes
-	r := &configuration.Request{Who: "operator", Set: make(map[string]string)}
-	op := protocol.OpConfigApply
-	var via *node
-	expect := uint64(0)
+	a := &configAttempt{w: w, request: &configuration.Request{Who: "operator", Set: make(map[string]string)}, op: protocol.OpConfigApply}
 	rest := words[1:]
 	if words[0] == "config-back" {
 		to, err := strconv.ParseUint(words[1], 10, 64)
 		if err != nil {
 			return err
 		}
-		r.Rollback, r.To, op, rest = true, to, protocol.OpConfigRollback, words[2:]
+		a.request.Rollback, a.request.To, a.op, rest = true, to, protocol.OpConfigRollback, words[2:]
 	}
 	for _, word := range rest {
-		key, value, err := configuration.ParseSet(word)
-		switch {
-		case err != nil:
+		if err := a.readOption(word); err != nil {
 			return err
-		case key == "via":
-			name, _ := strconv.Unquote(value)
-			if via = w.nodeNamed(name); via == nil {
-				return fmt.Errorf("no such node")
-			}
-		case key == "expect":
-			expect, _ = strconv.ParseUint(value, 10, 64)
-		case key == "mend":
-			r.Repair = true
-		default:
-			r.Set[key] = value
 		}
 	}
-	var try func(left int)
-	try = func(left int) {
-		w.operatorRequest(via, protocol.OpConfig, "", nil, func(status int, answer []byte) {
-			if status != 200 {
-				g.completed++
-				return
-			}
-			attempt := *r
-			attempt.Expected, attempt.ID = uint64(fastjson.GetInt(answer, "revision")), fmt.Sprintf("c-%d-%d", w.now, w.seq)
-			if expect > 0 {
-				attempt.Expected = expect
-			}
-			if attempt.Expected < g.reportedInForce && expect == 0 {
-				w.reportViolation("old revision: an operator was shown %d, and %d was told to be in force", attempt.Expected, g.reportedInForce)
-			}
-			w.operatorRequest(via, op, "", configuration.AppendRequest(nil, &attempt), func(status int, answer []byte) {
-				if made := g.ids[attempt.ID]; status == 409 && made > 0 {
-					w.reportViolation("configuration: request %s is revision %d, and its operator was told that it was refused", attempt.ID, made)
-				}
-				switch {
-				case status == 409 && left > 0 && expect == 0 && !r.Repair:
-					try(left - 1)
-					return
-				case status != 200:
-					w.note("an operator got %d %s", status, answer)
-					g.completed++
-					return
-				}
-				g.completed++
-				revision := uint64(fastjson.GetInt(answer, "revision"))
-				if fastjson.GetBool(answer, "changed") {
-					g.confirmed[attempt.ID], g.lastMade = revision, revision
-					if g.ids[attempt.ID] != revision {
-						w.reportViolation("configuration: an operator was told that its request is revision %d, and it is %d", revision, g.ids[attempt.ID])
-					}
-				}
-				w.awaitRevision(via, revision)
-			})
-		})
+	const maxRetries = 5
+	a.try(maxRetries)
+	return nil
+}
+
+func (a *configAttempt) readOption(word string) error {
+	key, value, err := configuration.ParseSet(word)
+	if err != nil {
+		return err
+	}
+	switch key {
+	case "via":
+		name, _ := strconv.Unquote(value)
+		if a.via = a.w.nodeNamed(name); a.via == nil {
+			return fmt.Errorf("no such node")
+		}
+	case "expect":
+		a.expect, _ = strconv.ParseUint(value, 10, 64)
+	case "mend":
+		a.request.Repair = true
+	default:
+		a.request.Set[key] = value
 	}
-	try(5)
 	return nil
 }
 
+// try reads the last revision and then requests the change. It may start again up to left times.
+func (a *configAttempt) try(left int) {
+	w, g := a.w, a.w.changes
+	w.operatorRequest(a.via, protocol.OpConfig, "", nil, func(status int, answer []byte) {
+		if status != 200 {
+			g.completed++
+			return
+		}
+		r := *a.request
+		r.Expected, r.ID = uint64(fastjson.GetInt(answer, "revision")), fmt.Sprintf("c-%d-%d", w.now, w.seq)
+		if a.expect > 0 {
+			r.Expected = a.expect
+		}
+		if r.Expected < g.reportedInForce && a.expect == 0 {
+			w.reportViolation("old revision: an operator was shown %d, and %d was told to be in force", r.Expected, g.reportedInForce)
+		}
+		w.operatorRequest(a.via, a.op, "", configuration.AppendRequest(nil, &r), func(status int, answer []byte) {
+			a.onAnswer(r.ID, left, status, answer)
+		})
+	})
+}
+
+// onAnswer handles the answer to the request with an id.
+func (a *configAttempt) onAnswer(id string, left, status int, answer []byte) {
+	w, g := a.w, a.w.changes
+	if made := g.ids[id]; status == 409 && made > 0 {
+		w.reportViolation("configuration: request %s is revision %d, and its operator was told that it was refused", id, made)
+	}
+	if status == 409 && left > 0 && a.expect == 0 && !a.request.Repair {
+		a.try(left - 1)
+		return
+	}
+	g.completed++
+	if status != 200 {
+		w.note("an operator got %d %s", status, answer)
+		return
+	}
+	revision := uint64(fastjson.GetInt(answer, "revision"))
+	if fastjson.GetBool(answer, "changed") {
+		g.confirmed[id], g.lastMade = revision, revision
+		if g.ids[id] != revision {
+			w.reportViolation("configuration: an operator was told that its request is revision %d, and it is %d", revision, g.ids[id])
+		}
+	}
+	w.awaitRevision(a.via, revision)
+}
+
 // awaitRevision waits until a revision is in force.
 func (w *World) awaitRevision(via *node, revision uint64) {
 	began := w.now
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -338,7 +338,7 @@
 		tasks = 1
 	}
 	total := protocol.Resources{}.Add(s.TaskResources, tasks)
-	if !known || !fits || team.Limit.GPU > 0 && total.GPU > team.Limit.GPU || team.Limit.CPU > 0 && total.CPU > team.Limit.CPU {
+	if !known || !fits || exceedsLimit(team.Limit, total) {
 		w.reportViolation("accepted_invalid: %s can never run", s.Ref)
 	}
 }
--- a/internal/simulation/waiting_jobs.go
+++ b/internal/simulation/waiting_jobs.go
@@ -70,36 +70,51 @@
 	var used protocol.Resources  // by the team's tasks
 	free := make(map[string]int) // tasks of the job that find room, by zone
 	for _, m := range w.sortedMachines() {
-		typ := w.typeOf(m)
-		room := typ.Capacity
-		for _, t := range m.tasks {
-			if t.state == "exited" {
-				continue
-			}
-			if t.job == j {
-				return false
-			}
-			room = room.Add(t.job.spec.TaskResources, -1)
-			if t.job.spec.Team == s.Team {
-				used = used.Add(t.job.spec.TaskResources, 1)
-			}
+		room, usedByTeam, launched := w.roomOn(m, j)
+		if launched {
+			return false
 		}
-		if m.phase != "running" || m.hung || m.failsTasks || !s.AllowsType(m.typ) || s.Zone != "" && s.Zone != m.zone || m.spot && !s.AllowSpot {
+		used = used.Add(usedByTeam, 1)
+		if m.phase != "running" || m.hung || m.failsTasks || !w.allowedOn(s, m) {
 			continue
 		}
-		places := 0
-		for ; places < need && room.Covers(s.TaskResources); room = room.Add(s.TaskResources, -1) {
-			places++
-		}
-		if places > 0 {
+		if places := placesIn(room, s.TaskResources, need); places > 0 {
 			free[m.zone] += places
 		}
 	}
-	limit := w.Platform.Teams[s.Team].Limit
-	total := used.Add(s.TaskResources, int64(need))
-	if limit.GPU > 0 && total.GPU > limit.GPU || limit.CPU > 0 && total.CPU > limit.CPU {
+	if exceedsLimit(w.Platform.Teams[s.Team].Limit, used.Add(s.TaskResources, int64(need))) {
 		return false
 	}
+	return need > 0 && fitsZones(s, free, need)
+}
+
+// roomOn returns what is free on a machine, what tasks of the job's team use there, and whether a task
+// of the job was launched there and has not ended.
+func (w *World) roomOn(m *machine, j *userJob) (room, usedByTeam protocol.Resources, launched bool) {
+	room = w.typeOf(m).Capacity
+	for _, t := range m.tasks {
+		if t.state == "exited" {
+			continue
+		}
+		launched = launched || t.job == j
+		room = room.Add(t.job.spec.TaskResources, -1)
+		if t.job.spec.Team == j.spec.Team {
+			usedByTeam = usedByTeam.Add(t.job.spec.TaskResources, 1)
+		}
+	}
+	return room, usedByTeam, launched
+}
+
+// placesIn returns how many tasks find room, at most need.
+func placesIn(room, task protocol.Resources, need int) (places int) {
+	for ; places < need && room.Covers(task); room = room.Add(task, -1) {
+		places++
+	}
+	return places
+}
+
+// fitsZones reports whether so many tasks of a job find room in zones with this many places.
+func fitsZones(s *protocol.JobSpec, free map[string]int, need int) bool {
 	places := make([]int, 0, len(free))
 	for _, n := range free {
 		if s.SpreadZones {
@@ -111,11 +126,11 @@
 		return false
 	}
 	if s.SingleZone {
-		return need > 0 && slices.Max(places) >= need
+		return slices.Max(places) >= need
 	}
 	sum := 0
 	for _, n := range places {
 		sum += n
 	}
-	return need > 0 && sum >= need
+	return sum >= need
 }
--- a/internal/simulation/worker_tasks.go
+++ b/internal/simulation/worker_tasks.go
@@ -10,51 +10,53 @@
 func (w *World) tickTask(m *machine, t *runningTask) {
 	switch t.state {
 	case "fetching":
-		if w.now < t.imageReady {
-			return
-		}
-		m.images[t.job.spec.Image] = 0
-		w.taskStarted(m, t)
-		m.stateChanged = true
-		if t.job.results[t.index] {
-			w.exitTask(m, t, "done")
-			return
-		}
-		if t.job.fails || m.failsTasks {
-			w.exitTask(m, t, "error")
-			return
-		}
-		if t.job.spec.Kind == protocol.Gang {
-			t.state, t.started = "waiting", w.now
-			w.startGangIfComplete(t.job, t.attempt)
-			return
-		}
-		t.state, t.started, t.ends = "running", w.now, w.now+t.job.run
-		if w.live != nil && t.job.spec.Kind == protocol.Service {
-			w.live.startInstance(m, t)
+		if w.now >= t.imageReady {
+			w.beginTask(m, t)
 		}
 	case "waiting":
 		if w.now > t.started+w.Platform.GangWaitTimeout {
 			w.exitTask(m, t, "incomplete")
 		}
 	case "running":
-		if t.job.spec.Kind == protocol.Gang && !w.gangComplete(t.job, t.attempt) {
-			w.exitTask(m, t, "peers")
-			return
+		w.tickRunning(m, t)
+	}
+}
+
+// beginTask begins a task whose image is there.
+func (w *World) beginTask(m *machine, t *runningTask) {
+	m.images[t.job.spec.Image] = 0
+	w.taskStarted(m, t)
+	m.stateChanged = true
+	switch {
+	case t.job.results[t.index]:
+		w.exitTask(m, t, "done")
+	case t.job.fails || m.failsTasks:
+		w.exitTask(m, t, "error")
+	case t.job.spec.Kind == protocol.Gang:
+		t.state, t.started = "waiting", w.now
+		w.startGangIfComplete(t.job, t.attempt)
+	default:
+		t.state, t.started, t.ends = "running", w.now, w.now+t.job.run
+		if w.live != nil && t.job.spec.Kind == protocol.Service {
+			w.live.startInstance(m, t)
 		}
-		if b := w.behaviourOf(t.job.spec.Image); t.job.spec.Kind == protocol.Service && b.what == "crashes" && w.now-t.started >= b.after {
+	}
+}
+
+// tickRunning ends a running task that has lost its gang, crashes or is complete.
+func (w *World) tickRunning(m *machine, t *runningTask) {
+	switch kind := t.job.spec.Kind; {
+	case kind == protocol.Gang && !w.gangComplete(t.job, t.attempt):
+		w.exitTask(m, t, "peers")
+	case kind == protocol.Service:
+		if b := w.behaviourOf(t.job.spec.Image); b.what == "crashes" && w.now-t.started >= b.after {
 			w.exitTask(m, t, "error")
-			return
 		}
-		if t.job.spec.Kind != protocol.Service && w.now >= t.ends {
-			if t.job.spec.Kind == protocol.Gang {
-				for i := range t.job.results {
-					t.job.results[i] = true
-				}
-			}
-			t.job.results[t.index] = true
-			w.exitTask(m, t, "done")
+	case w.now >= t.ends:
+		for i := range t.job.results {
+			t.job.results[i] = t.job.results[i] || i == t.index || kind == protocol.Gang
 		}
+		w.exitTask(m, t, "done")
 	}
 }
 
@@ -104,14 +106,29 @@
 func (w *World) taskStarted(m *machine, t *runningTask) {
 	t.onMachine = true
 	w.started++
-	spec := t.job.spec
-	name := fmt.Sprintf("%s/%d", spec.Ref, t.index)
+	name := fmt.Sprintf("%s/%d", t.job.spec.Ref, t.index)
 	w.note("%s starts on %s", name, m.name)
 	w.checkDependenciesDone(t.job, name)
-	typ := w.typeOf(m)
-	if !spec.AllowsType(m.typ) || spec.Zone != "" && spec.Zone != m.zone || m.spot && !spec.AllowSpot || !typ.Capacity.Covers(spec.TaskResources) {
+	if !w.allowedOn(t.job.spec, m) {
 		w.reportViolation("wrong_place: %s on %s", name, m.name)
 	}
+	w.checkBesideOthers(m, t, name)
+	w.checkStartAfterCancel(t)
+	if t.job.cancelReportedAt > 0 && w.now > t.job.cancelReportedAt+w.Platform.CancelTimeout {
+		w.reportViolation("ran_cancelled: %s", name)
+	}
+	w.checkStart("starts", m, t)
+}
+
+// allowedOn reports whether a task of a job may run on a machine of this type, zone and kind.
+func (w *World) allowedOn(spec *protocol.JobSpec, m *machine) bool {
+	allowed := spec.AllowsType(m.typ) && (spec.Zone == "" || spec.Zone == m.zone) && (!m.spot || spec.AllowSpot)
+	return allowed && w.typeOf(m).Capacity.Covers(spec.TaskResources)
+}
+
+// checkBesideOthers checks the rules for a start that depend on the tasks on all machines.
+func (w *World) checkBesideOthers(m *machine, t *runningTask, name string) {
+	spec := t.job.spec
 	zones := map[string]int{}
 	var used protocol.Resources
 	for _, other := range w.sortedMachines() {
@@ -119,11 +136,11 @@
 			if !running.onMachine {
 				continue
 			}
-			if running != t && running.job == t.job && running.index == t.index {
-				w.reportViolation("ran_twice: %s on %s and %s", name, m.name, other.name)
-			}
 			if running.job == t.job {
 				zones[other.zone]++
+				if running != t && running.index == t.index {
+					w.reportViolation("ran_twice: %s on %s and %s", name, m.name, other.name)
+				}
 			}
 			if running.job.spec.Team == spec.Team {
 				used = used.Add(running.job.spec.TaskResources, 1)
@@ -136,15 +153,14 @@
 	if spec.SpreadZones && zones[m.zone] > (spec.Tasks+1)/2 {
 		w.reportViolation("wrong_place: %s, too many in zone %s", name, m.zone)
 	}
-	limit := w.Platform.Teams[spec.Team].Limit
-	if limit.GPU > 0 && used.GPU > limit.GPU || limit.CPU > 0 && used.CPU > limit.CPU {
+	if exceedsLimit(w.Platform.Teams[spec.Team].Limit, used) {
 		w.reportViolation("quota: %s with %s", spec.Team, name)
 	}
-	w.checkStartAfterCancel(t)
-	if t.job.cancelReportedAt > 0 && w.now > t.job.cancelReportedAt+w.Platform.CancelTimeout {
-		w.reportViolation("ran_cancelled: %s", name)
-	}
-	w.checkStart("starts", m, t)
+}
+
+// exceedsLimit reports whether an amount exceeds a team's limit, in which 0 means unlimited.
+func exceedsLimit(limit, amount protocol.Resources) bool {
+	return limit.GPU > 0 && amount.GPU > limit.GPU || limit.CPU > 0 && amount.CPU > limit.CPU
 }
 
 // taskStopped records that a task no longer occupies its machine.
