Connections: idle buffers are no incomplete messages, and an unfinished connection does not get younger

The buffer that an idle connection keeps for its next message (up to 8 KiB) counted as an incomplete message: with 2,000 workers the limit on these was always reached, and each message that arrived in parts could be cut off for the next one. And a client that sent an empty line now and then, or turned its request into a malformed one, began anew each time and was never the oldest.

TestIdleBuffersCutOffNoMessage and TestSlowMessagesKeepOutNobody failed before.

--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -32,8 +32,9 @@
 	evicted     bool          // closed for another connection; evio may still report events
 	served      bool          // a complete message was received
 
-	startedAt    time.Time // when it was opened, or its current message or state began
-	lastActivity time.Time // of the last change of state or the last bytes
+	unfinishedSince time.Time // when it was opened, or its first request after others began
+	messageAt       time.Time // of the first bytes of the message that it receives or drops
+	lastActivity    time.Time // of the last change of state or the last bytes
 
 	held        int           // memory that the incomplete message takes, in bytes
 	idleElement *list.Element // of connTable.idle, nil if not there
@@ -51,8 +52,9 @@
 func (c *serverConn) read(in []byte, split FrameSplitter, msg *Inbound) (complete bool, err error) {
 	if !c.fromCluster {
 		msg.HTTP, err = c.request.add(in)
-		c.table.hold(c, c.request.held())
-		return msg.HTTP != nil, err
+		complete = msg.HTTP != nil
+		c.holdUnless(complete, c.request.held())
+		return complete, err
 	}
 	c.frame = append(c.frame, in...)
 	frame, used, err := split(c.frame)
@@ -60,8 +62,18 @@
 		msg.Frame = frame
 		c.frame = append([]byte(nil), c.frame[used:]...)
 	}
-	c.table.hold(c, cap(c.frame))
-	return msg.Frame != nil, err
+	complete = msg.Frame != nil
+	c.holdUnless(complete, cap(c.frame))
+	return complete, err
+}
+
+// holdUnless notes how much memory the message takes, unless it is complete: the buffer that is kept
+// for the next one does not count.
+func (c *serverConn) holdUnless(complete bool, bytes int) {
+	if complete {
+		bytes = 0
+	}
+	c.table.hold(c, bytes)
 }
 
 // dropMessage frees the memory of an incomplete message.
@@ -154,33 +166,37 @@
 	if c.evicted {
 		return
 	}
-	t.unlist(c)
 	c.state = state
-	c.startedAt, c.lastActivity = now, now
+	c.messageAt, c.lastActivity = now, now
+	if state == connDraining && c.silenceElement != nil {
+		return // a malformed message does not make an unfinished connection younger
+	}
+	t.unlist(c)
 	switch {
 	case state == connReading && c.served:
 		c.idleElement = t.idle.PushBack(c)
 	case state == connReading, state == connDraining:
-		t.listUnfinished(c)
+		t.listUnfinished(c, now)
 	}
 }
 
-// received notes that bytes of a message have arrived.
+// received notes that bytes of a message have arrived. An unfinished connection keeps its place by
+// start, whatever it sends.
 func (t *connTable) received(c *serverConn, now time.Time) {
+	if !c.hasPart() {
+		c.messageAt = now
+	}
 	c.lastActivity = now
 	if c.silenceElement != nil {
 		t.bySilence.MoveToBack(c.silenceElement)
+		return
 	}
-}
-
-// messageBegins notes that the first bytes of a message have arrived.
-func (t *connTable) messageBegins(c *serverConn, now time.Time) {
 	t.unlist(c)
-	c.startedAt = now
-	t.listUnfinished(c)
+	t.listUnfinished(c, now)
 }
 
-func (t *connTable) listUnfinished(c *serverConn) {
+func (t *connTable) listUnfinished(c *serverConn, now time.Time) {
+	c.unfinishedSince = now
 	c.silenceElement = t.bySilence.PushBack(c)
 	c.startElement = t.byStart.PushBack(c)
 }
@@ -215,7 +231,7 @@
 		t.evict(c)
 		return true
 	}
-	if c := front(&t.byStart); c != nil && now.Sub(c.startedAt) >= unfinishedGrace {
+	if c := front(&t.byStart); c != nil && now.Sub(c.unfinishedSince) >= unfinishedGrace {
 		t.counts.EvictedUnfinished++
 		t.evict(c)
 		return true
@@ -291,7 +307,7 @@
 func (t *connTable) overdue(now time.Time, idle time.Duration) (stale []*serverConn) {
 	for _, c := range t.conns {
 		switch {
-		case c.hasPart() && now.Sub(c.startedAt) > messageTimeout, c.state == connDraining && now.Sub(c.startedAt) > drainTimeout:
+		case c.hasPart() && now.Sub(c.messageAt) > messageTimeout, c.state == connDraining && now.Sub(c.messageAt) > drainTimeout:
 			t.counts.TimedOut++
 			stale = append(stale, c)
 		case now.Sub(c.lastActivity) > idle:
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -127,6 +127,54 @@
 	}
 }
 
+// Nor do connections that send a byte, or an empty line, at a time and never fall silent.
+func TestSlowMessagesKeepOutNobody(t *testing.T) {
+	const limit = 50
+	for _, sent := range []string{"a", "\r\n"} {
+		s, now := limitedServer(limit, 8)
+		worker := open(s, 0, "")
+		if !exchange(s, worker, healthRequest) {
+			t.Fatal("not served")
+		}
+		var flood []*fakeConn
+		for round := range 100 {
+			for range limit {
+				flood = closeEvicted(s, append(flood, open(s, 0, "POST /")))
+			}
+			for range 6 {
+				now.advance(unfinishedGrace / 5)
+				for _, c := range flood {
+					s.data(c, []byte(sent))
+				}
+			}
+			c := open(s, 0, "")
+			if !exchange(s, c, healthRequest) || !exchange(s, worker, healthRequest) {
+				t.Fatalf("%q, round %d: not served", sent, round)
+			}
+			s.closed(c, nil)
+		}
+	}
+}
+
+// The buffers that idle connections keep for their next message are no incomplete messages: however
+// many there are, a message that arrives in parts is not cut off.
+func TestIdleBuffersCutOffNoMessage(t *testing.T) {
+	s, _ := limitedServer(3000, 8)
+	report := "POST /hello HTTP/1.1\r\nContent-Length: 7000\r\n\r\n" + strings.Repeat("a", 7000)
+	for range 2000 {
+		if !exchange(s, open(s, 0, ""), report) {
+			t.Fatal("not served")
+		}
+	}
+	if s.clients.memory.bytes != 0 {
+		t.Errorf("%d bytes count as incomplete messages", s.clients.memory.bytes)
+	}
+	first, second := open(s, 0, report[:5000]), open(s, 0, report[:5000])
+	if !exchange(s, first, report[5000:]) || !exchange(s, second, report[5000:]) {
+		t.Error("a message in two parts is cut off")
+	}
+}
+
 // On the address for controllers, unfinished frames keep out no other controller and no client.
 func TestUnfinishedFramesKeepOutNobody(t *testing.T) {
 	s, now := limitedServer(100, 8)
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -176,11 +176,7 @@
 		return nil, evio.None
 	case connReading:
 	}
-	now := s.now()
-	if !c.hasPart() {
-		c.table.messageBegins(c, now)
-	}
-	c.table.received(c, now)
+	c.table.received(c, s.now())
 	return s.process(c, in)
 }
 
