--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/strictjson"
 )
 
 func testBaseline() *Baseline {
@@ -305,6 +306,9 @@
 	f.Add([]byte(`{"form":2,"revision":9}`))
 	f.Fuzz(func(t *testing.T, in []byte) {
 		if h, err := DecodeHead(in); err == nil {
+			if err := strictjson.Check(h.Encode()); err != nil {
+				t.Errorf("%v: %q", err, h.Encode())
+			}
 			if reread, err := DecodeHead(h.Encode()); err != nil || !reflect.DeepEqual(reread, h) {
 				t.Errorf("%v\n%+v\n%+v", err, h, reread)
 			}
--- a/internal/records/records_test.go
+++ b/internal/records/records_test.go
@@ -8,6 +8,7 @@
 
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/state"
+	"mapleslip/internal/strictjson"
 )
 
 func job(tasks int) *state.Job {
@@ -202,3 +203,36 @@
 		}
 	}
 }
+
+// Records with names that others chose are JSON in UTF-8, and read back as the same names.
+func TestRecordsOfAnyTextAreJSON(t *testing.T) {
+	for _, text := range []string{"\x00\a\x1b", "\x7f\"", "\U000e0001\"", `back\slash`, "é 山 \U0001f600", "\ufffd"} {
+		j := job(1)
+		j.Spec.Image, j.Spec.Team, j.Spec.Class, j.Spec.MachineTypes = text, text, text, []string{text}
+		h := state.NewHost(0, text, text, text, false)
+		h.Addr = text
+		h.AddImage(5, text, 2000)
+		records := map[string][]byte{
+			"job": EncodeJob(j), "hosts": EncodeHosts([]*state.Host{h}, true), "leader": EncodeLeader(Leader{Controller: text, Epoch: 1}),
+		}
+		for what, record := range records {
+			if err := strictjson.Check(record); err != nil {
+				t.Errorf("%s with %q: %v: %q", what, text, err, record)
+			}
+		}
+		decoded, err := DecodeJob(records["job"])
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := cmp.Diff(j.Spec, decoded.Spec); d != "" {
+			t.Errorf("%q: %s", text, d)
+		}
+		hosts, err := DecodeHosts(0, records["hosts"])
+		if err != nil || len(hosts) != 1 || hosts[0].Name != text || hosts[0].Zone != text || hosts[0].Images[text] == nil {
+			t.Errorf("%q: hosts %+v, %v", text, hosts, err)
+		}
+		if l, err := DecodeLeader(records["leader"]); err != nil || l.Controller != text {
+			t.Errorf("%q: leader %+v, %v", text, l, err)
+		}
+	}
+}
