Messages: parsing one takes work in proportion to its size

What callers saw: one submission of 60,000 brackets kept a controller from answering anything, health checks too; repeated elsewhere, it went round all controllers.

Cause: work that one message can cause was not bounded by its size. The syntax check of the JSON parser has no limit of depth and wraps its error once for each level, with the rest of its input for some errors. It runs on the event loop, for every message and record.

Change: protocol.ParseValue is the one way from a text to a value, for messages, answers, records, the configuration and the command line. Pages and entries are checked for syntax only, so that a deep record holds up no other. The same flaw elsewhere: the members of a long name in a change of the configuration each copied it (2.4 MB for 8 KiB, growing with the square), and command-line arguments and answers that the command line reads.

--- a/internal/client/client.go
+++ b/internal/client/client.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/valyala/fastjson"
+
+	"mapleslip/internal/protocol"
 )
 
 // Client sends requests to the controllers of one deployment.
@@ -61,6 +63,9 @@
 	return fmt.Sprintf("%s (status %d)", e.Text, e.Status)
 }
 
+// errNotJSON is the error for a final response that is not JSON as the controllers write it.
+var errNotJSON = errors.New("the response is not JSON")
+
 // Limits that the protocol sets for users' requests.
 const (
 	attemptTimeout   = 5 * time.Second
@@ -90,9 +95,9 @@
 		case status == 200 || status == 201:
 			return status, response, nil
 		case status == 400 || status == 404 || status == 405 || status == 409 || status == 422:
-			return status, response, &RefusedError{status, fastjson.GetString(response, "error")}
+			return status, response, &RefusedError{status, protocol.TextMember(response, "error")}
 		default:
-			reason = fmt.Sprintf("status %d %s", status, fastjson.GetString(response, "error"))
+			reason = fmt.Sprintf("status %d %s", status, protocol.TextMember(response, "error"))
 		}
 		delay := min(max(retryAfter, minRetryDelay), maxRetryDelay)
 		// Jitter: many clients that were refused at the same time do not retry at the same time.
@@ -121,6 +126,9 @@
 		defer resp.Body.Close()
 		response, err = io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
 	}
+	if err == nil && resp.StatusCode < http.StatusMultipleChoices {
+		err = checkResponse(response)
+	}
 	if err != nil {
 		c.nextServer++ // another controller may be available
 		var op *net.OpError
@@ -137,3 +145,12 @@
 	}
 	return resp.StatusCode, response, retryAfter, nil
 }
+
+// checkResponse returns errNotJSON for a response that is not JSON, or nests more deeply than messages
+// may. Parsing one that passes takes work in proportion to its size.
+func checkResponse(response []byte) error {
+	if _, err := protocol.ParseValue(new(fastjson.Parser), response); err != nil {
+		return errNotJSON
+	}
+	return nil
+}
--- a/internal/client/client_test.go
+++ b/internal/client/client_test.go
@@ -95,3 +95,19 @@
 		}
 	}
 }
+
+// A final response that is not JSON, or nests too deeply, counts as no answer: another controller is
+// asked. Its text costs no more work than its size allows.
+func TestResponseThatIsNotJSON(t *testing.T) {
+	addr, requests := serveResponses(t, statusResponse(200, "", "<html>"), statusResponse(200, "", strings.Repeat("[", 60_000)), statusResponse(201, "", `{}`))
+	c, _ := newClient(t, addr)
+	if status, _, err := c.Do(context.Background(), "POST", "/api/jobs", nil); err != nil || status != 201 || *requests != 3 {
+		t.Errorf("status %d, error %v after %d requests", status, err, *requests)
+	}
+	addr, _ = serveResponses(t, statusResponse(400, "", strings.Repeat("[", 60_000)))
+	c, _ = newClient(t, addr)
+	var refused *RefusedError
+	if _, _, err := c.Do(context.Background(), "POST", "/api/jobs", nil); !errors.As(err, &refused) || refused.Text != "" {
+		t.Errorf("error %v", err)
+	}
+}
--- a/internal/configuration/configuration_test.go
+++ b/internal/configuration/configuration_test.go
@@ -11,6 +11,7 @@
 
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/strictjson"
+	"mapleslip/internal/worktest"
 )
 
 func testBaseline() *Baseline {
@@ -304,7 +305,9 @@
 	f.Add(EncodeDocument(w.Head.Document))
 	f.Add(AppendRequest(nil, &Request{Who: "ann", ID: "x", Set: w.Head.Document}))
 	f.Add([]byte(`{"form":2,"revision":9}`))
+	worktest.AddSeeds(f, "set", "document")
 	f.Fuzz(func(t *testing.T, in []byte) {
+		worktest.CheckFuzzed(t, in, func(b []byte) { _, _ = ParseRequest(b, false) })
 		if h, err := DecodeHead(in); err == nil {
 			if err := strictjson.Check(h.Encode()); err != nil {
 				t.Errorf("%v: %q", err, h.Encode())
--- a/internal/configuration/encoding.go
+++ b/internal/configuration/encoding.go
@@ -34,7 +34,7 @@
 func DecodeDocument(value []byte) (Document, error) {
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := p.ParseBytes(value)
+	v, err := protocol.ParseValue(p, value)
 	if err != nil {
 		return nil, errMalformedRecord
 	}
@@ -135,7 +135,7 @@
 var errMalformedRecord = errors.New("malformed record of the configuration")
 
 func parseRecord(value []byte, p *fastjson.Parser) (*fastjson.Value, error) {
-	v, err := p.ParseBytes(value)
+	v, err := protocol.ParseValue(p, value)
 	switch {
 	case err != nil || v.Type() != fastjson.TypeObject:
 		return nil, errMalformedRecord
--- a/internal/configuration/file.go
+++ b/internal/configuration/file.go
@@ -52,9 +52,9 @@
 			return keyErrorf(path, "has no keys")
 		}
 		for name, x := range v {
-			key := name
-			if path != "" {
-				key = path + "/" + name
+			key, err := joinKey(path, name)
+			if err != nil {
+				return err
 			}
 			if err := flattenTOML(values, key, x); err != nil {
 				return err
@@ -94,7 +94,7 @@
 	case text == "-":
 		return key, "", nil
 	}
-	if v, err := fastjson.Parse(text); err == nil && v.Type() != fastjson.TypeObject && v.Type() != fastjson.TypeArray {
+	if v, err := protocol.ParseValue(new(fastjson.Parser), []byte(text)); err == nil && v.Type() != fastjson.TypeObject && v.Type() != fastjson.TypeArray {
 		if canonical, ok := canonicalJSON(v); ok {
 			return key, canonical, nil
 		}
--- a/internal/configuration/key.go
+++ b/internal/configuration/key.go
@@ -41,6 +41,24 @@
 	maxIDBytes  = 40
 )
 
+// joinKey returns the key of a member of an object at a path, which is "" for the outermost one. A key
+// that is too long is an error at once: the members of a value with a long name would each copy it.
+func joinKey(path, name string) (string, error) {
+	key := name
+	if path != "" {
+		key = path + "/" + name
+	}
+	if len(key) > maxKeyBytes {
+		return "", errInvalidKey(key)
+	}
+	return key, nil
+}
+
+// errInvalidKey returns the error for a key that no setting can have.
+func errInvalidKey(key string) error {
+	return keyErrorf(key[:min(len(key), maxKeyBytes)], "must be at most %d printable characters without spaces", maxKeyBytes)
+}
+
 // operatorSettings contains the operators' settings that can be changed, with their bounds in
 // seconds. The bounds are the same as for the operators' file.
 var operatorSettings = map[string]struct {
@@ -94,7 +112,7 @@
 // checkValue checks a value, given as canonical JSON, and its key.
 func checkValue(b *Baseline, key, value string) error {
 	if len(key) > maxKeyBytes || strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r == '"' || r == '\\' || r > '~' }) {
-		return keyErrorf(key[:min(len(key), maxKeyBytes)], "must be at most %d printable characters without spaces", maxKeyBytes)
+		return errInvalidKey(key)
 	}
 	parts := strings.Split(key, "/")
 	switch {
--- a/internal/configuration/request.go
+++ b/internal/configuration/request.go
@@ -155,11 +155,11 @@
 			return keyErrorf(path, "has no keys")
 		}
 		o.Visit(func(name []byte, v *fastjson.Value) {
-			key := string(name)
-			if path != "" {
-				key = path + "/" + key
+			if err != nil {
+				return
 			}
-			if err == nil {
+			var key string
+			if key, err = joinKey(path, string(name)); err == nil {
 				err = flatten(values, key, v)
 			}
 		})
--- a/internal/controller/rollout_driver.go
+++ b/internal/controller/rollout_driver.go
@@ -4,8 +4,6 @@
 	"net"
 	"net/http"
 
-	"github.com/valyala/fastjson"
-
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
 	"mapleslip/internal/state"
@@ -152,9 +150,9 @@
 		rd.submissions.submit(to, spec)
 	}
 	rd.callInternally(request, func(status int, body []byte) {
-		s := rollout.Submitted{Ref: spec.Ref, Status: status, Phase: protocol.Phase(fastjson.GetString(body, "phase"))}
+		s := rollout.Submitted{Ref: spec.Ref, Status: status, Phase: protocol.Phase(protocol.TextMember(body, "phase"))}
 		if status == http.StatusBadRequest || status == http.StatusUnprocessableEntity {
-			s.Refusal = fastjson.GetString(body, "error")
+			s.Refusal = protocol.TextMember(body, "error")
 		}
 		rd.step(s)
 	})
--- a/internal/controller/rollout_records.go
+++ b/internal/controller/rollout_records.go
@@ -110,7 +110,7 @@
 func compactJSON(text []byte) ([]byte, error) {
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := p.ParseBytes(text)
+	v, err := protocol.ParseValue(p, text)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/costlyform/costlyform.go
+++ b/internal/costlyform/costlyform.go
@@ -6,7 +6,6 @@
 
 import (
 	"fmt"
-	"runtime"
 	"strings"
 )
 
@@ -16,8 +15,8 @@
 	Text []byte
 }
 
-// minSize is the smallest size of a body, in bytes.
-const minSize = 1 << 10
+// MinSize is the smallest size of a body, in bytes.
+const MinSize = 1 << 10
 
 // nesting is one way to nest values.
 type nesting struct{ name, open, inner, end string }
@@ -65,12 +64,12 @@
 	{"closing brackets", "", "]", ""},
 }
 
-// Bodies returns bodies of about size bytes, and at least minSize. Each costly value stands alone, in
+// Bodies returns bodies of about size bytes, and at least MinSize. Each costly value stands alone, in
 // an unknown member, in place of a member's name, and in each of the members that the message knows.
 // Deep nesting stands before an error as well, since parsers may quote the rest of their input in an
 // error and add to its text at each level.
 func Bodies(size int, members ...string) (bodies []Body) {
-	size = max(size, minSize)
+	size = max(size, MinSize)
 	for _, value := range values(size) {
 		bodies = append(bodies, value,
 			Body{value.Name + " in an unknown member", join(`{"x":`, value.Text, "}")},
@@ -135,23 +134,3 @@
 	inner := differentMembers(size / 2)
 	return join(`{"`+strings.Repeat("a", size/2)+`":`, inner, "}")
 }
-
-// Work is the stated limit of the work that one message may cause: workPerByte bytes of allocated
-// memory for each of its bytes, and workOfAny for any message. Parsed values and their errors have to
-// fit.
-const (
-	workPerByte = 256
-	workOfAny   = 256 << 10
-)
-
-// AllowedWork returns how many bytes the handling of a message of so many bytes may allocate.
-func AllowedWork(size int) uint64 { return uint64(size)*workPerByte + workOfAny }
-
-// Work returns how many bytes a function allocates. Nothing else may allocate much meanwhile.
-func Work(f func()) uint64 {
-	var before, after runtime.MemStats
-	runtime.ReadMemStats(&before)
-	f()
-	runtime.ReadMemStats(&after)
-	return after.TotalAlloc - before.TotalAlloc
-}
--- a/internal/featuregate/record.go
+++ b/internal/featuregate/record.go
@@ -78,7 +78,7 @@
 }
 
 func parseRecord(p *fastjson.Parser, value []byte) (*fastjson.Value, error) {
-	v, err := p.ParseBytes(value)
+	v, err := protocol.ParseValue(p, value)
 	if err != nil || v.Type() != fastjson.TypeObject || v.GetInt("form") != formatVersion {
 		return nil, errMalformedRecord
 	}
--- a/internal/protocol/files_test.go
+++ b/internal/protocol/files_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"mapleslip/internal/strictjson"
+	"mapleslip/internal/worktest"
 )
 
 const goodJobFile = `# a training
@@ -147,7 +148,9 @@
 		f.Fatal(err)
 	}
 	f.Add(body)
+	worktest.AddSeeds(f, "job", "stages", "adopt")
 	f.Fuzz(func(t *testing.T, in []byte) {
+		worktest.CheckFuzzed(t, in, func(b []byte) { _, _ = ParseRollout(b) })
 		s, err := ParseRollout(in)
 		if err != nil {
 			return
--- a/internal/protocol/json.go
+++ b/internal/protocol/json.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"strconv"
-	"unicode/utf8"
 
 	"github.com/valyala/fastjson"
 )
@@ -39,44 +38,12 @@
 	}
 }
 
-// Errors about the whole body of a message.
-var (
-	ErrNotJSON   = errors.New("not JSON")
-	ErrNotUTF8   = errors.New("not JSON: not in UTF-8")
-	ErrNotObject = errors.New("not an object")
-)
-
-// ParseObject parses a message that is a JSON object in UTF-8. An escaped surrogate without its
-// other half is read as U+FFFD.
-func ParseObject(p *fastjson.Parser, body []byte) (*fastjson.Value, error) {
-	v, err := parseStored(p, body)
-	if err == nil && !utf8.Valid(body) {
-		return nil, ErrNotUTF8
-	}
-	return v, err
-}
-
-// parseStored is ParseObject for JSON that may hold texts of versions that did not check for UTF-8.
-func parseStored(p *fastjson.Parser, body []byte) (*fastjson.Value, error) {
-	if err := fastjson.ValidateBytes(body); err != nil {
-		return nil, ErrNotJSON
-	}
-	v, err := p.ParseBytes(replaceLoneSurrogates(body))
-	if err != nil {
-		return nil, ErrNotJSON
-	}
-	if v.Type() != fastjson.TypeObject {
-		return nil, ErrNotObject
-	}
-	return v, nil
-}
-
 // raw is valid JSON that is scanned without being parsed: the values found are slices of it.
 type raw []byte
 
 // skipSpace returns the index of the first byte at or after i that is not white space.
 func (b raw) skipSpace(i int) int {
-	for i < len(b) && (b[i] == ' ' || b[i] == '\t' || b[i] == '\n' || b[i] == '\r') {
+	for i < len(b) && isSpace(b[i]) {
 		i++
 	}
 	return i
@@ -176,7 +143,7 @@
 	}
 	p := Parsers.Get()
 	defer Parsers.Put(p)
-	v, err := p.ParseBytes(replaceLoneSurrogates(s))
+	v, err := ParseValue(p, s)
 	if err != nil {
 		return ""
 	}
--- a/internal/protocol/protocol_test.go
+++ b/internal/protocol/protocol_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"mapleslip/internal/strictjson"
+	"mapleslip/internal/worktest"
 )
 
 const goodJob = `{"ref":"req-000412","jobclass":"train","owner":"vision","shape":"ensemble","rank":"high","shards":16,
@@ -257,7 +258,9 @@
 	f.Add([]byte(goodJob))
 	f.Add([]byte(strings.Replace(goodJob, "img-07", `\u0000\ud800\ud83d\ude00`+"\x7f", 1)))
 	f.Add([]byte(strings.Replace(goodJob, "img-07", "caf\xe9", 1)))
+	worktest.AddSeeds(f, "awaits", "flavors")
 	f.Fuzz(func(t *testing.T, in []byte) {
+		worktest.CheckFuzzed(t, in, func(b []byte) { _, _ = ParseJob(b) })
 		s, err := ParseJob(in)
 		if err != nil {
 			return
@@ -366,7 +369,9 @@
 	for _, text := range samplePages {
 		f.Add([]byte(text))
 	}
+	worktest.AddSeeds(f, "entries")
 	f.Fuzz(func(t *testing.T, body []byte) {
+		worktest.CheckFuzzed(t, body, func(b []byte) { _, _ = ParsePage(b) })
 		got, err := ParsePage(body)
 		if err != nil {
 			return
--- a/internal/protocol/state.go
+++ b/internal/protocol/state.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"strconv"
-
-	"github.com/valyala/fastjson"
 )
 
 // Entry is a key of the state service with its value.
@@ -83,7 +81,7 @@
 
 // ParseEntry parses the response to a read of one key. The entry's value is a slice of body.
 func ParseEntry(body []byte) (Entry, error) {
-	if err := fastjson.ValidateBytes(body); err != nil {
+	if !isSyntacticallyValid(body) {
 		return Entry{}, ErrNotJSON
 	}
 	return parseEntry(body)
@@ -100,7 +98,7 @@
 // here, because the caller parses them.
 func ParsePage(body []byte) (Page, error) {
 	var p Page
-	if err := fastjson.ValidateBytes(body); err != nil {
+	if !isSyntacticallyValid(body) {
 		return p, ErrNotJSON
 	}
 	hasRevision, hasEntries := false, false
--- a/internal/protocol/text_test.go
+++ b/internal/protocol/text_test.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fastjson"
 
 	"mapleslip/internal/strictjson"
+	"mapleslip/internal/worktest"
 )
 
 // unusualTexts are texts that a quoting function may get wrong.
@@ -147,8 +148,10 @@
 	f.Add([]byte(`{"generation":433,"news":[{"set":"c/9","data":{"a":"\u0000"},"stamp":433},{"drop":"c/d","stamp":432}]}`))
 	f.Add([]byte(`{"path":"a/b","data":{},"stamp":412,"hold":7}`))
 	f.Add([]byte(`{"failed":["a/b"],"generation":431}`))
+	worktest.AddSeeds(f, "hosts", "shards", "news")
 	f.Fuzz(func(t *testing.T, in []byte) {
-		texts := answerTexts(in)
+		var texts []string
+		worktest.CheckFuzzed(t, in, func(b []byte) { texts = answerTexts(b) })
 		for _, text := range texts {
 			if !utf8.ValidString(text) {
 				t.Errorf("%q holds %q", in, text)
--- a/internal/records/format.go
+++ b/internal/records/format.go
@@ -45,7 +45,7 @@
 func parse(value []byte, decode func(v *fastjson.Value) error) error {
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := p.ParseBytes(value)
+	v, err := protocol.ParseValue(p, value)
 	if err != nil {
 		return err
 	}
--- a/internal/rollout/record.go
+++ b/internal/rollout/record.go
@@ -160,7 +160,7 @@
 func Decode(value []byte) (*Record, error) {
 	p := protocol.Parsers.Get()
 	defer protocol.Parsers.Put(p)
-	v, err := p.ParseBytes(value)
+	v, err := protocol.ParseValue(p, value)
 	if err != nil {
 		return nil, errRecord
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -13,6 +13,7 @@
 
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rapidtest"
+	"mapleslip/internal/worktest"
 )
 
 const second = protocol.Second
@@ -835,7 +836,9 @@
 	r := &Record{Service: "picker", State: Paused, PausedIn: Soaking, Reason: "why", JobsMade: 3}
 	r.New = Version{Hash: VersionOf(s.Job), Spec: s, Batches: []Batch{{jobRef("picker", "r-1", 1), 2, false}, {"req-000123", 5, true}}}
 	f.Add(r.Encode())
+	worktest.AddSeeds(f, "new", "old")
 	f.Fuzz(func(t *testing.T, in []byte) {
+		worktest.CheckFuzzed(t, in, func(b []byte) { _, _ = Decode(b) })
 		r, err := Decode(in)
 		if err != nil {
 			return
--- a/internal/statestore/client.go
+++ b/internal/statestore/client.go
@@ -5,8 +5,6 @@
 	"net/http"
 	"strconv"
 
-	"github.com/valyala/fastjson"
-
 	"mapleslip/internal/protocol"
 )
 
@@ -264,7 +262,7 @@
 // either the limits are lower now and the caller splits it, or its changes are not made. A
 // transaction that is not JSON was refused for that, and shows nothing about the limits.
 func (c *Client) onMalformedTransaction(body, answer []byte, changes []protocol.Change) error {
-	if fastjson.GetString(answer, "error") == noSuchLease {
+	if protocol.TextMember(answer, "error") == noSuchLease {
 		return ErrNotExecuted
 	}
 	c.limits.rememberRefused(body)
