Transport: a client that closes its sending side gets its answer

What callers saw: a client that sends a complete request and then closes its side for writing (RFC 9112, 9.6) got its connection closed with no byte, though its submission was accepted.

Cause: a check in the library and not in ours. evio closes a connection at the first end of file, whatever it still owes, and has no way to be told otherwise.

Change: evio is gone. Each inbound connection has a goroutine of the standard library's net that reads, delivers one message, waits for its answer and writes it; the end of file is only met at the next read. Limits, reserve, eviction and the timeouts are the same code as before (connTable). Buffers for reading are taken only while bytes are there. Requests that come before the first is answered are now answered one after the other, where the connection was closed after the first; an accept error no longer ends all connections.

--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -3,13 +3,10 @@
 import (
 	"container/list"
 	"time"
-
-	"github.com/tidwall/evio"
 )
 
-// connState is the state of a connection in the exchange of messages and answers. When a connection
-// is woken again, evio replaces the output that is not written yet. So a connection handles one
-// message at a time, and is closed after the answer if it received more bytes before that.
+// connState is the state of a connection in the exchange of messages and answers. A connection handles
+// one message at a time: bytes after it wait until it is answered.
 type connState uint8
 
 const (
@@ -21,15 +18,15 @@
 
 type serverConn struct {
 	id          ConnID
-	conn        evio.Conn
+	socket      socket
 	table       *connTable
 	fromCluster bool // accepted on the address for controllers, not the one for clients
 	state       connState
 	request     requestReader // of a client's connection
 	frame       []byte        // received bytes of an incomplete frame from a controller
-	out         []byte        // answer to write when evio wakes the connection
+	out         []byte        // answer to write when the connection is woken
 	closing     bool          // close the connection after the next output
-	evicted     bool          // closed for another connection; evio may still report events
+	evicted     bool          // closed for another connection; its goroutine may not know yet
 	served      bool          // a complete message was received
 
 	unfinishedSince time.Time // when it was opened, or its first request after others began
@@ -99,7 +96,7 @@
 	idle      list.List // served ones without bytes since the last answer, longest idle first
 	bySilence list.List // unfinished ones by the time of their last bytes
 	byStart   list.List // unfinished ones by the time at which they began
-	evicting  int       // evicted ones that evio has not closed yet
+	evicting  int       // evicted ones whose socket is not closed yet
 
 	counts ConnCounts // since the last log message
 }
@@ -139,7 +136,7 @@
 	messageTimeout = 6 * time.Second
 	// drainTimeout is how long a client may take to read the answer to a malformed request.
 	drainTimeout = 2 * time.Second
-	// maxEvicting limits the evicted connections that evio has not closed yet. They still take
+	// maxEvicting limits the evicted connections that are not closed yet. They still take
 	// sockets, at most as many as the smallest reserve.
 	maxEvicting = 8
 )
@@ -281,17 +278,17 @@
 	return nil
 }
 
-// evict closes a connection. Its memory is free at once, its socket once evio has closed it.
+// evict closes a connection. Its memory is free at once, its socket once its goroutine has closed it.
 func (t *connTable) evict(c *serverConn) {
 	t.unlist(c)
 	delete(t.conns, c.id)
 	t.evicting++
 	c.evicted, c.closing, c.state = true, true, connClosing
 	c.dropMessage()
-	c.conn.Wake()
+	c.socket.cut()
 }
 
-// remove removes a connection that evio has closed.
+// remove removes a connection that is closed.
 func (t *connTable) remove(c *serverConn) {
 	c.dropMessage()
 	if c.evicted {
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -1,6 +1,5 @@
-// Package transport contains the server for inbound connections, which is based on evio, the
-// HTTP/1.1 parser, the dialer for outbound calls, and the token buckets and fair queues for metered
-// services.
+// Package transport contains the server for inbound connections, the HTTP/1.1 parser, the dialer for
+// outbound calls, and the token buckets and fair queues for metered services.
 package transport
 
 import (
--- a/internal/transport/server.go
+++ b/internal/transport/server.go
@@ -7,8 +7,6 @@
 	"sync"
 	"syscall"
 	"time"
-
-	"github.com/tidwall/evio"
 )
 
 // ConnID identifies an inbound connection. It is not used again for a later connection.
@@ -27,11 +25,11 @@
 type FrameSplitter func(buf []byte) (frame []byte, used int, err error)
 
 // Server listens for users, workers and health checks on one address and for the other controllers
-// on another. evio handles inbound connections only: outbound calls use Dialer.
+// on another. Outbound calls use Dialer.
 type Server struct {
 	Split FrameSplitter
 	// Deliver returns false if it has no room for a message. The server then answers a request with
-	// 503 at once, and closes the connection of a frame.
+	// 503 at once, and closes the connection of a frame. It must neither wait nor call the server.
 	Deliver func(Inbound) bool
 	MaxOpen int           // limit of open connections
 	Idle    time.Duration // a connection without activity for longer than this is closed
@@ -94,36 +92,27 @@
 	}
 }
 
-// Run serves connections until the process exits. An error on accept ends evio's loop and closes
-// all connections; Run then starts the loop again.
-func (s *Server) Run(client, cluster string) {
-	var lastLogged time.Time
-	for {
-		s.reset()
-		ev := evio.Events{NumLoops: 1, Opened: s.opened, Closed: s.closed, Data: s.data, Tick: s.tick}
-		err := evio.Serve(ev, "tcp://"+client, "tcp://"+cluster)
-		if time.Since(lastLogged) > 10*time.Second {
-			lastLogged = time.Now()
-			slog.Error("server loop ended, starting it again", "err", err)
-		}
-		time.Sleep(200 * time.Millisecond)
-	}
-}
+// action is what the goroutine of a connection does next, after it has written its output.
+type action uint8
+
+const (
+	actRead  action = iota // wait for more bytes
+	actNext                // a message was answered: go on with the bytes that came with it
+	actAwait               // wait until woken: a message was delivered
+	actClose
+)
 
-// opened handles a new connection. At the limit, it refuses the connection unless another one gives
-// way: without a limit, connections would use the sockets that outbound calls need, and at the
-// socket limit of the process accept fails and ends evio's loop.
-func (s *Server) opened(ec evio.Conn) ([]byte, evio.Options, evio.Action) {
+// opened adds a new connection and returns nil if it is refused. At the limit, it is refused unless
+// another one gives way: without a limit, connections would use the sockets that outbound calls need.
+func (s *Server) opened(socket socket, fromCluster bool) *serverConn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	opts := evio.Options{ReuseInputBuffer: true}
 	s.nextID++
-	c := &serverConn{id: s.nextID, conn: ec, fromCluster: ec.AddrIndex() == 1}
+	c := &serverConn{id: s.nextID, socket: socket, fromCluster: fromCluster}
 	if !s.admit(c, s.now()) {
-		return nil, opts, evio.Close
+		return nil
 	}
-	ec.SetContext(c)
-	return nil, opts, evio.None
+	return c
 }
 
 // clusterReserve returns how many connections of controllers are always possible.
@@ -143,59 +132,56 @@
 	return s.cluster.admit(c, s.MaxCluster, now)
 }
 
-func (s *Server) closed(ec evio.Conn, _ error) evio.Action {
-	if c, ok := ec.Context().(*serverConn); ok {
-		s.mu.Lock()
-		c.table.remove(c)
-		s.mu.Unlock()
-	}
-	return evio.None
+// closed removes a connection whose socket is closed.
+func (s *Server) closed(c *serverConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.table.remove(c)
 }
 
-// data handles bytes that a connection received. If in is nil, evio has woken the connection to
-// write its output or to close it.
-func (s *Server) data(ec evio.Conn, in []byte) ([]byte, evio.Action) {
-	c, ok := ec.Context().(*serverConn)
-	if !ok {
-		return nil, evio.Close
-	}
+// data handles bytes that a connection received. Without any, it goes on with those that came with the
+// message before: clients need not wait for an answer before they send the next request (RFC 9112,
+// section 9.3.2).
+func (s *Server) data(c *serverConn, in []byte) ([]byte, action) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if in == nil {
-		return s.woken(c)
-	}
 	switch c.state {
 	case connClosing:
-		return nil, evio.Close
-	case connAwaitingAnswer:
-		// Pipelining is not part of the protocol: the current message is answered, then the
-		// connection is closed.
-		c.closing = true
-		return nil, evio.None
+		return nil, actClose
 	case connDraining:
-		return nil, evio.None
+		return nil, actRead
+	case connAwaitingAnswer:
+		return nil, actAwait
 	case connReading:
+		if len(in) == 0 && c.request.buffered()+len(c.frame) == 0 {
+			return nil, actRead
+		}
 	}
 	c.table.received(c, s.now())
 	return s.process(c, in)
 }
 
-// woken returns the output of a connection that evio has woken.
-func (s *Server) woken(c *serverConn) ([]byte, evio.Action) {
+// woken returns the output of a connection that was woken.
+func (s *Server) woken(c *serverConn) ([]byte, action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	out := c.out
 	c.out = nil
-	if c.closing || c.state == connClosing {
+	switch {
+	case c.closing, c.state == connClosing:
 		s.setState(c, connClosing)
-		return out, evio.Close
+		return out, actClose
+	case c.state == connAwaitingAnswer:
+		return nil, actAwait
 	}
-	return out, evio.None
+	return out, actNext
 }
 
 func (s *Server) setState(c *serverConn, state connState) { c.table.setState(c, state, s.now()) }
 
 // process adds received bytes to the message of a connection, and delivers the message if it is
 // complete. A malformed one is answered, if it is a request, and its connection closed.
-func (s *Server) process(c *serverConn, in []byte) ([]byte, evio.Action) {
+func (s *Server) process(c *serverConn, in []byte) ([]byte, action) {
 	msg := Inbound{Conn: c.id}
 	complete, err := c.read(in, s.Split, &msg)
 	if err != nil {
@@ -205,44 +191,42 @@
 		s.clients.limitMemory(c)
 		s.cluster.limitMemory(c)
 		if c.request.wantsContinue() {
-			return []byte(continueResponse), evio.None
+			return []byte(continueResponse), actRead
 		}
-		return nil, evio.None
+		return nil, actRead
 	}
 	c.served = true
-	if c.request.buffered()+len(c.frame) > 0 || msg.HTTP != nil && msg.HTTP.Close {
-		c.closing = true
-	}
+	c.closing = msg.HTTP != nil && msg.HTTP.Close
 	s.setState(c, connAwaitingAnswer)
 	if s.Deliver(msg) {
-		return nil, evio.None
+		return nil, actAwait
 	}
 	if c.fromCluster {
 		s.setState(c, connClosing)
-		return nil, evio.Close
+		return nil, actClose
 	}
 	out := AppendResponse(nil, 503, []byte(`{"error":"busy"}`), 1, c.closing)
 	if c.closing {
 		s.setState(c, connClosing)
-		return out, evio.Close
+		return out, actClose
 	}
 	s.setState(c, connReading)
-	return out, evio.None
+	return out, actNext
 }
 
 // refuseMalformed answers a malformed request. What the client has sent beyond it is read and
 // dropped, since closing the connection before that would take the answer away from the client. A
 // controller's connection is closed.
-func (s *Server) refuseMalformed(c *serverConn, err error) ([]byte, evio.Action) {
+func (s *Server) refuseMalformed(c *serverConn, err error) ([]byte, action) {
 	c.table.counts.Malformed++
 	slog.Debug("malformed message", "from_controller", c.fromCluster, "conn", uint64(c.id), "err", err)
 	c.dropMessage()
 	if c.fromCluster {
 		s.setState(c, connClosing)
-		return nil, evio.Close
+		return nil, actClose
 	}
 	s.setState(c, connDraining)
-	return AppendResponse(nil, 400, malformedBody(err), 0, true), evio.None
+	return AppendResponse(nil, 400, malformedBody(err), 0, true), actRead
 }
 
 // malformedBody returns the body of the answer to a malformed request. The texts of parse errors
@@ -253,7 +237,7 @@
 
 // tick closes connections whose message takes too long, and those without activity for longer than
 // Idle, and logs what became of connections.
-func (s *Server) tick() (time.Duration, evio.Action) {
+func (s *Server) tick() {
 	s.mu.Lock()
 	now := s.now()
 	stale := append(s.clients.overdue(now, s.Idle), s.cluster.overdue(now, s.Idle)...)
@@ -271,9 +255,8 @@
 		slog.Info("malformed or slow messages", "malformed", counts.Malformed, "too_slow", counts.TimedOut)
 	}
 	for _, c := range stale {
-		c.conn.Wake()
+		c.socket.cut()
 	}
-	return 2 * time.Second, evio.None
 }
 
 // takeCounts returns what became of connections since the last call, and adds it to the total.
@@ -296,9 +279,8 @@
 	}
 	c.out = encode(c.closing)
 	s.setState(c, connReading)
-	conn := c.conn
 	s.mu.Unlock()
-	conn.Wake()
+	c.socket.wake()
 }
 
 // find returns an open connection, or nil.
