Event loop: bodies are decoded outside it, and a step that takes long says so

What callers saw: while a controller was busy with one body, nobody got an answer from it, health checks neither, and its log said nothing until it was started again.

Cause: every message was parsed by the loop that also renews the lease, and only the loop wrote log lines.

Change: - Messages with a body are decoded by two goroutines for heartbeats and two for users' requests, with queues of 512 (cmd/mapleslip/decode.go). The events carry what was read (controller.NewUserRequest, NewWorkerHeartbeat); Step does no parsing of users' bodies any more, and no I/O as before. A connection has one message at a time, so the order on it is kept. Health checks, queries and cancellations need no decoder. A full queue gets 503 at once. - internal/stepwatch: another goroutine logs an event that the loop has handled for over 0.25 s while it still does, with its kind, sender, path, size and the functions that the loop is in; again at twice the time, and at its end. It also logs that the whole process did not run, with its processor time, which tells a process that was stopped from one that is busy. mapleslip_step_longest_seconds and mapleslip_steps_over_bound_total are exported without the loop. - Drawn histories send a costly body a second (costly-bodies on), which has to get 400. TestCostlyBodiesInDrawnHistoriesCauseBoundedWork measures a controller's work on each. The comparison of answers in the simulation had the flaw of the parser too: 14 MB for 16 KiB. - serve.go is split: routes, decoders, outbound calls.

Tests: TestBodyOfUnknownCostHoldsUpNoOther (a body that is decoded without an end), TestRoutes, the tests of stepwatch.

--- a/cmd/mapleslip/serve.go
+++ b/cmd/mapleslip/serve.go
@@ -1,12 +1,10 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
-	"strings"
 	"time"
 
 	"mapleslip/internal/configuration"
@@ -14,6 +12,7 @@
 	"mapleslip/internal/featuregate"
 	"mapleslip/internal/protocol"
 	"mapleslip/internal/rollout"
+	"mapleslip/internal/stepwatch"
 	"mapleslip/internal/telemetry"
 	"mapleslip/internal/transport"
 )
@@ -26,7 +25,9 @@
 	ctl      *controller.Controller
 	server   *transport.Server
 	started  time.Time
-	events   chan any // a transport.Inbound or a controller.CallResult
+	events   chan any // a transport.Inbound, a decoded or an answered
+	decoders *decoders
+	watch    *stepwatch.Watch
 	meters   map[controller.Target]*transport.Meter
 	dialers  map[controller.Target]*transport.Dialer
 	addrs    map[controller.Target]string
@@ -48,11 +49,6 @@
 	minHeldBytes = 4 << 20
 )
 
-var targetNames = map[controller.Target]string{
-	controller.ToState: "state", controller.ToCloud: "cloud",
-	controller.ToPeer: "controller", controller.ToWorker: "worker", controller.ToInstance: "instance",
-}
-
 // features contains the settings of the optional features, nil for each that is disabled.
 type features struct {
 	telemetry     *telemetry.Settings
@@ -113,6 +109,7 @@
 	for _, dialer := range d.dialers {
 		dialer.Source = o.SourceAddress
 	}
+	d.decoders = startDecoders(func(m decoded) { d.events <- m })
 	d.server = &transport.Server{
 		Split: protocol.SplitPeer, Deliver: d.deliver,
 		MaxOpen: plan.inbound, MaxCluster: plan.peers, MaxHeld: int(max(minHeldBytes, p.MemoryBytes/heldDivisor)),
@@ -148,15 +145,6 @@
 	d.meters[controller.ToCloud].SetShare(writes, 0, 0)
 }
 
-func (d *driver) deliver(m transport.Inbound) bool {
-	select {
-	case d.events <- m:
-		return true
-	default:
-		return false
-	}
-}
-
 func (d *driver) now() protocol.Now {
 	t := time.Now()
 	return protocol.Now{Steady: protocol.Micros(t.Sub(d.started) / time.Microsecond), Wall: protocol.Micros(t.UnixMicro())}
@@ -167,6 +155,9 @@
 const maxEventBatch = 64
 
 func (d *driver) loop() {
+	d.watch = stepwatch.New(d.log)
+	go d.watch.Run()
+	d.recorder.WatchSteps(d.watch.Kinds)
 	d.perform(d.ctl.Start(d.now()))
 	ticker := time.NewTicker(tickInterval)
 	var lastTick protocol.Micros
@@ -181,16 +172,50 @@
 		}
 		if now := d.now(); now.Steady-lastTick >= protocol.Micros(tickInterval/time.Microsecond)*9/10 {
 			lastTick = now.Steady
-			backlog := len(d.events)
-			d.step("tick", controller.Tick{Backlog: backlog})
-			for _, m := range d.meters {
-				m.Run(lastTick)
-			}
-			d.record(now.Steady, backlog)
+			d.tick(lastTick)
 		}
 	}
 }
 
+// tick does the periodic work.
+func (d *driver) tick(now protocol.Micros) {
+	d.watch.Begin(stepwatch.Event{Kind: "tick", From: "timer"})
+	defer d.watch.End()
+	backlog := len(d.events) + d.decoders.waiting()
+	d.step("tick", controller.Tick{Backlog: backlog})
+	for _, m := range d.meters {
+		m.Run(now)
+	}
+	d.record(now, backlog)
+}
+
+// handle handles an event of the queue.
+func (d *driver) handle(m any) {
+	d.watch.Begin(describe(m))
+	defer d.watch.End()
+	switch e := m.(type) {
+	case answered:
+		d.step("answer", e.CallResult)
+	case transport.Inbound:
+		d.dispatch(decode(e))
+	case decoded:
+		d.dispatch(e)
+	}
+}
+
+// dispatch passes the event of a message to the controller, or sends the reply to a message that is no
+// event.
+func (d *driver) dispatch(m decoded) {
+	if m.malformed != nil {
+		d.log.Info("malformed message", "from", "controller", "err", m.malformed)
+	}
+	if m.event == nil {
+		d.reply(m.reply)
+		return
+	}
+	d.step(m.kind, m.event)
+}
+
 // record records the state of the process between two events. backlog is the number of events that
 // wait.
 func (d *driver) record(now protocol.Micros, backlog int) {
@@ -203,27 +228,6 @@
 	d.recorder.Snapshot(now, d.ctl.Snapshot)
 }
 
-func (d *driver) handle(m any) {
-	switch e := m.(type) {
-	case controller.CallResult:
-		d.step("answer", e)
-	case transport.Inbound:
-		if e.HTTP != nil {
-			d.route(e)
-			return
-		}
-		to := controller.ReplyAddress{Conn: uint64(e.Conn), Peer: true}
-		msg, err := protocol.ParsePeer(e.Frame)
-		ev := controller.PeerEvent(to, msg)
-		if err != nil || ev == nil {
-			d.log.Info("malformed message", "from", "controller", "err", err)
-			d.reply(controller.Reply{To: to})
-			return
-		}
-		d.step("controller", ev)
-	}
-}
-
 // step passes an event to the controller and executes the resulting effects.
 func (d *driver) step(kind string, ev controller.Event) {
 	if d.recorder == nil {
@@ -236,92 +240,6 @@
 	d.perform(effects)
 }
 
-// configRoutes contains the method and operation of each configuration request, by path.
-var configRoutes = map[string]struct {
-	method string
-	op     protocol.UserOp
-	arg    string // name of the query parameter, "" if the request has none
-}{
-	"/api/config":          {"GET", protocol.OpConfig, ""},
-	"/api/config/apply":    {"POST", protocol.OpConfigApply, ""},
-	"/api/config/history":  {"GET", protocol.OpConfigHistory, "before"},
-	"/api/config/rollback": {"POST", protocol.OpConfigRollback, ""},
-	"/api/config/wait":     {"GET", protocol.OpConfigWait, "revision"},
-	"/api/config/status":   {"GET", protocol.OpConfigStatus, ""},
-}
-
-// queryParameter returns the value of a parameter of a URL query, or "" if the parameter is absent.
-func queryParameter(query, name string) string {
-	for _, part := range strings.Split(query, "&") {
-		if k, v, _ := strings.Cut(part, "="); k == name {
-			return v
-		}
-	}
-	return ""
-}
-
-var rolloutActions = map[string]protocol.UserOp{
-	"": protocol.OpRolloutShow, "pause": protocol.OpRolloutPause, "resume": protocol.OpRolloutResume,
-	"revert": protocol.OpRolloutRevert,
-}
-
-// route converts an HTTP request into an event for the controller. It replies directly to a request
-// with an unknown path or a wrong method.
-func (d *driver) route(e transport.Inbound) {
-	to := controller.ReplyAddress{Conn: uint64(e.Conn)}
-	r := e.HTTP
-	var ev controller.Event
-	wantMethod, kind := "POST", "user"
-	switch {
-	case r.Path == "/healthz":
-		wantMethod, kind = "GET", "health"
-		ev = controller.HealthzRequest{Reply: to}
-	case r.Path == "/hello":
-		kind = "report"
-		ev = controller.WorkerHeartbeat{Reply: to, Body: r.Body}
-	case r.Path == "/api/jobs":
-		ev = controller.UserRequest{Reply: to, Op: protocol.OpSubmit, Body: r.Body}
-	case strings.HasPrefix(r.Path, "/api/jobs/"):
-		ref := strings.TrimPrefix(r.Path, "/api/jobs/")
-		if id, ok := strings.CutSuffix(ref, "/cancel"); ok {
-			ev = controller.UserRequest{Reply: to, Op: protocol.OpCancel, Ref: id}
-		} else {
-			wantMethod = "GET"
-			ev = controller.UserRequest{Reply: to, Op: protocol.OpQuery, Ref: ref}
-		}
-	case configRoutes[r.Path].op > 0:
-		o := configRoutes[r.Path]
-		if r.Path == "/api/config" && r.Method == "POST" {
-			o = configRoutes["/api/config/apply"]
-		}
-		wantMethod, ev = o.method, controller.UserRequest{Reply: to, Op: o.op, Ref: queryParameter(r.Query, o.arg), Body: r.Body}
-	case r.Path == "/api/rollouts":
-		ev = controller.UserRequest{Reply: to, Op: protocol.OpRollout, Body: r.Body}
-		if r.Method == "GET" {
-			wantMethod, ev = "GET", controller.UserRequest{Reply: to, Op: protocol.OpRollouts}
-		}
-	case strings.HasPrefix(r.Path, "/api/rollouts/"):
-		service, action, _ := strings.Cut(strings.TrimPrefix(r.Path, "/api/rollouts/"), "/")
-		op, known := rolloutActions[action]
-		if !known {
-			d.reply(controller.Reply{To: to, Status: 404, Body: protocol.ErrorBody("no such path")})
-			return
-		}
-		if action == "" {
-			wantMethod = "GET"
-		}
-		ev = controller.UserRequest{Reply: to, Op: op, Ref: service}
-	default:
-		d.reply(controller.Reply{To: to, Status: 404, Body: protocol.ErrorBody("no such path")})
-		return
-	}
-	if r.Method != wantMethod {
-		d.reply(controller.Reply{To: to, Status: 405, Body: protocol.ErrorBody("method not allowed")})
-		return
-	}
-	d.step(kind, ev)
-}
-
 func (d *driver) perform(effects []controller.Effect) {
 	for _, e := range effects {
 		switch e := e.(type) {
@@ -366,82 +284,3 @@
 		return transport.AppendResponse(nil, r.Status, r.Body, protocol.WholeSeconds(r.RetryAfter), closing)
 	})
 }
-
-// call makes an outbound call. A call to a rate-limited service is queued in the service's meter.
-func (d *driver) call(c controller.Call) {
-	send := func() { go d.send(c) }
-	m := d.meters[c.Target]
-	if m == nil {
-		send()
-		return
-	}
-	changes := c.Changes
-	if c.Target == controller.ToCloud {
-		changes = 0
-	}
-	m.Add(transport.Metered{
-		Priority: transport.Priority(c.Priority), Changes: changes, Expires: d.now().Steady + c.Timeout, Send: send,
-		Expire: func() {
-			go func() { d.events <- controller.CallResult{ID: c.ID, NotSent: true} }()
-		},
-	})
-	m.Run(d.now().Steady)
-}
-
-func (d *driver) send(c controller.Call) {
-	addr := c.Addr
-	if addr == "" {
-		addr = d.addrs[c.Target]
-	}
-	began := time.Now()
-	result := d.exchange(c, addr)
-	d.recorder.Call(targetNames[c.Target], c.Method, c.Path, result, began)
-	d.events <- result
-}
-
-// maxCheckResponseBytes is the maximum size of the response to a health check.
-const maxCheckResponseBytes = 64 << 10
-
-// exchange sends a call to an address and waits for the response. A health check of an instance
-// either opens a TCP connection or sends a GET request. Its timeout covers the whole check, also a
-// response that arrives a byte at a time, and its socket is closed when the check ends.
-func (d *driver) exchange(c controller.Call, addr string) controller.CallResult {
-	result := controller.CallResult{ID: c.ID}
-	dialer, timeout := d.dialers[c.Target], time.Duration(c.Timeout)*time.Microsecond
-	var err error
-	switch {
-	case dialer == nil:
-		err = transport.ErrSockets // roll-outs are disabled on this controller
-	case c.Target == controller.ToInstance && c.Method == "":
-		err = dialer.Probe(addr, timeout)
-		result.Status = 200
-	case c.Target == controller.ToPeer:
-		err = dialer.Do(addr, c.Body, timeout, func(buf []byte, _ bool) (int, bool, error) {
-			frame, used, err := protocol.SplitPeer(buf)
-			if used > 0 {
-				result.Status, result.Body = 200, frame
-			}
-			return used, true, err
-		})
-	default:
-		isCheck := c.Target == controller.ToInstance
-		payload := transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
-		err = dialer.Do(addr, payload, timeout, func(buf []byte, eof bool) (int, bool, error) {
-			if isCheck && len(buf) > maxCheckResponseBytes {
-				return 0, false, transport.ErrTooLong
-			}
-			r, used, err := transport.ParseResponse(buf, eof)
-			if err != nil || used == 0 {
-				return 0, false, err
-			}
-			result.Status, result.Body = r.Status, r.Body
-			return used, !r.Close && !isCheck, nil
-		})
-	}
-	if err != nil {
-		result.Status, result.Body = 0, nil
-		result.ConnectionRefused = errors.Is(err, transport.ErrRefused)
-		result.NotSent = result.ConnectionRefused || errors.Is(err, transport.ErrSockets)
-	}
-	return result
-}
--- a/internal/controller/config_requests.go
+++ b/internal/controller/config_requests.go
@@ -38,7 +38,7 @@
 func parseConfigRequest(e UserRequest) (r configRequest, err error) {
 	switch e.Op {
 	case protocol.OpConfigApply, protocol.OpConfigRollback:
-		r.change, err = configuration.ParseRequest(e.Body, e.Op == protocol.OpConfigRollback)
+		r.change, err = e.content.change, e.content.err
 	case protocol.OpConfigWait:
 		r.revision, err = strconv.ParseUint(e.Ref, 10, 64)
 		if err != nil {
--- a/internal/controller/controller_test.go
+++ b/internal/controller/controller_test.go
@@ -35,14 +35,14 @@
 		ID: first[0].(Call).ID, Status: 200,
 		Body: []byte(`{"path":"lead","data":{"node":"gone","epoch":3,"lease":1,"answer_on":1},"stamp":9,"hold":1}`),
 	}))
-	collect(c.Step(instant{Steady: 2000}, UserRequest{Op: protocol.OpQuery, Ref: "req-000001"}))
+	collect(c.Step(instant{Steady: 2000}, NewUserRequest(ReplyAddress{}, protocol.OpQuery, "req-000001", nil)))
 	if watch == nil || userRead == nil || watch.Priority >= userRead.Priority {
 		t.Errorf("watch of the leader key does not precede the user's read: watch %+v, read %+v", watch, userRead)
 	}
 	// Requests above the state service's rate are refused at once.
 	refused := 0
 	for range 100 {
-		for _, e := range c.Step(instant{Steady: 3000}, UserRequest{Op: protocol.OpQuery, Ref: "req-000002"}) {
+		for _, e := range c.Step(instant{Steady: 3000}, NewUserRequest(ReplyAddress{}, protocol.OpQuery, "req-000002", nil)) {
 			if r, ok := e.(Reply); ok && r.Status == 503 && r.RetryAfter > 0 {
 				refused++
 			}
--- a/internal/controller/events.go
+++ b/internal/controller/events.go
@@ -11,19 +11,55 @@
 // UserRequest is a user's or an operator's request, from a connection or forwarded by another
 // controller.
 type UserRequest struct {
-	Reply ReplyAddress
-	Op    protocol.UserOp
-	Ref   string
-	Body  []byte
+	Reply   ReplyAddress
+	Op      protocol.UserOp
+	Ref     string
+	Body    []byte // as it was received, to be forwarded
+	content requestContent
+}
+
+// requestContent is what the body of a request says, by its operation.
+type requestContent struct {
+	job     *protocol.JobSpec      // OpSubmit
+	rollout *protocol.RolloutSpec  // OpRollout
+	change  *configuration.Request // OpConfigApply, OpConfigRollback
+	err     error                  // why the body says nothing
+}
+
+// NewUserRequest returns a request whose body is parsed. It may be called by any goroutine, so that a
+// body that takes long to parse does not hold up the event loop.
+func NewUserRequest(to ReplyAddress, op protocol.UserOp, ref string, body []byte) UserRequest {
+	e := UserRequest{Reply: to, Op: op, Ref: ref, Body: body}
+	c := &e.content
+	switch op {
+	case protocol.OpSubmit:
+		c.job, c.err = protocol.ParseJob(body)
+	case protocol.OpRollout:
+		c.rollout, c.err = protocol.ParseRollout(body)
+	case protocol.OpConfigApply, protocol.OpConfigRollback:
+		c.change, c.err = configuration.ParseRequest(body, op == protocol.OpConfigRollback)
+	default: // has no body
+	}
+	return e
 }
 
 // WorkerHeartbeat is a worker's heartbeat, from the worker or forwarded by another controller.
 type WorkerHeartbeat struct {
 	Reply ReplyAddress
-	Body  []byte
+	Body  []byte // as it was received, to be forwarded
 	// ReturnedFromLeader is set if another controller forwarded the heartbeat after it had
 	// redirected the worker to this controller and the worker had returned to it.
 	ReturnedFromLeader bool
+
+	heartbeat *protocol.Heartbeat
+	err       error // why the body is not a heartbeat
+}
+
+// NewWorkerHeartbeat returns a heartbeat whose body is parsed. It may be called by any goroutine.
+func NewWorkerHeartbeat(to ReplyAddress, body []byte, returnedFromLeader bool) WorkerHeartbeat {
+	e := WorkerHeartbeat{Reply: to, Body: body, ReturnedFromLeader: returnedFromLeader}
+	e.heartbeat, e.err = protocol.ParseHeartbeat(body)
+	return e
 }
 
 // PeerStatusRequest is another controller's request for the status of this one.
@@ -102,18 +138,18 @@
 }
 
 // PeerEvent converts a message of another controller into an event. It returns nil for a message
-// that is not a request.
+// that is not a request. It may be called by any goroutine.
 func PeerEvent(to ReplyAddress, m *protocol.PeerMessage) Event {
 	if m == nil {
 		return nil
 	}
 	switch m.Kind {
 	case protocol.PeerUserRequest:
-		return UserRequest{Reply: to, Op: m.Op, Ref: m.Ref, Body: m.Body}
+		return NewUserRequest(to, m.Op, m.Ref, m.Body)
 	case protocol.PeerStatusRequest:
 		return PeerStatusRequest{Reply: to, Epoch: m.Epoch, From: m.From, Body: m.Body}
 	case protocol.PeerHeartbeat:
-		return WorkerHeartbeat{Reply: to, Body: m.Body, ReturnedFromLeader: m.ReturnedFromLeader}
+		return NewWorkerHeartbeat(to, m.Body, m.ReturnedFromLeader)
 	case protocol.PeerWorkerProbe:
 		return WorkerProbe{Reply: to, Addr: m.Addr, Body: m.Body}
 	case protocol.PeerConfigGrant:
--- a/internal/controller/rollout_requests.go
+++ b/internal/controller/rollout_requests.go
@@ -29,7 +29,7 @@
 	}
 	r := rollout.Request{Op: rolloutOps[e.Op], Service: e.Ref}
 	if e.Op == protocol.OpRollout {
-		spec, err := protocol.ParseRollout(e.Body)
+		spec, err := e.content.rollout, e.content.err
 		if err != nil {
 			rd.replyError(e.Reply, http.StatusBadRequest, err.Error())
 			return
--- a/internal/controller/stats_test.go
+++ b/internal/controller/stats_test.go
@@ -84,8 +84,8 @@
 		}
 	}
 	for i := range 3 {
-		collect(c.Step(instant{Steady: protocol.Second + micros(i)}, UserRequest{Op: protocol.OpSubmit, Body: body}))
-		collect(c.Step(instant{Steady: protocol.Second + micros(i)}, UserRequest{Op: protocol.OpCancel, Ref: "req-000002"}))
+		collect(c.Step(instant{Steady: protocol.Second + micros(i)}, NewUserRequest(ReplyAddress{}, protocol.OpSubmit, "", body)))
+		collect(c.Step(instant{Steady: protocol.Second + micros(i)}, NewUserRequest(ReplyAddress{}, protocol.OpCancel, "req-000002", nil)))
 	}
 	s := c.Snapshot()
 	if answered != 6 || s.Refused[string(refusalMachineTypes)] != 3 || s.Refused[string(refusalNoLeader)] != 3 || s.Hosts != nil {
--- a/internal/controller/user_gateway.go
+++ b/internal/controller/user_gateway.go
@@ -57,7 +57,7 @@
 
 // onSubmit validates and routes a submission.
 func (g *userGateway) onSubmit(e UserRequest) {
-	spec, err := protocol.ParseJob(e.Body)
+	spec, err := e.content.job, e.content.err
 	if err != nil && !errors.Is(err, protocol.ErrNotUTF8) {
 		g.rejectSubmission(e.Reply, "", rejectionOfMalformed(err))
 		return
--- a/internal/controller/worker_router.go
+++ b/internal/controller/worker_router.go
@@ -53,7 +53,7 @@
 // the worker can accept, answers with 200: a worker that had to drop a 200 answer would stay at
 // this controller until its lease expires.
 func (wr *workerRouter) onHeartbeat(e WorkerHeartbeat) {
-	r, err := protocol.ParseHeartbeat(e.Body)
+	r, err := e.heartbeat, e.err
 	if err != nil {
 		wr.logMalformed("worker", err)
 		wr.replyError(e.Reply, http.StatusBadRequest, err.Error())
--- a/internal/controller/worker_router_test.go
+++ b/internal/controller/worker_router_test.go
@@ -36,7 +36,7 @@
 // sendHeartbeatWithSequence is sendHeartbeat with a given sequence number.
 func sendHeartbeatWithSequence(c *Controller, at micros, host string, epoch, sequence int) (call *Call, answer *Reply) {
 	body := fmt.Sprintf(`{"host":%q,"addr":"w:9","flavor":"f","region":"z","reclaimable":false,"tenure":1,"tick":%d,"epoch":%d,"shards":[]}`, host, sequence, epoch)
-	for _, e := range c.Step(instant{Steady: at}, WorkerHeartbeat{Body: []byte(body)}) {
+	for _, e := range c.Step(instant{Steady: at}, NewWorkerHeartbeat(ReplyAddress{}, []byte(body), false)) {
 		switch e := e.(type) {
 		case Call:
 			if e.Target == ToPeer {
@@ -151,7 +151,7 @@
 		c.Step(instant{Steady: at}, PeerStatusRequest{Epoch: 3, From: "n1", Body: protocol.AppendHandoverState(nil, protocol.HandoverState{})})
 	}
 	cancel := func(at micros) *Call {
-		for _, e := range c.Step(instant{Steady: at}, UserRequest{Op: protocol.OpCancel, Ref: "req-000001"}) {
+		for _, e := range c.Step(instant{Steady: at}, NewUserRequest(ReplyAddress{}, protocol.OpCancel, "req-000001", nil)) {
 			if call, ok := e.(Call); ok && call.Target == ToPeer {
 				return &call
 			}
--- a/internal/protocol/peer.go
+++ b/internal/protocol/peer.go
@@ -32,6 +32,29 @@
 	PeerFeatureRange   // response; builds without levels send a PeerResponse with status 0 instead
 )
 
+// peerKindNames are the names of the kinds of frames, for logs.
+var peerKindNames = map[PeerKind]string{
+	PeerUserRequest: "user request", PeerResponse: "response", PeerStatusRequest: "status request", PeerStatus: "status",
+	PeerHeartbeat: "heartbeat", PeerWorkerProbe: "worker probe", PeerHealthCheck: "health check", PeerConfigGrant: "configuration grant",
+	PeerConfigAck: "configuration ack", PeerFeatureRequest: "feature request", PeerFeatureRange: "feature range",
+}
+
+// String returns the name of the kind, for logs.
+func (k PeerKind) String() string {
+	if name, ok := peerKindNames[k]; ok {
+		return name
+	}
+	return "unknown"
+}
+
+// FrameKind returns the kind of a frame that SplitPeer returned, 0 if it is malformed.
+func FrameKind(frame []byte) PeerKind {
+	if len(frame) < 2 {
+		return 0
+	}
+	return PeerKind(frame[1])
+}
+
 // UserOp is the operation that a user requests.
 type UserOp uint8
 
--- a/internal/simulation/answer_comparison.go
+++ b/internal/simulation/answer_comparison.go
@@ -59,7 +59,7 @@
 	}
 	ref := body
 	if what == "submit" {
-		ref = fastjson.GetString([]byte(body), "ref")
+		ref = protocol.TextMember([]byte(body), "ref")
 	}
 	w.comparison.sequence++
 	sent := w.comparison.sequence
--- a/internal/simulation/changes.go
+++ b/internal/simulation/changes.go
@@ -270,7 +270,7 @@
 		w.nextConn++
 		w.answers[w.nextConn] = finish
 		w.after(5*protocol.Second, func() { finish(0, nil) })
-		w.step(n, controller.UserRequest{Reply: controller.ReplyAddress{Conn: w.nextConn}, Op: op, Ref: ref, Body: body})
+		w.step(n, controller.NewUserRequest(controller.ReplyAddress{Conn: w.nextConn}, op, ref, body))
 	}
 	try(50)
 }
--- a/internal/simulation/faults.go
+++ b/internal/simulation/faults.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fastjson"
 
 	"mapleslip/internal/controller"
+	"mapleslip/internal/costlyform"
 	"mapleslip/internal/protocol"
 )
 
@@ -16,13 +17,18 @@
 // moment that they end, users who send requests that must be refused, and messages that reach
 // the next leader or a worker late. The other faults are in late_messages.go.
 type faults struct {
-	lateCommands     lateness // direct commands that are carried out later and get no answer
-	lateCloud        lateness // rentals and releases that are carried out later
-	copiedCommands   lateness // direct commands of which a copy arrives later
-	keptReports      []keptReport
-	cancelAtEnd      int      // every N-th job that ends is cancelled at that moment; 0: none
-	endedJobs        int      // jobs that ended while cancelAtEnd was set
-	oddRequests      bool     // odd requests are sent, see sendOddRequests
+	lateCommands   lateness // direct commands that are carried out later and get no answer
+	lateCloud      lateness // rentals and releases that are carried out later
+	copiedCommands lateness // direct commands of which a copy arrives later
+	keptReports    []keptReport
+	cancelAtEnd    int              // every N-th job that ends is cancelled at that moment; 0: none
+	endedJobs      int              // jobs that ended while cancelAtEnd was set
+	oddRequests    bool             // odd requests are sent, see sendOddRequests
+	costlyBodies   bool             // costly bodies are sent, see sendCostlyBody
+	costlyRounds   int              // costly bodies sent
+	costlyBody     *costlyform.Body // that is being sent, nil for other requests
+	// measureWork delivers a costly body and measures the work that it causes; nil for no measurement.
+	measureWork      func(body costlyform.Body, deliver func())
 	oddRequestRounds int      // seconds in which odd requests were sent
 	refusedRefs      []string // refs of invalid submissions, which must not be accepted
 	refusals         int      // invalid submissions that were refused
@@ -72,7 +78,7 @@
 	return nil
 }
 
-// actFault carries out the verbs in-zone, cancel-now, cancel-at-end, retry-cancels and
+// actFault carries out the verbs in-zone, cancel-now, cancel-at-end, retry-cancels, costly-bodies and
 // unusual-requests.
 func (w *World) actFault(words []string) error {
 	switch words[0] {
@@ -100,6 +106,8 @@
 				w.cancel(j)
 			}
 		}
+	case "costly-bodies": // costly-bodies on|off, see sendCostlyBody
+		w.costlyBodies = words[1] == "on"
 	case "unusual-requests": // unusual-requests on|off, see sendOddRequests
 		w.oddRequests = words[1] == "on"
 	}
--- a/internal/simulation/history_test.go
+++ b/internal/simulation/history_test.go
@@ -83,6 +83,7 @@
 		d.launchedAgain()
 	}
 	d.at(1, "balance")
+	d.at(1, "costly-bodies on")
 	d.at(settledAt, "count")
 	d.at(lastingFaultsTo-0.1, "expect leader some")
 	d.at(lastingFaultsTo-0.1, "expect at-most 2 leaders")
--- a/internal/simulation/size_test.go
+++ b/internal/simulation/size_test.go
@@ -121,7 +121,7 @@
 // nextHeartbeat returns the next heartbeat of a machine's worker.
 func nextHeartbeat(w *World, i int) controller.WorkerHeartbeat {
 	w.nextConn++
-	return controller.WorkerHeartbeat{Reply: controller.ReplyAddress{Conn: w.nextConn}, Body: []byte(w.report(w.sortedMachines()[i]))}
+	return controller.NewWorkerHeartbeat(controller.ReplyAddress{Conn: w.nextConn}, []byte(w.report(w.sortedMachines()[i])), false)
 }
 
 // BenchmarkHeartbeat measures a worker's heartbeat that reports no change.
--- a/internal/simulation/user_verbs.go
+++ b/internal/simulation/user_verbs.go
@@ -29,6 +29,7 @@
 		"cancel-at-end":         (*World).actFault,
 		"retry-cancels":         (*World).actFault,
 		"unusual-requests":      (*World).actFault,
+		"costly-bodies":         (*World).actFault,
 		"query-at":              (*World).actAskAt,
 		"query-all":             func(w *World, words []string) error { return w.askEverywhere(words[1]) },
 		"follow-up-requests":    (*World).actCloseLooks,
--- a/internal/simulation/users.go
+++ b/internal/simulation/users.go
@@ -54,27 +54,31 @@
 			}
 		})
 	}
-	to := controller.ReplyAddress{Conn: conn}
+	if kind == "hello" && len(body) > transport.MaxBody { // as the server does
+		delete(w.answers, conn)
+		answer(413, nil)
+		return
+	}
+	w.measureCostly(func() { w.deliver(n, kind, body, controller.ReplyAddress{Conn: conn}) })
+}
+
+// deliver passes a request to a controller.
+func (w *World) deliver(n *node, kind, body string, to controller.ReplyAddress) {
 	switch kind {
 	case "hello":
-		if len(body) > transport.MaxBody { // as the server does
-			delete(w.answers, conn)
-			answer(413, nil)
-			return
-		}
-		w.step(n, controller.WorkerHeartbeat{Reply: to, Body: []byte(body)})
+		w.step(n, controller.NewWorkerHeartbeat(to, []byte(body), false))
 	case "submit":
-		w.step(n, controller.UserRequest{Reply: to, Op: protocol.OpSubmit, Body: []byte(body)})
+		w.step(n, controller.NewUserRequest(to, protocol.OpSubmit, "", []byte(body)))
 	case "query":
-		w.step(n, controller.UserRequest{Reply: to, Op: protocol.OpQuery, Ref: body})
+		w.step(n, controller.NewUserRequest(to, protocol.OpQuery, body, nil))
 	case "health":
 		w.step(n, controller.HealthzRequest{Reply: to})
 	case "cancel":
-		w.step(n, controller.UserRequest{Reply: to, Op: protocol.OpCancel, Ref: body})
+		w.step(n, controller.NewUserRequest(to, protocol.OpCancel, body, nil))
 	case "rollout":
-		w.step(n, controller.UserRequest{Reply: to, Op: protocol.OpRollout, Body: []byte(body)})
+		w.step(n, controller.NewUserRequest(to, protocol.OpRollout, "", []byte(body)))
 	default: // a request about the roll-out of a service
-		w.step(n, controller.UserRequest{Reply: to, Op: rolloutOps[kind], Ref: body})
+		w.step(n, controller.NewUserRequest(to, rolloutOps[kind], body, nil))
 	}
 }
 
--- a/internal/simulation/world.go
+++ b/internal/simulation/world.go
@@ -195,6 +195,7 @@
 		w.pollJobs()
 		w.watchWaiting()
 		w.sendOddRequests()
+		w.sendCostlyBody()
 		w.after(protocol.Second, poll)
 	}
 	poll()
--- a/internal/telemetry/recorder.go
+++ b/internal/telemetry/recorder.go
@@ -19,6 +19,7 @@
 
 	"mapleslip/internal/controller"
 	"mapleslip/internal/protocol"
+	"mapleslip/internal/stepwatch"
 )
 
 // Recorder records what a controller does as metrics and spans. A nil Recorder records nothing:
@@ -118,6 +119,14 @@
 	}
 }
 
+// WatchSteps exports how long events were handled at most and how many took too long, by kind of event.
+// kinds is called by scrapes, also while an event is handled.
+func (r *Recorder) WatchSteps(kinds func() map[string]stepwatch.Kind) {
+	if r != nil {
+		r.metrics.registry.MustRegister(&stepCollector{kinds})
+	}
+}
+
 // Connections records how many inbound connections are open, by who opened them, and how many were
 // ended since the start, by reason. It is called by the goroutine of the event loop only.
 func (r *Recorder) Connections(open map[string]int, ended map[string]uint64) {
