Scale run: users send costly bodies and close their sending side, and the report says the longest step

Cause: small bodies only, and a client that never closes its side. No run could show either fault of the incident.

One in 16 requests is followed by the end of the sending side, through the relays too.

--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -38,6 +38,7 @@
 	stepSeconds map[string]float64 // total handling time by kind of event
 	refused     map[string]float64
 	other       map[string]float64             // gauges and counters that have no labels
+	longestStep float64                        // longest handling of an event by the process so far, seconds
 	histograms  map[string]map[float64]float64 // of steps and calls: cumulative counts by upper bound in seconds
 }
 
@@ -121,6 +122,8 @@
 		s.addBuckets(label, m.Histogram)
 	case name == "mapleslip_call_seconds" && m.Histogram != nil && len(labels) == 2:
 		s.addBuckets(labels[1]+" "+labels[0], m.Histogram)
+	case name == "mapleslip_step_longest_seconds":
+		s.longestStep = max(s.longestStep, value)
 	case name == "mapleslip_refused_total":
 		s.refused[label] = value
 	case len(labels) == 0 && strings.HasPrefix(name, "mapleslip_"):
--- a/internal/scale/report.go
+++ b/internal/scale/report.go
@@ -221,6 +221,7 @@
 		fmt.Fprintf(out, "control of a real worker: %.0f bytes a second both ways at %.1f tasks\n", v, r.Rows["worker tasks_running"])
 	}
 	if v := r.Rows["leader longest tick s, at most"]; v > 0 {
+		fmt.Fprintf(out, "longest step: %.2g s of a leader, %.2g s of another controller\n", r.Rows["leader longest step s"], r.Rows["controller longest step s"])
 		fmt.Fprintf(out, "leader: longest round at most %.2g s, longest renewal at most %.2g s\n", v, r.Rows["leader longest state lease s, at most"])
 	}
 }
--- a/internal/scale/rows.go
+++ b/internal/scale/rows.go
@@ -82,6 +82,7 @@
 			c.rate[role+" "+what] += d
 		}
 	}
+	c.largest[role+" longest step s"] = max(c.largest[role+" longest step s"], now.longestStep)
 	c.stateCalls += increase(now.calls, previous.calls, "state ")
 	for _, what := range []string{"tick", "report", "state lease", "state commit"} {
 		// After a restart of the process, counts are lower and no bucket has grown.
--- a/internal/scale/users/run.go
+++ b/internal/scale/users/run.go
@@ -2,27 +2,19 @@
 
 import (
 	"container/heap"
-	"encoding/json"
-	"fmt"
 	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
-	"net/netip"
 	"slices"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/valyala/fastjson"
-
 	"mapleslip/internal/oddform"
-	"mapleslip/internal/protocol"
 	"mapleslip/internal/scale/ipc"
 	"mapleslip/internal/scale/wire"
 	"mapleslip/internal/strictjson"
-	"mapleslip/internal/transport"
 )
 
 // Settings of users as the protocol defines them; times are in microseconds.
@@ -37,6 +29,9 @@
 	maxRequestsPerConn = 50
 	laterPollDelay     = 15 * second // of a poll after the job has ended
 	connLimitDelay     = second / 20 // between checks while the maximum of connections is open
+	costlyInterval     = second      // between two submissions with a costly body
+	maxCostlyBytes     = 60_000      // of such a body
+	halfCloseOneIn     = 16          // one in so many requests is followed by the end of the sending side
 )
 
 // event is an action of a user or operator at a time.
@@ -79,25 +74,6 @@
 	inFlight int
 }
 
-// regionClient is the client of the users of a region, with their load balancer and connections.
-type regionClient struct {
-	load      *load
-	region    string
-	source    net.IP
-	addresses []string // of the controllers
-	mu        sync.Mutex
-	balancer  *balancer
-	idle      []*conn
-	open      map[*conn]bool
-}
-
-type conn struct {
-	net.Conn
-	backend   int
-	requests  int
-	idleSince int64
-}
-
 // Run runs the part with wire.RoleUsers: the load.
 func Run(in io.Reader, out io.Writer, log *slog.Logger) error {
 	p, err := ipc.Open(in, out)
@@ -131,6 +107,7 @@
 	if l.plan.Strangers > 0 {
 		l.schedule(l.plan.BeginUS+second, l.queryUnknownJob)
 	}
+	l.schedule(l.plan.BeginUS+costlyInterval, l.submitCostlyBody)
 	var changes []*change
 	if l.plan.Operators != nil {
 		changes = l.plan.drawChanges(l.pipe.Config.Seed)
@@ -203,6 +180,13 @@
 	return max(0, l.rng.IntN(2*oddform.Forms)-oddform.Forms)
 }
 
+// halfCloses reports whether the client closes its sending side after the next request.
+func (l *load) halfCloses() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.IntN(halfCloseOneIn) == 0
+}
+
 // count increments a counter.
 func (l *load) count(name string) {
 	l.mu.Lock()
@@ -302,283 +286,3 @@
 	l.schedule(now+wait, try)
 	return false
 }
-
-func (l *load) submit(j *job) {
-	body := protocol.AppendJob(nil, j.spec)
-	_ = l.pipe.Out.Send(&wire.Message{Kind: wire.Submit, Ref: j.spec.Ref, Region: j.region, Due: j.due, At: wire.Now(), Run: j.run, Specs: []json.RawMessage{body}})
-	var try func(due int64)
-	try = func(due int64) {
-		a := l.request(j.region, "submit", j.spec.Ref, due, "POST", "/api/jobs", oddform.Body(body, l.form()), submitTimeout)
-		switch a.status {
-		case 200, 201:
-			l.followJob(j)
-		case 400, 422:
-			l.count("refused")
-		default:
-			if l.retry(a, j.due, try) {
-				l.count("given_up_submit")
-			}
-		}
-	}
-	try(j.due)
-}
-
-// followJob polls a job and cancels it if its user does that.
-func (l *load) followJob(j *job) {
-	now := wire.Now()
-	end := l.plan.BeginUS + l.plan.DurationUS + l.plan.SettleUS
-	// The polls and the cancellation run concurrently and share these variables.
-	var cancelling, finished bool
-	var mu sync.Mutex
-	var poll func(due int64)
-	poll = func(due int64) {
-		a := l.request(j.region, "query", j.spec.Ref, due, "GET", "/api/jobs/"+j.spec.Ref, nil, pollTimeout)
-		if a.status == 200 && (a.phase == "done" || a.phase == "cancelled") {
-			mu.Lock()
-			firstTime := !finished
-			finished = true
-			mu.Unlock()
-			// About half of the users poll once more, later.
-			if l.jitter(100) < 100 && firstTime {
-				l.schedule(wire.Now()+l.jitter(laterPollDelay), poll)
-			}
-			return
-		}
-		if next := wire.Now() + l.jitter(l.plan.PollUS); next < end {
-			l.schedule(next, poll)
-		}
-	}
-	l.schedule(now+l.jitter(l.plan.PollUS), poll)
-	if j.cancelAt == 0 || max(now, j.due+j.cancelAt) >= l.plan.BeginUS+l.plan.DurationUS {
-		return
-	}
-	cancelDue := max(now, j.due+j.cancelAt)
-	var cancel func(due int64)
-	cancel = func(due int64) {
-		mu.Lock()
-		skip := finished
-		begin := !cancelling
-		cancelling = true
-		mu.Unlock()
-		if skip {
-			return
-		}
-		if begin {
-			_ = l.pipe.Out.Send(&wire.Message{Kind: wire.Cancel, Ref: j.spec.Ref, Region: j.region, Due: due, At: wire.Now()})
-		}
-		a := l.request(j.region, "cancel", j.spec.Ref, due, "POST", "/api/jobs/"+j.spec.Ref+"/cancel", nil, submitTimeout)
-		if a.status != 200 && l.retry(a, cancelDue, cancel) {
-			l.count("given_up_cancel")
-		}
-	}
-	l.schedule(cancelDue, cancel)
-}
-
-// queryUnknownJob queries a job that was never submitted: its name has twelve digits, those of
-// submitted jobs have nine.
-func (l *load) queryUnknownJob(due int64) {
-	l.mu.Lock()
-	ref := fmt.Sprintf("req-%012d", 1_000_000_000_0+l.rng.Int64N(1_000_000_000))
-	region := l.plan.Regions[l.rng.IntN(len(l.plan.Regions))]
-	wait := int64(l.rng.ExpFloat64() / l.plan.Strangers * second)
-	l.mu.Unlock()
-	if due+wait < l.plan.BeginUS+l.plan.DurationUS {
-		l.schedule(due+wait, l.queryUnknownJob)
-	}
-	l.request(region, "query", ref, due, "GET", "/api/jobs/"+ref, nil, pollTimeout)
-}
-
-// acquire returns an idle connection, or opens one to a backend that the balancer picks. It
-// returns nil if no backend accepts a connection, or at the deadline with too many open.
-func (rc *regionClient) acquire(deadline int64) *conn {
-	rc.mu.Lock()
-	for n := len(rc.idle); n > 0; n = len(rc.idle) {
-		c := rc.idle[n-1]
-		rc.idle = rc.idle[:n-1]
-		if wire.Now()-c.idleSince < idleTimeout && rc.open[c] {
-			rc.mu.Unlock()
-			return c
-		}
-		rc.closeConn(c)
-	}
-	rc.mu.Unlock()
-	for {
-		rc.mu.Lock()
-		crowded := len(rc.open)*len(rc.load.clients) >= rc.load.plan.MaxConnections
-		rc.mu.Unlock()
-		if !crowded {
-			break
-		}
-		rc.load.count("crowded")
-		time.Sleep(connLimitDelay * time.Microsecond)
-		if wire.Now() > deadline {
-			return nil
-		}
-	}
-	var tried []int
-	for range maxConnectAttempts {
-		rc.mu.Lock()
-		i := rc.balancer.pick(tried, wire.Now())
-		rc.mu.Unlock()
-		if i < 0 {
-			return nil
-		}
-		tried = append(tried, i)
-		dialer := net.Dialer{Timeout: connectTimeout * time.Microsecond}
-		if rc.source != nil {
-			dialer.LocalAddr = &net.TCPAddr{IP: rc.source}
-		}
-		c, err := dialer.Dial("tcp4", rc.addresses[i])
-		rc.mu.Lock()
-		rc.balancer.recordConnect(i, err == nil, wire.Now())
-		if err == nil {
-			opened := &conn{Conn: c, backend: i}
-			rc.open[opened] = true
-			rc.mu.Unlock()
-			return opened
-		}
-		rc.mu.Unlock()
-	}
-	return nil
-}
-
-// closeConn closes a connection. The caller holds the lock.
-func (rc *regionClient) closeConn(c *conn) {
-	if rc.open[c] {
-		delete(rc.open, c)
-		rc.balancer.recordClose(c.backend)
-	}
-	c.Close()
-}
-
-func (rc *regionClient) call(method, path string, body []byte, timeout int64) (a answer) {
-	deadline := wire.Now() + timeout
-	c := rc.acquire(deadline)
-	if c == nil {
-		return a
-	}
-	_ = c.SetDeadline(time.Now().Add(time.Duration(deadline-wire.Now()) * time.Microsecond))
-	a, keep, in, out := roundTrip(c, oddform.Request(method, rc.addresses[c.backend], path, body, rc.load.form()))
-	rc.load.mu.Lock()
-	rc.load.counts["bytes_in"] += float64(in)
-	rc.load.counts["bytes_out"] += float64(out)
-	rc.load.mu.Unlock()
-	c.requests++
-	rc.mu.Lock()
-	defer rc.mu.Unlock()
-	if !keep || c.requests >= maxRequestsPerConn || !rc.open[c] {
-		rc.closeConn(c)
-		return a
-	}
-	c.idleSince = wire.Now()
-	rc.idle = append(rc.idle, c)
-	return a
-}
-
-// roundTrip sends the parts of a request on a connection and reads the response.
-func roundTrip(c net.Conn, parts [][]byte) (a answer, keep bool, in, out int) {
-	for _, part := range parts {
-		n, err := c.Write(part)
-		if out += n; err != nil {
-			return a, false, 0, out
-		}
-	}
-	buf := make([]byte, 0, 1024)
-	for {
-		if len(buf) == cap(buf) {
-			buf = append(buf, 0)[:len(buf)]
-		}
-		n, rerr := c.Read(buf[len(buf):cap(buf)])
-		buf = buf[:len(buf)+n]
-		r, used, err := transport.ParseResponse(buf, rerr != nil)
-		if err != nil || used == 0 && rerr != nil || len(buf) > transport.MaxBody*2 {
-			return a, false, len(buf), out
-		}
-		if used == 0 {
-			continue
-		}
-		a.status, a.body = r.Status, r.Body
-		a.phase = fastjson.GetString(r.Body, "phase")
-		a.retryAfter = retryAfter(buf[:used-len(r.Body)])
-		return a, rerr == nil && used == len(buf) && !r.Close, len(buf), out
-	}
-}
-
-// retryAfter returns the delay in the Retry-After header of a response, microseconds. It is at
-// most an hour.
-func retryAfter(head []byte) int64 {
-	for line := range strings.SplitSeq(string(head), "\r\n") {
-		if name, v, ok := strings.Cut(line, ":"); ok && strings.EqualFold(name, "Retry-After") {
-			n, _ := strconv.ParseInt(strings.TrimSpace(v), 10, 64)
-			return max(0, min(n, 3600)) * second
-		}
-	}
-	return 0
-}
-
-// probe checks the health of a controller about once a second.
-func (rc *regionClient) probe(i int, stop chan struct{}) {
-	dialer := transport.Dialer{MaxOpen: 1, MaxPer: 1}
-	if a, ok := sourceAddr(rc.source); ok {
-		dialer.Source = a
-	}
-	payload := transport.AppendRequest(nil, "GET", rc.addresses[i], "/healthz", nil)
-	for {
-		status := 0
-		start := wire.Now()
-		err := dialer.Do(rc.addresses[i], payload, probeTimeout*time.Microsecond, func(buf []byte, eof bool) (int, bool, error) {
-			r, used, err := transport.ParseResponse(buf, eof)
-			if err != nil || used == 0 {
-				return 0, false, err
-			}
-			status = r.Status
-			return used, false, nil
-		})
-		rc.mu.Lock()
-		rc.balancer.recordProbe(i, err == nil && status == 200, wire.Now())
-		rc.mu.Unlock()
-		rc.load.count("probes")
-		wait := time.Duration(max(second/10, start+rc.load.jitter(probeInterval)-wire.Now())) * time.Microsecond
-		select {
-		case <-stop:
-			return
-		case <-time.After(wait):
-		}
-	}
-}
-
-// sweepConns closes connections of backends that have been unhealthy for long, and those that
-// have been idle for long.
-func (rc *regionClient) sweepConns(stop chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(time.Second):
-		}
-		rc.mu.Lock()
-		now := wire.Now()
-		for c := range rc.open {
-			if rc.balancer.shouldReset(c.backend, now) {
-				rc.closeConn(c) // a request on it fails at once
-			}
-		}
-		kept := rc.idle[:0]
-		for _, c := range rc.idle {
-			switch {
-			case !rc.open[c]:
-			case now-c.idleSince >= idleTimeout:
-				rc.closeConn(c)
-			default:
-				kept = append(kept, c)
-			}
-		}
-		rc.idle = kept
-		rc.mu.Unlock()
-	}
-}
-
-func sourceAddr(ip net.IP) (netip.Addr, bool) {
-	a, ok := netip.AddrFromSlice(ip.To4())
-	return a, ok
-}
