Transport: chunked answers are decoded once; the demonstration sends costly, half-closed requests

The same flaw in another path: an answer in chunks was decoded anew with each read, so that work grew with the square of its size (1 GB allocated for 512 KiB in chunks of a byte, in parts of 100 bytes).

--- a/cmd/mapleslip/calls.go
+++ b/cmd/mapleslip/calls.go
@@ -84,11 +84,12 @@
 	default:
 		isCheck := c.Target == controller.ToInstance
 		payload := transport.AppendRequest(nil, c.Method, addr, c.Path, c.Body)
+		var response transport.ResponseReader
 		err = dialer.Do(addr, payload, timeout, func(buf []byte, eof bool) (int, bool, error) {
 			if isCheck && len(buf) > maxCheckResponseBytes {
 				return 0, false, transport.ErrTooLong
 			}
-			r, used, err := transport.ParseResponse(buf, eof)
+			r, used, err := response.Parse(buf, eof)
 			if err != nil || used == 0 {
 				return 0, false, err
 			}
--- a/cmd/mapleslip/demo.go
+++ b/cmd/mapleslip/demo.go
@@ -104,6 +104,7 @@
 	err = m.runSteps(ctx, limit, []demoStep{
 		{"a leader is elected", m.waitForLeader},
 		{"an array, a gang and a service run", m.runJobs},
+		{"costly bodies hold up nobody", m.sendCostlyBodies},
 		{"the leader is killed and the work goes on", m.killLeader},
 		{"a healthy roll-out completes", m.healthyRollout},
 		{"a faulty roll-out is reverted", m.faultyRollout},
--- a/internal/transport/http.go
+++ b/internal/transport/http.go
@@ -17,13 +17,6 @@
 	maxHeaders = 100      // lines of the head, including the start line
 )
 
-// Response is one parsed HTTP response.
-type Response struct {
-	Status int
-	Body   []byte
-	Close  bool // the server closes the connection after this response
-}
-
 // ParseError reports a malformed message. A request that is malformed in any way gets status 400:
 // users repeat one with any other status that tells of an error (protocol, POST /api/jobs).
 type ParseError struct{ Text string }
@@ -138,99 +131,6 @@
 	return false
 }
 
-// ParseResponse parses one response at the start of buf; eof is whether the peer has closed the
-// connection. It returns the number of bytes used, or 0 while more are needed.
-func ParseResponse(buf []byte, eof bool) (*Response, int, error) {
-	h, err := parseHead(buf)
-	if errors.Is(err, errIncomplete) {
-		return nil, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	version, rest, _ := strings.Cut(h.startLine, " ")
-	code, _, _ := strings.Cut(rest, " ")
-	status, err := parseLength(code)
-	if err != nil || !strings.HasPrefix(version, "HTTP/1.") || status < 100 || status > 599 {
-		return nil, 0, newParseError("malformed status line")
-	}
-	r := &Response{Status: status, Close: h.close || version == "HTTP/1.0"}
-	switch {
-	case h.chunked:
-		body, n, err := parseChunks(buf[h.bodyOffset:])
-		if err != nil || n == 0 {
-			return nil, 0, err
-		}
-		r.Body = body
-		return r, h.bodyOffset + n, nil
-	case h.contentLength >= 0:
-		if len(buf) < h.bodyOffset+h.contentLength {
-			return nil, 0, nil
-		}
-		r.Body = append([]byte(nil), buf[h.bodyOffset:h.bodyOffset+h.contentLength]...)
-		return r, h.bodyOffset + h.contentLength, nil
-	case status == 204 || status == 304 || status < 200:
-		return r, h.bodyOffset, nil
-	}
-	if !eof {
-		return nil, 0, nil
-	}
-	r.Body, r.Close = append([]byte(nil), buf[h.bodyOffset:]...), true
-	return r, len(buf), nil
-}
-
-// parseChunks decodes a chunked body at the start of buf. used is 0 while more bytes are needed.
-func parseChunks(buf []byte) (body []byte, used int, err error) {
-	for {
-		i := bytes.Index(buf[used:], []byte("\r\n"))
-		if i < 0 {
-			if len(buf)-used > 1024 {
-				return nil, 0, newParseError("malformed chunk")
-			}
-			return nil, 0, nil
-		}
-		size, _, _ := strings.Cut(string(buf[used:used+i]), ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(size), 16, 31)
-		if err != nil || int(n)+len(body) > MaxAnswer {
-			return nil, 0, newParseError("malformed chunk")
-		}
-		used += i + 2
-		if n == 0 {
-			end := skipTrailer(buf[used:])
-			if end == 0 {
-				return nil, 0, nil
-			}
-			if body == nil {
-				body = []byte{}
-			}
-			return body, used + end, nil
-		}
-		if len(buf) < used+int(n)+2 {
-			return nil, 0, nil
-		}
-		body = append(body, buf[used:used+int(n)]...)
-		if buf[used+int(n)] != '\r' || buf[used+int(n)+1] != '\n' {
-			return nil, 0, newParseError("malformed chunk")
-		}
-		used += int(n) + 2
-	}
-}
-
-// skipTrailer returns the number of bytes of the trailer fields, if there are any, and of the empty
-// line that ends them, or 0 while more are needed.
-func skipTrailer(buf []byte) (used int) {
-	for {
-		i := bytes.Index(buf[used:], []byte("\r\n"))
-		if i < 0 {
-			return 0
-		}
-		used += i + 2
-		if i == 0 {
-			return used
-		}
-	}
-}
-
 var statusText = map[int]string{
 	200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found",
 	405: "Method Not Allowed", 408: "Request Timeout",
--- a/internal/transport/request.go
+++ b/internal/transport/request.go
@@ -10,9 +10,9 @@
 	maxMethod = 32 // bytes of a method's name
 	// maxChunkLine is the limit of the line before a chunk, in bytes.
 	maxChunkLine = 1024
-	// maxChunkedBody is the limit of a chunked body as it is sent, in bytes: a body of MaxBody in
-	// chunks of one byte has six bytes for each.
-	maxChunkedBody = 8 * MaxBody
+	// sentPerByte limits a chunked body as it is sent, in bytes for each byte of the limit of the body:
+	// chunks of one byte have six for each.
+	sentPerByte = 8
 )
 
 // Request is one parsed HTTP request.
@@ -121,6 +121,7 @@
 	if r.request, err = requestOf(&h); err != nil {
 		return err
 	}
+	r.chunks.limit = MaxBody
 	r.chunked, r.length, r.expectContinue = h.chunked, max(h.contentLength, 0), h.expectContinue
 	r.buf = r.buf[:copy(r.buf, r.buf[end:])]
 	return nil
@@ -262,6 +263,7 @@
 
 // chunkReader decodes a chunked body that arrives in parts (RFC 9112, section 7.1).
 type chunkReader struct {
+	limit int // of the body, in bytes
 	body  []byte
 	state chunkState
 	left  int // bytes of the current chunk that are still to come
@@ -282,8 +284,8 @@
 // others are needed again, with those that follow them.
 func (c *chunkReader) add(buf []byte) (used int, err error) {
 	for !c.done && err == nil {
-		if c.total+used > maxChunkedBody {
-			return used, newParseError("body over 64 KiB")
+		if c.total+used > sentPerByte*c.limit {
+			return used, c.tooLarge()
 		}
 		if c.state == chunkData {
 			n := min(c.left, len(buf)-used)
@@ -309,6 +311,10 @@
 	return used, err
 }
 
+func (c *chunkReader) tooLarge() error {
+	return newParseError("body over " + strconv.Itoa(c.limit>>10) + " KiB")
+}
+
 // cutLine returns the line at the start of buf, without its end, and the bytes up to the next one.
 // An incomplete line is all of buf.
 func cutLine(buf []byte) (line []byte, used int, complete bool) {
@@ -338,8 +344,8 @@
 		if err != nil {
 			return err
 		}
-		if len(c.body)+n > MaxBody {
-			return newParseError("body over 64 KiB")
+		if len(c.body)+n > c.limit {
+			return c.tooLarge()
 		}
 		c.left, c.state = n, chunkData
 		if n == 0 {
--- a/internal/transport/request_test.go
+++ b/internal/transport/request_test.go
@@ -55,7 +55,7 @@
 	}
 	for name, in := range map[string]string{
 		"one more byte":        head + full + "1\r\na\r\n" + end,
-		"endless trailer":      head + "0\r\n" + strings.Repeat("x: y\r\n", maxChunkedBody),
+		"endless trailer":      head + "0\r\n" + strings.Repeat("x: y\r\n", sentPerByte*MaxBody),
 		"extensions and bytes": head + strings.Repeat("1;"+strings.Repeat("x", 1000)+"\r\na\r\n", 10_000),
 	} {
 		if r, err := readParts(in, 1000); err == nil || r != nil {
