Transport: a new connection is admitted before the next one is accepted

Trace: the limit was checked by the goroutine of each connection. The test's clock stands still until it is set forward; connections that the server handled only after that were young, and none could give way. Two causes, both mended: - Server: admission is decided by the accepting goroutine, one connection after the other, as the event loop before did. Otherwise a burst could hold more sockets than allowed until the goroutines had run. - Test: it waits until the server has a part of each request before it sets the clock forward, which its comment took for granted. Its checks and bounds are the same.

--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -311,6 +311,7 @@
 		defer c.Close()
 		_, _ = io.WriteString(c, "POST /api/jobs HTTP/1.1\r\nContent-Length: 300\r\n\r\n{")
 	}
+	awaitParts(t, s, 100)
 	// Each retry stands for a probe of a load balancer. All connections are silent for long enough then.
 	offset.Store(int64(unfinishedGrace))
 	var err error
@@ -332,6 +333,29 @@
 	}
 }
 
+// awaitParts waits until the server has handled so many connections and has a part of a message of each
+// that is open: what it gets later is not silent for as long.
+func awaitParts(t *testing.T, s *Server, connections ConnID) {
+	t.Helper()
+	handled := func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, c := range s.clients.conns {
+			if !c.hasPart() {
+				return false
+			}
+		}
+		return s.nextID >= connections
+	}
+	for range 1000 {
+		if handled() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("the server does not handle its connections")
+}
+
 func getOverNewConnection(url string) error {
 	h := http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 10 * time.Second}
 	response, err := h.Get(url)
--- a/internal/transport/listener.go
+++ b/internal/transport/listener.go
@@ -55,7 +55,8 @@
 	}
 }
 
-// accept serves the connections of a listener, each in a goroutine of its own.
+// accept serves the connections of a listener, each in a goroutine of its own. Whether there is room for
+// one is decided before the next is accepted, so that there are never more sockets than allowed.
 func (s *Server) accept(l net.Listener, fromCluster bool) {
 	var logged time.Time
 	for {
@@ -68,23 +69,30 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		go s.serve(conn, fromCluster)
+		s.start(conn, fromCluster)
 	}
 }
 
-// serve handles a connection until it ends. A client may close its sending side after a request (RFC
-// 9112, section 9.6): it is only noticed once the request is answered.
-func (s *Server) serve(conn net.Conn, fromCluster bool) {
-	defer conn.Close()
+// start begins to serve a connection, or closes it if there is no room.
+func (s *Server) start(conn net.Conn, fromCluster bool) {
 	socket, err := newNetSocket(conn)
 	if err != nil {
+		conn.Close()
 		return
 	}
 	c := s.opened(socket, fromCluster)
 	if c == nil {
+		conn.Close()
 		return
 	}
+	go s.serve(c, socket)
+}
+
+// serve handles a connection until it ends. A client may close its sending side after a request (RFC
+// 9112, section 9.6): it is only noticed once the request is answered.
+func (s *Server) serve(c *serverConn, socket *netSocket) {
 	defer s.closed(c)
+	defer socket.conn.Close()
 	for {
 		var out []byte
 		var next action
