--- a/review/standin2/case4.go
+++ b/review/standin2/case4.go
@@ -122,7 +122,7 @@
 func (w *world) roomFor(s *spec) string {
 	for _, name := range sortedKeys(w.workers) {
 		k := w.workers[name]
-		allowed := contains(s.Flavors, k.typ.name) && k.zone == *s.Region && (!k.spot || s.Reclaimable)
+		allowed := (s.Flavors == nil || contains(s.Flavors, k.typ.name)) && (s.Region == nil || k.zone == *s.Region) && (!k.spot || s.Reclaimable)
 		if k.up && !k.gone && allowed && k.fits(s) {
 			return name
 		}
